Add the workspace, value types, codecs and the design

Cause: the repository was empty. The design page records the requirements, the alternatives considered and the module boundaries; the first packages carry the types and codecs that all later modules share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Entry points of the workspace; `make help` lists them.
+BUILD_DIR ?= build
+BUILD_TYPE ?= RelWithDebInfo
+JOBS ?= $(shell nproc)
+PACKAGES = g++ cmake make ccache clang-format clang-tidy libcaf-dev libcereal-dev \
+  libboost-dev libboost-system-dev libboost-log-dev libboost-thread-dev \
+  libboost-filesystem-dev libboost-test-dev libcli11-dev libyaml-cpp-dev \
+  nlohmann-json3-dev libsodium-dev libxxhash-dev librapidcheck-dev \
+  libbenchmark-dev pkg-config
+SOURCES = $(shell git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
+
+.PHONY: help setup configure build lint format test bench demo clean
+
+help:
+	@echo "make setup|build|lint|format|test|bench|demo"
+
+# Installs the missing packages only, so that a prepared machine needs no network.
+setup:
+	@missing=""; for p in $(PACKAGES); do \
+	  dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then apt-get update -q >/dev/null && \
+	  DEBIAN_FRONTEND=noninteractive apt-get install -y -q $$missing >/dev/null; fi
+
+configure: setup
+	@cmake -S . -B $(BUILD_DIR) -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) >/dev/null
+
+build: configure
+	@cmake --build $(BUILD_DIR) -j $(JOBS) -- --no-print-directory
+
+lint: configure
+	@clang-format --dry-run -Werror $(SOURCES)
+	@bash .ci/tidy $(BUILD_DIR) $(JOBS)
+
+format:
+	@clang-format -i $(SOURCES)
+
+test: build
+	@cd $(BUILD_DIR) && ctest --output-on-failure -j 4
+
+bench: build
+	@bash bench/run $(BUILD_DIR)
+
+demo: build
+	@bash standins/demo $(BUILD_DIR)
+
+clean:
+	@rm -rf $(BUILD_DIR)
--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,28 @@
+# Helpers shared by the build files of all packages.
+
+add_compile_options(-Wall -Wextra -Wpedantic)
+
+# Defines the library medlarwinch_<name> from src/*.cc of the calling folder.
+function(medlarwinch_library name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc)
+  add_library(medlarwinch_${name} STATIC ${sources})
+  target_include_directories(medlarwinch_${name}
+                             PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
+  target_link_libraries(medlarwinch_${name} PUBLIC ${ARGN})
+endfunction()
+
+# Defines one Boost.Test program from tests/*_test.cc of the calling folder.
+function(medlarwinch_tests name)
+  file(GLOB sources CONFIGURE_DEPENDS
+       ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_test.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name}_tests ${sources}
+                               ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+  target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(${name}_tests PRIVATE Boost::unit_test_framework rapidcheck
+                                              ${ARGN})
+  add_test(NAME ${name}_tests COMMAND ${name}_tests)
+  set_tests_properties(${name}_tests PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/packages/protocol/include/medlarwinch/protocol/codec.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+#include <exception>
+#include <istream>
+#include <ostream>
+#include <streambuf>
+#include <string>
+#include <type_traits>
+#include <utility>
+
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// Reads from bytes that the caller owns, without a copy.
+class ByteReadBuffer : public std::streambuf {
+ public:
+  explicit ByteReadBuffer(ByteView bytes);
+
+  /// True when every byte was read.
+  bool AtEnd() const { return gptr() == egptr(); }
+};
+
+/// Appends to bytes that the caller owns.
+class ByteWriteBuffer : public std::streambuf {
+ public:
+  explicit ByteWriteBuffer(Bytes& bytes) : bytes_(bytes) {}
+
+ protected:
+  std::streamsize xsputn(const char* data, std::streamsize count) override;
+  int_type overflow(int_type character) override;
+
+ private:
+  Bytes& bytes_;
+};
+
+/// Longest std::string inside a bounded container of strings, in bytes.
+inline constexpr uint32_t kMaxNestedStringBytes = 256;
+
+/// A container whose size is checked against a bound before any allocation
+/// for its elements.
+template <typename Container>
+struct BoundedContainer {
+  Container& container;
+  uint32_t max_size;
+};
+
+/// Wraps `container` for an archive; decoding more than `max_size` elements
+/// fails.
+template <typename Container>
+BoundedContainer<Container> Bounded(Container& container, uint32_t max_size) {
+  return BoundedContainer<Container>{container, max_size};
+}
+
+template <typename Archive, typename Container>
+void CEREAL_SAVE_FUNCTION_NAME(Archive& archive,
+                               const BoundedContainer<Container>& bounded) {
+  if (bounded.container.size() > bounded.max_size) {
+    throw cereal::Exception(
+        "container of " + std::to_string(bounded.container.size()) +
+        " elements is above its bound of " + std::to_string(bounded.max_size));
+  }
+  archive(static_cast<uint32_t>(bounded.container.size()));
+  for (const auto& element : bounded.container) {
+    if constexpr (std::is_same_v<std::decay_t<decltype(element)>,
+                                 std::string>) {
+      archive(Bounded(element, kMaxNestedStringBytes));
+    } else {
+      archive(element);
+    }
+  }
+}
+
+template <typename Archive, typename Container>
+void CEREAL_LOAD_FUNCTION_NAME(Archive& archive,
+                               BoundedContainer<Container>& bounded) {
+  uint32_t size = 0;
+  archive(size);
+  if (size > bounded.max_size) {
+    throw cereal::Exception("container of " + std::to_string(size) +
+                            " elements is above its bound of " +
+                            std::to_string(bounded.max_size));
+  }
+  bounded.container.clear();
+  for (uint32_t index = 0; index < size; ++index) {
+    typename std::remove_const_t<Container>::value_type element{};
+    if constexpr (std::is_same_v<decltype(element), std::string>) {
+      archive(Bounded(element, kMaxNestedStringBytes));
+    } else {
+      archive(element);
+    }
+    bounded.container.push_back(std::move(element));
+  }
+}
+
+/// An enumerator whose decoded value is checked against the last one.
+template <typename Enum>
+struct BoundedEnumerator {
+  Enum& value;
+  Enum last;
+};
+
+/// Wraps `value` for an archive; decoding a value above `last` fails.
+template <typename Enum>
+BoundedEnumerator<Enum> Checked(Enum& value, Enum last) {
+  return BoundedEnumerator<Enum>{value, last};
+}
+
+template <typename Archive, typename Enum>
+void CEREAL_SAVE_FUNCTION_NAME(Archive& archive,
+                               const BoundedEnumerator<Enum>& enumerator) {
+  archive(static_cast<uint8_t>(enumerator.value));
+}
+
+template <typename Archive, typename Enum>
+void CEREAL_LOAD_FUNCTION_NAME(Archive& archive,
+                               BoundedEnumerator<Enum>& enumerator) {
+  uint8_t raw = 0;
+  archive(raw);
+  if (raw > static_cast<uint8_t>(enumerator.last)) {
+    throw cereal::Exception("enumerator " + std::to_string(raw) +
+                            " is unknown");
+  }
+  enumerator.value = static_cast<Enum>(raw);
+}
+
+/// Appends the encoding of `message` to `bytes`. Throws cereal::Exception when
+/// a container is above its bound, which is a fault of the caller.
+template <typename Message>
+void EncodeTo(const Message& message, Bytes& bytes) {
+  ByteWriteBuffer buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(message);
+}
+
+/// Returns the encoding of `message`; see EncodeTo().
+template <typename Message>
+Bytes Encode(const Message& message) {
+  Bytes bytes;
+  bytes.reserve(256);
+  EncodeTo(message, bytes);
+  return bytes;
+}
+
+/// Decodes one message that takes up all of `bytes`. Fails with kInvalidInput
+/// on any other input; it never reads past the end and allocates no more than
+/// the bounds of the message's containers.
+template <typename Message>
+Result<Message> Decode(ByteView bytes) {
+  try {
+    ByteReadBuffer buffer(bytes);
+    std::istream stream(&buffer);
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message{};
+    archive(message);
+    if (!buffer.AtEnd()) {
+      return Error{ErrorCode::kInvalidInput,
+                   "message is followed by surplus bytes"};
+    }
+    return message;
+  } catch (const std::exception& exception) {
+    return Error{ErrorCode::kInvalidInput, exception.what()};
+  }
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/include/medlarwinch/protocol/data_messages.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "medlarwinch/protocol/key_ring.h"
+#include "medlarwinch/protocol/packet_header.h"
+#include "medlarwinch/protocol/serialization.h"
+
+namespace medlarwinch {
+
+inline constexpr uint32_t kMaxCandidates = 6;
+/// Largest answer that the ledger stores for a repeated key, in bytes.
+inline constexpr uint32_t kMaxStoredAnswerBytes = 4'096;
+
+/// A packet between the fabric and a balancer, in either direction. This is the
+/// encapsulation of the fabric; it carries no tag of ours.
+struct FabricPacket {
+  Endpoint service_address;
+  Endpoint caller;
+  Bytes payload;
+
+  friend bool operator==(const FabricPacket&, const FabricPacket&) = default;
+};
+
+/// A caller's packet on its way from a balancer to an agent, or from one agent
+/// to the next candidate.
+struct ForwardedPacket {
+  std::string service;
+  Endpoint service_address;
+  Endpoint caller;
+  /// Where the answer goes, as a FabricPacket.
+  Endpoint fabric;
+  /// Data addresses in the order in which they are tried; empty when a verified
+  /// identifier named the receiver.
+  std::vector<Endpoint> candidates;
+  /// Index of the receiver in `candidates`.
+  uint8_t hop = 0;
+  /// How many of the candidates, from the front, belong to the current table
+  /// and may accept a new flow; the rest may only own an established one.
+  uint8_t accepting_candidates = 0;
+  /// Mean flows per slot of the service as the balancer knows it; negative when
+  /// unknown.
+  double mean_flows_per_slot = -1;
+  Bytes payload;
+
+  friend bool operator==(const ForwardedPacket&,
+                         const ForwardedPacket&) = default;
+};
+
+/// 128-bit hash of a service name and an idempotency key.
+struct KeyHash {
+  uint64_t high = 0;
+  uint64_t low = 0;
+
+  friend auto operator<=>(const KeyHash&, const KeyHash&) = default;
+};
+
+/// Asks a home agent to record that `holder` is about to run the key.
+struct KeyReserve {
+  uint64_t query = 0;
+  std::string service;
+  KeyHash key;
+  Endpoint holder;
+  int64_t holder_boot = 0;
+
+  friend bool operator==(const KeyReserve&, const KeyReserve&) = default;
+};
+
+enum class ReserveState : uint8_t {
+  kGranted = 0,
+  kHeldElsewhere = 1,
+  kFull = 2,
+};
+
+struct KeyReserveReply {
+  uint64_t query = 0;
+  KeyHash key;
+  ReserveState state = ReserveState::kGranted;
+  /// The agent that holds the key when the state is kHeldElsewhere.
+  Endpoint holder;
+  int64_t holder_boot = 0;
+
+  friend bool operator==(const KeyReserveReply&,
+                         const KeyReserveReply&) = default;
+};
+
+/// Asks the agent of an earlier attempt what became of a key. An agent that
+/// does not know the key records it as cancelled and never runs it.
+struct KeyQuery {
+  uint64_t query = 0;
+  std::string service;
+  KeyHash key;
+  uint16_t boot_tag = 0;
+
+  friend bool operator==(const KeyQuery&, const KeyQuery&) = default;
+};
+
+enum class KeyState : uint8_t {
+  kCancelled = 0,
+  kRunning = 1,
+  kRan = 2,
+  kMayHaveRun = 3,
+  kOtherBoot = 4,
+};
+
+struct KeyQueryReply {
+  uint64_t query = 0;
+  KeyHash key;
+  KeyState state = KeyState::kMayHaveRun;
+  uint16_t status = 0;
+  /// The stored answer when the state is kRan and `has_answer` is set.
+  bool has_answer = false;
+  Bytes answer;
+
+  friend bool operator==(const KeyQueryReply&, const KeyQueryReply&) = default;
+};
+
+/// A key record that a draining home hands to the next home.
+struct KeyRecord {
+  KeyHash key;
+  Endpoint holder;
+  int64_t holder_boot = 0;
+  /// Milliseconds until the record may be dropped.
+  uint32_t remaining_ms = 0;
+
+  friend bool operator==(const KeyRecord&, const KeyRecord&) = default;
+};
+
+inline constexpr uint32_t kMaxTransferredRecords = 24;
+
+struct KeyTransfer {
+  uint64_t query = 0;
+  std::string service;
+  std::vector<KeyRecord> records;
+
+  friend bool operator==(const KeyTransfer&, const KeyTransfer&) = default;
+};
+
+struct KeyTransferReply {
+  uint64_t query = 0;
+
+  friend bool operator==(const KeyTransferReply&,
+                         const KeyTransferReply&) = default;
+};
+
+/// Everything that arrives at the data address of an agent.
+using DataMessage =
+    std::variant<ForwardedPacket, KeyReserve, KeyReserveReply, KeyQuery,
+                 KeyQueryReply, KeyTransfer, KeyTransferReply>;
+
+/// Encodes and seals a message between daemons.
+Bytes EncodeDataMessage(const SipKey& key, const DataMessage& message);
+
+/// Opens and decodes; fails with kUnauthentic or kInvalidInput.
+Result<DataMessage> DecodeDataMessage(const SipKey& key, ByteView bytes);
+
+Bytes EncodeFabricPacket(const FabricPacket& packet);
+
+/// Fails with kInvalidInput.
+Result<FabricPacket> DecodeFabricPacket(ByteView bytes);
+
+template <typename Archive>
+void serialize(Archive& archive, FabricPacket& packet) {
+  archive(packet.service_address, packet.caller,
+          Bounded(packet.payload, static_cast<uint32_t>(kMaxPacketBytes)));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ForwardedPacket& packet) {
+  archive(Bounded(packet.service, kMaxNameBytes), packet.service_address,
+          packet.caller, packet.fabric,
+          Bounded(packet.candidates, kMaxCandidates), packet.hop,
+          packet.accepting_candidates, packet.mean_flows_per_slot,
+          Bounded(packet.payload, static_cast<uint32_t>(kMaxPacketBytes)));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyHash& key) {
+  archive(key.high, key.low);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyReserve& message) {
+  archive(message.query, Bounded(message.service, kMaxNameBytes), message.key,
+          message.holder, message.holder_boot);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyReserveReply& message) {
+  archive(message.query, message.key,
+          Checked(message.state, ReserveState::kFull), message.holder,
+          message.holder_boot);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyQuery& message) {
+  archive(message.query, Bounded(message.service, kMaxNameBytes), message.key,
+          message.boot_tag);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyQueryReply& message) {
+  archive(message.query, message.key,
+          Checked(message.state, KeyState::kOtherBoot), message.status,
+          message.has_answer, Bounded(message.answer, kMaxStoredAnswerBytes));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyRecord& record) {
+  archive(record.key, record.holder, record.holder_boot, record.remaining_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyTransfer& message) {
+  archive(message.query, Bounded(message.service, kMaxNameBytes),
+          Bounded(message.records, kMaxTransferredRecords));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyTransferReply& message) {
+  archive(message.query);
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/include/medlarwinch/protocol/frames.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/protocol/serialization.h"
+#include "medlarwinch/state/verdict.h"
+
+namespace medlarwinch {
+
+/// Largest body of a request and of one response part, in bytes.
+inline constexpr uint32_t kMaxFrameBodyBytes = 1'000;
+inline constexpr uint32_t kMaxPathBytes = 256;
+inline constexpr uint32_t kMaxMethodBytes = 16;
+inline constexpr uint32_t kMaxKeyBytes = 64;
+
+/// Asks for a flow; the only frame in a caller's long-header packet.
+struct OpenFrame {
+  friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
+};
+
+/// Accepts a flow; the packet's source identifier is the flow identifier.
+struct OpenAckFrame {
+  friend bool operator==(const OpenAckFrame&, const OpenAckFrame&) = default;
+};
+
+/// One request. The caller sends the packet again until the first response
+/// part arrives.
+struct RequestFrame {
+  /// Unique within the flow.
+  uint32_t number = 0;
+  std::string method;
+  std::string path;
+  std::string tenant;
+  /// True when the request may run more than once.
+  bool repeatable = true;
+  /// Required unless the request is repeatable.
+  std::string idempotency_key;
+  /// 1 for the first attempt.
+  uint32_t attempt = 1;
+  /// Milliseconds since the first attempt.
+  uint32_t age_ms = 0;
+  /// Flow identifier of the earlier attempt; empty for the first.
+  Bytes earlier_flow;
+  /// Milliseconds that remain to answer; 0 uses the service's timeout.
+  uint32_t deadline_ms = 0;
+  Bytes body;
+
+  friend bool operator==(const RequestFrame&, const RequestFrame&) = default;
+};
+
+/// A piece of a response.
+struct ResponsePartFrame {
+  uint32_t number = 0;
+  /// Position of `data` in the response body.
+  uint64_t offset = 0;
+  Bytes data;
+  /// True for the last part; status and verdict count only there.
+  bool fin = false;
+  uint16_t status = 0;
+  Verdict verdict = Verdict::kMayHaveRun;
+
+  friend bool operator==(const ResponsePartFrame&,
+                         const ResponsePartFrame&) = default;
+};
+
+/// Acknowledges every byte of a response before `offset`, and its end when
+/// `fin` is set.
+struct ResponseAckFrame {
+  uint32_t number = 0;
+  uint64_t offset = 0;
+  bool fin = false;
+
+  friend bool operator==(const ResponseAckFrame&,
+                         const ResponseAckFrame&) = default;
+};
+
+/// The caller no longer wants the response.
+struct CancelFrame {
+  uint32_t number = 0;
+
+  friend bool operator==(const CancelFrame&, const CancelFrame&) = default;
+};
+
+/// The agent takes no more requests on this flow; requests in progress end
+/// normally and the caller opens a new flow for others.
+struct GoAwayFrame {
+  friend bool operator==(const GoAwayFrame&, const GoAwayFrame&) = default;
+};
+
+enum class ResetReason : uint8_t {
+  kUnknownFlow = 0,
+  kOtherBoot = 1,
+  kShed = 2,
+};
+
+/// The flow does not exist at the agent, or was not accepted.
+struct ResetFrame {
+  ResetReason reason = ResetReason::kUnknownFlow;
+
+  friend bool operator==(const ResetFrame&, const ResetFrame&) = default;
+};
+
+struct PingFrame {
+  friend bool operator==(const PingFrame&, const PingFrame&) = default;
+};
+
+struct PongFrame {
+  friend bool operator==(const PongFrame&, const PongFrame&) = default;
+};
+
+/// The payload of a packet of the thin request protocol.
+using Frame = std::variant<OpenFrame, OpenAckFrame, RequestFrame,
+                           ResponsePartFrame, ResponseAckFrame, CancelFrame,
+                           GoAwayFrame, ResetFrame, PingFrame, PongFrame>;
+
+/// Encodes the payload of a packet.
+Bytes EncodeFrame(const Frame& frame);
+
+/// Decodes the payload of a packet; fails with kInvalidInput on any bytes that
+/// are not one whole frame.
+Result<Frame> DecodeFrame(ByteView bytes);
+
+template <typename Archive>
+void serialize(Archive& /*archive*/, OpenFrame& /*frame*/) {}
+template <typename Archive>
+void serialize(Archive& /*archive*/, OpenAckFrame& /*frame*/) {}
+template <typename Archive>
+void serialize(Archive& /*archive*/, GoAwayFrame& /*frame*/) {}
+template <typename Archive>
+void serialize(Archive& /*archive*/, PingFrame& /*frame*/) {}
+template <typename Archive>
+void serialize(Archive& /*archive*/, PongFrame& /*frame*/) {}
+
+template <typename Archive>
+void serialize(Archive& archive, RequestFrame& frame) {
+  archive(
+      frame.number, Bounded(frame.method, kMaxMethodBytes),
+      Bounded(frame.path, kMaxPathBytes), Bounded(frame.tenant, kMaxNameBytes),
+      frame.repeatable, Bounded(frame.idempotency_key, kMaxKeyBytes),
+      frame.attempt, frame.age_ms,
+      Bounded(frame.earlier_flow, static_cast<uint32_t>(kFlowIdentifierBytes)),
+      frame.deadline_ms, Bounded(frame.body, kMaxFrameBodyBytes));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ResponsePartFrame& frame) {
+  archive(frame.number, frame.offset, Bounded(frame.data, kMaxFrameBodyBytes),
+          frame.fin, frame.status, Checked(frame.verdict, Verdict::kRan));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ResponseAckFrame& frame) {
+  archive(frame.number, frame.offset, frame.fin);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, CancelFrame& frame) {
+  archive(frame.number);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ResetFrame& frame) {
+  archive(Checked(frame.reason, ResetReason::kShed));
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/src/packet_header.cc
@@ -0,0 +1,81 @@
+#include "medlarwinch/protocol/packet_header.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint8_t kLongHeaderBit = 0x80;
+// RFC 9000 requires this bit to be set, and some networks drop packets in
+// which it is not.
+constexpr uint8_t kFixedBit = 0x40;
+constexpr size_t kVersionBytes = 4;
+
+// Takes an identifier with its length byte from the front of `rest`.
+bool ConsumeIdentifier(ByteView& rest, ByteView& identifier) {
+  if (rest.empty()) return false;
+  const size_t length = rest[0];
+  if (length > kMaxIdentifierBytes || rest.size() < 1 + length) return false;
+  identifier = rest.subspan(1, length);
+  rest = rest.subspan(1 + length);
+  return true;
+}
+
+Result<PacketHeader> ParseLongHeader(ByteView packet) {
+  PacketHeader header;
+  header.is_long = true;
+  ByteView rest = packet.subspan(1);
+  if (rest.size() < kVersionBytes) {
+    return Error{ErrorCode::kInvalidInput, "long header without a version"};
+  }
+  for (size_t index = 0; index < kVersionBytes; ++index) {
+    header.version = (header.version << 8) | rest[index];
+  }
+  rest = rest.subspan(kVersionBytes);
+  if (!ConsumeIdentifier(rest, header.destination)) {
+    return Error{ErrorCode::kInvalidInput,
+                 "destination identifier is truncated or too long"};
+  }
+  if (!ConsumeIdentifier(rest, header.source)) {
+    return Error{ErrorCode::kInvalidInput,
+                 "source identifier is truncated or too long"};
+  }
+  header.payload = rest;
+  return header;
+}
+
+void AppendIdentifier(ByteView identifier, Bytes& packet) {
+  packet.push_back(static_cast<uint8_t>(identifier.size()));
+  packet.insert(packet.end(), identifier.begin(), identifier.end());
+}
+
+}  // namespace
+
+Result<PacketHeader> ParsePacketHeader(ByteView packet) {
+  if (packet.empty()) {
+    return Error{ErrorCode::kInvalidInput, "packet is empty"};
+  }
+  if ((packet[0] & kLongHeaderBit) != 0) return ParseLongHeader(packet);
+  if (packet.size() < 1 + kFlowIdentifierBytes) {
+    return Error{ErrorCode::kInvalidInput, "short header is truncated"};
+  }
+  PacketHeader header;
+  header.destination = packet.subspan(1, kFlowIdentifierBytes);
+  header.payload = packet.subspan(1 + kFlowIdentifierBytes);
+  return header;
+}
+
+void AppendLongHeader(uint32_t version, ByteView destination, ByteView source,
+                      Bytes& packet) {
+  packet.push_back(kLongHeaderBit | kFixedBit);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    packet.push_back(static_cast<uint8_t>(version >> shift));
+  }
+  AppendIdentifier(destination, packet);
+  AppendIdentifier(source, packet);
+}
+
+void AppendShortHeader(const FlowIdentifierBytes& destination, Bytes& packet) {
+  packet.push_back(kFixedBit);
+  packet.insert(packet.end(), destination.begin(), destination.end());
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/src/yaml_reader.cc
@@ -0,0 +1,265 @@
+#include "medlarwinch/protocol/yaml_reader.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <set>
+
+namespace medlarwinch {
+namespace {
+
+// A name that differs in more than this many characters is not offered.
+constexpr size_t kMaxEditDistance = 3;
+
+size_t EditDistance(std::string_view a, std::string_view b) {
+  std::vector<size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), size_t{0});
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t substituted = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, substituted});
+    }
+  }
+  return row[b.size()];
+}
+
+}  // namespace
+
+std::string_view NearestName(std::string_view name,
+                             const std::vector<std::string>& known) {
+  std::string_view nearest;
+  size_t smallest = kMaxEditDistance + 1;
+  for (const std::string& candidate : known) {
+    const size_t distance = EditDistance(name, candidate);
+    if (distance >= smallest) continue;
+    smallest = distance;
+    nearest = candidate;
+  }
+  return nearest;
+}
+
+struct YamlReader::Shared {
+  struct Visited {
+    YAML::Node node;
+    std::set<std::string> known;
+  };
+
+  std::string file;
+  std::vector<std::string> mistakes;
+  // Every mapping that was read, by path, with the names that were asked for.
+  std::map<std::string, Visited> visited;
+
+  void Add(int line, const std::string& path, const std::string& message) {
+    mistakes.push_back(file + ":" + std::to_string(line + 1) + ": " +
+                       (path.empty() ? "" : path + ": ") + message);
+  }
+};
+
+YamlReader::YamlReader(std::string file, const std::string& text)
+    : shared_(std::make_shared<Shared>()) {
+  shared_->file = std::move(file);
+  try {
+    node_ = YAML::Load(text);
+    if (node_.IsMap()) {
+      shared_->visited[path_].node = node_;
+      return;
+    }
+    shared_->Add(0, "", "expected a mapping of fields");
+  } catch (const YAML::Exception& exception) {
+    shared_->Add(exception.mark.line, "", exception.msg);
+  }
+  node_ = YAML::Node(YAML::NodeType::Map);
+}
+
+YamlReader::YamlReader(std::shared_ptr<Shared> shared, YAML::Node node,
+                       std::string path)
+    : shared_(std::move(shared)), node_(node), path_(std::move(path)) {
+  shared_->visited[path_].node = node_;
+}
+
+std::string YamlReader::PathOf(const std::string& name) const {
+  if (name.empty()) return path_;
+  return path_.empty() ? name : path_ + "." + name;
+}
+
+void YamlReader::Fail(const std::string& name, const std::string& message) {
+  int line = std::max(node_.Mark().line, 0);
+  if (!name.empty() && node_[name].IsDefined()) {
+    line = std::max(node_[name].Mark().line, 0);
+  }
+  shared_->Add(line, PathOf(name), message);
+}
+
+std::optional<YAML::Node> YamlReader::Field(const std::string& name) {
+  shared_->visited[path_].known.insert(name);
+  const YAML::Node& map = node_;
+  const YAML::Node field = map[name];
+  if (!field.IsDefined() || field.IsNull()) return std::nullopt;
+  return field;
+}
+
+bool YamlReader::Has(const std::string& name) const {
+  const YAML::Node& map = node_;
+  return map[name].IsDefined();
+}
+
+YamlReader YamlReader::Section(const std::string& name) {
+  const std::optional<YAML::Node> field = Field(name);
+  if (field.has_value() && field->IsMap()) {
+    return YamlReader(shared_, *field, PathOf(name));
+  }
+  if (field.has_value()) Fail(name, "expected a mapping of fields");
+  return YamlReader(shared_, YAML::Node(YAML::NodeType::Map), PathOf(name));
+}
+
+std::vector<YamlReader> YamlReader::List(const std::string& name) {
+  std::vector<YamlReader> readers;
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return readers;
+  if (!field->IsSequence()) {
+    Fail(name, "expected a list of mappings");
+    return readers;
+  }
+  for (size_t index = 0; index < field->size(); ++index) {
+    const YAML::Node element = (*field)[index];
+    const std::string path = PathOf(name) + "[" + std::to_string(index) + "]";
+    if (!element.IsMap()) {
+      shared_->Add(element.Mark().line, path, "expected a mapping of fields");
+      continue;
+    }
+    readers.push_back(YamlReader(shared_, element, path));
+  }
+  return readers;
+}
+
+std::string YamlReader::String(const std::string& name,
+                               const std::string& fallback) {
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return fallback;
+  if (!field->IsScalar()) {
+    Fail(name, "expected text");
+    return fallback;
+  }
+  return field->Scalar();
+}
+
+std::string YamlReader::RequiredString(const std::string& name) {
+  const std::string text = String(name, "");
+  if (text.empty()) Fail(name, "is required and must not be empty");
+  return text;
+}
+
+int64_t YamlReader::Integer(const std::string& name, int64_t fallback,
+                            int64_t min, int64_t max) {
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return fallback;
+  int64_t value = 0;
+  const bool is_read = field->IsScalar() &&
+                       YAML::convert<int64_t>::decode(*field, value) &&
+                       value >= min && value <= max;
+  if (is_read) return value;
+  Fail(name, "expected a whole number from " + std::to_string(min) + " to " +
+                 std::to_string(max));
+  return fallback;
+}
+
+double YamlReader::Number(const std::string& name, double fallback, double min,
+                          double max) {
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return fallback;
+  double value = 0;
+  const bool is_read = field->IsScalar() &&
+                       YAML::convert<double>::decode(*field, value) &&
+                       value >= min && value <= max;
+  if (is_read) return value;
+  Fail(name, "expected a number from " + std::to_string(min) + " to " +
+                 std::to_string(max));
+  return fallback;
+}
+
+bool YamlReader::Boolean(const std::string& name, bool fallback) {
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return fallback;
+  bool value = false;
+  if (field->IsScalar() && YAML::convert<bool>::decode(*field, value)) {
+    return value;
+  }
+  Fail(name, "expected true or false");
+  return fallback;
+}
+
+std::vector<std::string> YamlReader::Strings(const std::string& name) {
+  std::vector<std::string> texts;
+  const std::optional<YAML::Node> field = Field(name);
+  if (!field.has_value()) return texts;
+  if (!field->IsSequence()) {
+    Fail(name, "expected a list");
+    return texts;
+  }
+  for (const YAML::Node& element : *field) {
+    if (element.IsScalar()) {
+      texts.push_back(element.Scalar());
+      continue;
+    }
+    Fail(name, "expected a list of texts");
+  }
+  return texts;
+}
+
+std::optional<Endpoint> YamlReader::OptionalEndpoint(const std::string& name) {
+  const std::string text = String(name, "");
+  if (text.empty()) return std::nullopt;
+  const Result<Endpoint> endpoint = ParseEndpoint(text);
+  if (IsOk(endpoint)) return ValueOf(endpoint);
+  Fail(name, ErrorOf(endpoint).message);
+  return std::nullopt;
+}
+
+Endpoint YamlReader::RequiredEndpoint(const std::string& name) {
+  if (!Has(name)) Fail(name, "is required");
+  return OptionalEndpoint(name).value_or(Endpoint{});
+}
+
+std::vector<Endpoint> YamlReader::Endpoints(const std::string& name) {
+  std::vector<Endpoint> endpoints;
+  for (const std::string& text : Strings(name)) {
+    const Result<Endpoint> endpoint = ParseEndpoint(text);
+    if (IsOk(endpoint)) {
+      endpoints.push_back(ValueOf(endpoint));
+      continue;
+    }
+    Fail(name, ErrorOf(endpoint).message);
+  }
+  return endpoints;
+}
+
+Result<Ok> YamlReader::Finish() {
+  for (const auto& [path, visited] : shared_->visited) {
+    const std::vector<std::string> known(visited.known.begin(),
+                                         visited.known.end());
+    for (const auto& field : visited.node) {
+      const std::string name =
+          field.first.IsScalar() ? field.first.Scalar() : "?";
+      if (visited.known.count(name) > 0) continue;
+      std::string message = "unknown field";
+      const std::string_view nearest = NearestName(name, known);
+      if (!nearest.empty()) {
+        message += "; the nearest known name is '" + std::string(nearest) + "'";
+      }
+      shared_->Add(field.first.Mark().line,
+                   path.empty() ? name : path + "." + name, message);
+    }
+  }
+  if (shared_->mistakes.empty()) return Ok{};
+  std::string text;
+  for (const std::string& mistake : shared_->mistakes) {
+    if (!text.empty()) text += "\n";
+    text += mistake;
+  }
+  return Error{ErrorCode::kInvalidInput, text};
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/tests/decoder_test.cc
@@ -0,0 +1,138 @@
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "medlarwinch/protocol/control_messages.h"
+#include "medlarwinch/protocol/data_messages.h"
+#include "medlarwinch/protocol/frames.h"
+#include "medlarwinch/protocol/packet_header.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr int kMutations = 20'000;
+constexpr uint32_t kSeed = 20261204;
+
+// Returns `bytes` with a few of them changed, dropped or added.
+Bytes Mutate(Bytes bytes, std::mt19937& random) {
+  const uint32_t changes = 1 + random() % 4;
+  for (uint32_t change = 0; change < changes; ++change) {
+    const size_t at = bytes.empty() ? 0 : random() % bytes.size();
+    const uint32_t kind = random() % 4;
+    if (kind == 0) bytes.resize(at);
+    if (kind == 1 && !bytes.empty()) bytes[at] = static_cast<uint8_t>(random());
+    if (kind == 2) bytes.insert(bytes.begin() + at, 0xff);
+    if (kind == 3 && !bytes.empty()) bytes[at] = 0xff;
+  }
+  return bytes;
+}
+
+// Decodes mutations of `message`. It guards against decoders that crash, read
+// past the end, or accept what they can't encode again.
+template <typename Message>
+void CheckMutations(const Message& message) {
+  std::mt19937 random(kSeed);
+  const Bytes encoded = Encode(message);
+  const Result<Message> same = Decode<Message>(encoded);
+  BOOST_REQUIRE(IsOk(same));
+  BOOST_CHECK(ValueOf(same) == message);
+  int accepted = 0;
+  for (int index = 0; index < kMutations; ++index) {
+    const Result<Message> decoded = Decode<Message>(Mutate(encoded, random));
+    if (!IsOk(decoded)) continue;
+    ++accepted;
+    Encode(ValueOf(decoded));
+  }
+  BOOST_TEST(accepted < kMutations);
+}
+
+BOOST_AUTO_TEST_SUITE(Decoders)
+
+BOOST_AUTO_TEST_CASE(MutatedFrame_Decoded_FailsOrReencodes) {
+  RequestFrame request;
+  request.number = 5;
+  request.method = "POST";
+  request.path = "/samples";
+  request.idempotency_key = "k1";
+  request.earlier_flow = Bytes(kFlowIdentifierBytes, 3);
+  request.body = Bytes(300, 9);
+  CheckMutations(Frame(request));
+  CheckMutations(Frame(
+      ResponsePartFrame{5, 1'000, Bytes(200, 1), true, 200, Verdict::kRan}));
+  CheckMutations(Frame(ResetFrame{ResetReason::kShed}));
+}
+
+BOOST_AUTO_TEST_CASE(MutatedDataMessage_Decoded_FailsOrReencodes) {
+  ForwardedPacket packet;
+  packet.service = "probe-hub";
+  packet.candidates = {Endpoint{1, 2}, Endpoint{3, 4}};
+  packet.payload = Bytes(100, 7);
+  CheckMutations(DataMessage(packet));
+  CheckMutations(DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5}));
+  CheckMutations(DataMessage(
+      KeyQueryReply{1, {1, 2}, KeyState::kRan, 200, true, Bytes(50, 1)}));
+  CheckMutations(FabricPacket{{1, 2}, {3, 4}, Bytes(80, 5)});
+}
+
+BOOST_AUTO_TEST_CASE(MutatedControlMessage_Decoded_FailsOrReencodes) {
+  Heartbeat heartbeat;
+  heartbeat.entry.service = "probe-hub";
+  heartbeat.entry.failure_domain = "catania";
+  CheckMutations(ControlMessage(heartbeat));
+  HeartbeatAck ack;
+  ack.roster = {RosterEntry{{1, 2}, 3, MemberPhase::kReady, 4}};
+  ack.keepers = {Endpoint{1, 2}};
+  CheckMutations(ControlMessage(ack));
+  Delta delta;
+  delta.members = {heartbeat.entry};
+  delta.records = {RecordVersion{"config/probe-hub", 7}};
+  CheckMutations(ControlMessage(delta));
+  CheckMutations(FetchRequest{{"config/a", "keys/ring"}, false, true});
+  CheckMutations(FetchReply{{Record{"config/a", 3, "service: a"}}, {}});
+}
+
+// Guards against a length field that makes the decoder allocate gigabytes.
+BOOST_AUTO_TEST_CASE(HugeLength_Decoded_IsRefusedByBound) {
+  Bytes encoded = Encode(FabricPacket{{1, 2}, {3, 4}, Bytes(4, 5)});
+  for (size_t index = 0; index < 4; ++index) {
+    encoded[encoded.size() - 8 + index] = 0xff;
+  }
+  const Result<FabricPacket> decoded = DecodeFabricPacket(encoded);
+  BOOST_REQUIRE(!IsOk(decoded));
+  BOOST_TEST(ErrorOf(decoded).message.find("bound") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(RandomPacket_HeaderParsed_StaysWithinPacket) {
+  std::mt19937 random(kSeed);
+  for (int index = 0; index < kMutations; ++index) {
+    Bytes packet(random() % 64);
+    for (uint8_t& byte : packet) byte = static_cast<uint8_t>(random());
+    const Result<PacketHeader> header = ParsePacketHeader(packet);
+    if (!IsOk(header)) continue;
+    BOOST_REQUIRE(ValueOf(header).payload.size() <= packet.size());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongAndShortHeader_AppendedAndParsed_AreUnchanged) {
+  const Bytes caller(kCallerIdentifierBytes, 4);
+  const FlowIdentifierBytes identifier{1, 2, 3};
+  Bytes packet;
+  AppendLongHeader(kThinProtocolVersion, identifier, caller, packet);
+  packet.push_back(99);
+  const Result<PacketHeader> long_header = ParsePacketHeader(packet);
+  BOOST_REQUIRE(IsOk(long_header));
+  BOOST_TEST(ValueOf(long_header).is_long);
+  BOOST_TEST(ValueOf(long_header).version == kThinProtocolVersion);
+  BOOST_TEST(ValueOf(long_header).source.size() == kCallerIdentifierBytes);
+  BOOST_TEST(ValueOf(long_header).payload.size() == 1U);
+  Bytes short_packet;
+  AppendShortHeader(identifier, short_packet);
+  const Result<PacketHeader> short_header = ParsePacketHeader(short_packet);
+  BOOST_REQUIRE(IsOk(short_header));
+  BOOST_TEST(!ValueOf(short_header).is_long);
+  BOOST_TEST(ValueOf(short_header).destination[2] == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/include/medlarwinch/transport/log.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace medlarwinch {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// One key and its value in a log line.
+struct LogField {
+  std::string_view key;
+  std::string value;
+
+  LogField(std::string_view key_name, std::string text)
+      : key(key_name), value(std::move(text)) {}
+  LogField(std::string_view key_name, const char* text)
+      : key(key_name), value(text) {}
+  LogField(std::string_view key_name, int64_t number)
+      : key(key_name), value(std::to_string(number)) {}
+};
+
+/// Starts logging to standard error; lines below `level` are dropped. Every
+/// line carries the time and `process`.
+void InitLog(LogLevel level, const std::string& process);
+
+/// Parses "debug", "info", "warning" or "error"; anything else is kInfo.
+LogLevel ParseLogLevel(std::string_view text);
+
+/// Writes one line "time=... level=... process=... event=EVENT key=value ...".
+/// Values that contain spaces, quotes, '=' or control characters are quoted.
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/log.cc
@@ -0,0 +1,136 @@
+#include "medlarwinch/transport/log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+using SeverityLogger = boost::log::sources::severity_logger_mt<LogLevel>;
+using TextBackend = boost::log::sinks::text_ostream_backend;
+using TextSink = boost::log::sinks::synchronous_sink<TextBackend>;
+
+constexpr int64_t kMillisPerSecond = 1'000;
+
+SeverityLogger& Logger() {
+  static SeverityLogger logger;
+  return logger;
+}
+
+std::string& ProcessName() {
+  static std::string name = "-";
+  return name;
+}
+
+const char* LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+std::string FormatTime(TimePoint time) {
+  const std::time_t seconds = time.value / kMillisPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[32];
+  const size_t size =
+      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+  char millis[8];
+  std::snprintf(millis, sizeof(millis), ".%03dZ",
+                static_cast<int>(time.value % kMillisPerSecond));
+  return std::string(text, size) + millis;
+}
+
+bool NeedsQuotes(std::string_view value) {
+  if (value.empty()) return true;
+  for (const char character : value) {
+    const bool is_plain = character > ' ' && character != '"' &&
+                          character != '=' && character != '\\' &&
+                          character != '\x7f';
+    if (!is_plain) return true;
+  }
+  return false;
+}
+
+void AppendValue(std::string_view value, std::string& line) {
+  if (!NeedsQuotes(value)) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char character : value) {
+    if (character == '\n') {
+      line += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') line += '\\';
+    const bool is_control = static_cast<unsigned char>(character) < ' ';
+    line += is_control ? '?' : character;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+void InitLog(LogLevel level, const std::string& process) {
+  ProcessName() = process;
+  const boost::shared_ptr<TextBackend> backend =
+      boost::make_shared<TextBackend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  backend->auto_flush(true);
+  const boost::shared_ptr<TextSink> sink =
+      boost::make_shared<TextSink>(backend);
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  const boost::shared_ptr<boost::log::core> core = boost::log::core::get();
+  core->remove_all_sinks();
+  core->add_sink(sink);
+  core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >=
+                   level);
+}
+
+LogLevel ParseLogLevel(std::string_view text) {
+  if (text == "debug") return LogLevel::kDebug;
+  if (text == "warning") return LogLevel::kWarning;
+  if (text == "error") return LogLevel::kError;
+  return LogLevel::kInfo;
+}
+
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields) {
+  std::string line = "time=" + FormatTime(WallNow());
+  line += " level=";
+  line += LevelName(level);
+  line += " process=";
+  AppendValue(ProcessName(), line);
+  line += " event=";
+  AppendValue(event, line);
+  for (const LogField& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    AppendValue(field.value, line);
+  }
+  BOOST_LOG_SEV(Logger(), level) << line;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/tests/http_test.cc
@@ -0,0 +1,61 @@
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "medlarwinch/transport/http_client.h"
+#include "medlarwinch/transport/http_server.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Endpoint kServer{0x7f000001, 17'381};
+
+BOOST_AUTO_TEST_SUITE(HttpClientAndServer)
+
+// Guards against bodies or targets that are changed on the way.
+BOOST_AUTO_TEST_CASE(EchoHandler_RequestSent_AnswerIsWhole) {
+  const Result<std::unique_ptr<HttpServer>> server =
+      HttpServer::Listen(kServer, [](const HttpRequest& request) {
+        return HttpResponse{201, "text/plain", request.target + request.body};
+      });
+  BOOST_REQUIRE(IsOk(server));
+  const std::string body(100'000, 'x');
+  const Result<HttpResponse> answer = SendHttpRequest(
+      kServer, HttpRequest{"PUT", "/a?b=c", body, {}}, Millis{2'000});
+  BOOST_REQUIRE(IsOk(answer));
+  BOOST_TEST(ValueOf(answer).status == 201);
+  BOOST_TEST(ValueOf(answer).body == "/a?b=c" + body);
+}
+
+// Guards against a lost answer being taken for a request that never arrived.
+BOOST_AUTO_TEST_CASE(SlowHandler_RequestTimesOut_EffectIsUnknown) {
+  const Result<std::unique_ptr<HttpServer>> server =
+      HttpServer::Listen(kServer, [](const HttpRequest&) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        return HttpResponse{};
+      });
+  BOOST_REQUIRE(IsOk(server));
+  const Result<HttpResponse> answer =
+      SendHttpRequest(kServer, HttpRequest{"GET", "/", "", {}}, Millis{100});
+  BOOST_REQUIRE(!IsOk(answer));
+  BOOST_CHECK(ErrorOf(answer).code == ErrorCode::kTimeout);
+}
+
+BOOST_AUTO_TEST_CASE(NoServer_RequestSent_IsUnavailable) {
+  const Result<HttpResponse> answer =
+      SendHttpRequest(kServer, HttpRequest{"GET", "/", "", {}}, Millis{500});
+  BOOST_REQUIRE(!IsOk(answer));
+  BOOST_CHECK(ErrorOf(answer).code == ErrorCode::kUnavailable);
+}
+
+BOOST_AUTO_TEST_CASE(EscapedQuery_Parsed_IsUnchanged) {
+  const std::string value = "a b&c=d%/é";
+  const HttpTarget target = ParseTarget("/p?x=" + EscapeQuery(value) + "&y=2");
+  BOOST_TEST(target.path == "/p");
+  BOOST_TEST(target.query.at("x") == value);
+  BOOST_TEST(target.query.at("y") == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
