Parse service documents from one table of fields

Cause: the parser of service documents was declared but not written, and bounds kept in the parser, the messages and the documentation drift apart.

Change: coordination/document_fields.h lists every field with path, unit, bounds, default and place; the parser, the formatter and the messages follow it. The YAML reader refuses fields that stand twice and numbers that are not plain decimal digits ("010" was read as 8), and a field without a value counts as absent, so that a required one is reported.

--- a/packages/protocol/include/medlarwinch/protocol/yaml_reader.h
+++ b/packages/protocol/include/medlarwinch/protocol/yaml_reader.h
@@ -16,7 +16,8 @@
 
 /// Reads a YAML mapping field by field and collects every mistake with the
 /// file, line and path and what is allowed. Fields that were not asked for are
-/// mistakes; Finish() reports them with the nearest known name.
+/// mistakes; Finish() reports them with the nearest known name. So are fields
+/// that stand twice.
 class YamlReader {
  public:
   /// Parses `text`; `file` is used in messages only.
@@ -28,6 +29,7 @@
   /// Returns one reader for each element of the list of mappings `name`.
   std::vector<YamlReader> List(const std::string& name);
 
+  /// True when the field is there and has a value.
   bool Has(const std::string& name) const;
   /// Returns the text of a field, or `fallback` when it is absent. Fails when
   /// it is not a scalar.
--- a/packages/protocol/src/yaml_reader.cc
+++ b/packages/protocol/src/yaml_reader.cc
@@ -1,10 +1,13 @@
 #include "medlarwinch/protocol/yaml_reader.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <numeric>
 #include <set>
 
+#include "medlarwinch/coordination/document_fields.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -26,6 +29,16 @@
   return row[b.size()];
 }
 
+// Reads decimal digits only: YAML takes "010" for 8, which no operator means.
+bool ReadDecimal(const std::string& text, int64_t& value) {
+  const size_t digits = text.rfind('-', 0) == 0 ? 1 : 0;
+  if (text.size() > digits + 1 && text[digits] == '0') return false;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, value);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 }  // namespace
 
 std::string_view NearestName(std::string_view name,
@@ -103,7 +116,8 @@
 
 bool YamlReader::Has(const std::string& name) const {
   const YAML::Node& map = node_;
-  return map[name].IsDefined();
+  const YAML::Node field = map[name];
+  return field.IsDefined() && !field.IsNull();
 }
 
 YamlReader YamlReader::Section(const std::string& name) {
@@ -158,8 +172,8 @@
   if (!field.has_value()) return fallback;
   int64_t value = 0;
   const bool is_read = field->IsScalar() &&
-                       YAML::convert<int64_t>::decode(*field, value) &&
-                       value >= min && value <= max;
+                       ReadDecimal(field->Scalar(), value) && value >= min &&
+                       value <= max;
   if (is_read) return value;
   Fail(name, "expected a whole number from " + std::to_string(min) + " to " +
                  std::to_string(max));
@@ -175,8 +189,8 @@
                        YAML::convert<double>::decode(*field, value) &&
                        value >= min && value <= max;
   if (is_read) return value;
-  Fail(name, "expected a number from " + std::to_string(min) + " to " +
-                 std::to_string(max));
+  Fail(name, "expected a number from " + FormatNumber(min) + " to " +
+                 FormatNumber(max));
   return fallback;
 }
 
@@ -240,9 +254,16 @@
   for (const auto& [path, visited] : shared_->visited) {
     const std::vector<std::string> known(visited.known.begin(),
                                          visited.known.end());
+    std::set<std::string> seen;
     for (const auto& field : visited.node) {
       const std::string name =
           field.first.IsScalar() ? field.first.Scalar() : "?";
+      // Without this check the first of two values would silently be used.
+      if (!seen.insert(name).second) {
+        shared_->Add(field.first.Mark().line,
+                     path.empty() ? name : path + "." + name,
+                     "the field stands twice");
+      }
       if (visited.known.count(name) > 0) continue;
       std::string message = "unknown field";
       const std::string_view nearest = NearestName(name, known);
--- /dev/null
+++ b/packages/protocol/tests/document_parser_test.cc
@@ -0,0 +1,130 @@
+#include "medlarwinch/protocol/document_parser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "medlarwinch/coordination/document_fields.h"
+
+namespace medlarwinch {
+namespace {
+
+const std::string kMinimal =
+    "service: probe-hub\n"
+    "owner: trinacria-feeds\n"
+    "addresses: [\"10.1.0.1:443\"]\n";
+
+std::string MistakesOf(const std::string& text) {
+  const Result<ServiceDocument> result = ParseServiceDocument("d.yaml", text);
+  return IsOk(result) ? "" : ErrorOf(result).message;
+}
+
+// Returns a document with a value other than the default in most fields.
+ServiceDocument FullDocument() {
+  ServiceDocument document;
+  document.service = "report-desk";
+  document.owner = "Umidit\xc3\xa0 \"feeds\": \\ team";
+  document.addresses = {Endpoint{0x0a010001, 443}, Endpoint{0x0a010002, 443}};
+  document.failure_domains = {"catania", "palermo"};
+  document.balance = BalancePolicy{2.25, 3, 40};
+  document.health = HealthPolicy{Millis{4'000}, 30, OutlierPolicy{}};
+  document.limits.tenants = {TenantLimit{"dawn", 0.1, 12},
+                             TenantLimit{"dusk", 900, 1'800}};
+  document.drain.upstreams = {Endpoint{0x0a020001, 9'000}};
+  document.confirm = ChangeConfirmation{true, 60};
+  return document;
+}
+
+BOOST_AUTO_TEST_SUITE(ServiceDocumentParser)
+
+BOOST_AUTO_TEST_CASE(RequiredFieldsOnly_Parsed_HasDefaults) {
+  const Result<ServiceDocument> result =
+      ParseServiceDocument("d.yaml", kMinimal);
+  BOOST_REQUIRE_MESSAGE(IsOk(result), MistakesOf(kMinimal));
+  ServiceDocument expected;
+  expected.service = "probe-hub";
+  expected.owner = "trinacria-feeds";
+  expected.addresses = {Endpoint{0x0a010001, 443}};
+  BOOST_CHECK(ValueOf(result) == expected);
+}
+
+// Guards against a field that is parsed but not written, or the reverse.
+BOOST_AUTO_TEST_CASE(FullDocument_FormattedAndParsed_IsUnchanged) {
+  const std::string text = FormatServiceDocument(FullDocument());
+  const Result<ServiceDocument> result = ParseServiceDocument("d.yaml", text);
+  BOOST_REQUIRE_MESSAGE(IsOk(result), MistakesOf(text));
+  BOOST_CHECK(ValueOf(result) == FullDocument());
+}
+
+// Guards against a document that is refused with one mistake at a time.
+BOOST_AUTO_TEST_CASE(SeveralMistakes_Parsed_AllAreNamedWithLineAndPath) {
+  const std::string message = MistakesOf(
+      "service: Probe_Hub\n"
+      "addresses: [\"10.1.0.1\"]\n"
+      "balance:\n"
+      "  candidates: 9\n"
+      "  margin: 1\n"
+      "helth:\n"
+      "  fail_after_ms: 3000\n");
+  const std::vector<std::string> expected = {
+      "d.yaml:1: owner: is required",
+      "d.yaml:2: addresses: '10.1.0.1' is not an address of the form "
+      "a.b.c.d:port",
+      "d.yaml:4: balance.candidates: expected a whole number from 1 to 4",
+      "d.yaml:1: service: expected lower-case letters, digits and hyphens, "
+      "beginning with a letter",
+      "d.yaml:6: helth: unknown field; the nearest known name is 'health'",
+      "d.yaml:5: balance.margin: unknown field",
+  };
+  for (const std::string& line : expected) {
+    BOOST_CHECK_MESSAGE(message.find(line) != std::string::npos,
+                        "missing: " << line << "\nin: " << message);
+  }
+}
+
+// Guards against values that YAML would read as something else, and against
+// one of two values being used silently.
+BOOST_AUTO_TEST_CASE(AmbiguousValues_Parsed_AreRefused) {
+  for (const char* field :
+       {"drain: {deadline_ms: 010}", "drain: {deadline_ms: 1e3}",
+        "drain: {deadline_ms: 5000000000000000000000}", "balance: 3",
+        "balance: {margin_percent: .nan}", "owner: again",
+        "domains: [catania, catania]", "confirm: {empty_service: 1}",
+        "limits: {tenants: [{name: a, requests_per_s: 1, burst: 1}, "
+        "{name: a, requests_per_s: 2, burst: 1}]}",
+        "limits: {tenants: [{name: a, burst: 1}]}"}) {
+    BOOST_CHECK_MESSAGE(!MistakesOf(kMinimal + field + "\n").empty(), field);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OversizedText_Parsed_IsRefusedBeforeItIsRead) {
+  const std::string text = kMinimal + "#" + std::string(300'000, 'x');
+  BOOST_TEST(MistakesOf(text).find("at most 262144 are allowed") !=
+             std::string::npos);
+}
+
+// Guards against a bound that the parser does not apply.
+BOOST_AUTO_TEST_CASE(NumbersOutsideBounds_Parsed_AreRefusedWithTheBounds) {
+  for (const DocumentField& field : DocumentFields()) {
+    ServiceDocument document = FullDocument();
+    const FieldRef value = field.locate(document);
+    const double above = field.max + 1;
+    if (uint32_t* const* number = std::get_if<uint32_t*>(&value)) {
+      **number = static_cast<uint32_t>(above);
+    } else if (Millis* const* span = std::get_if<Millis*>(&value)) {
+      (*span)->value = static_cast<int64_t>(above);
+    } else if (double* const* real = std::get_if<double*>(&value)) {
+      **real = above;
+    } else {
+      continue;
+    }
+    const std::string message = MistakesOf(FormatServiceDocument(document));
+    const std::string expected =
+        field.path + ": expected " + AllowedValues(value, field.min, field.max);
+    BOOST_CHECK_MESSAGE(message.find(expected) != std::string::npos,
+                        "missing: " << expected << "\nin: " << message);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
