Offer the full name for an abbreviated field

Cause: "balance.margin" was refused without a suggestion, because it differs in more characters from "margin_percent" than the bound on the edit distance.

Change: a name that a known one begins with is offered that one. The parser test compares the whole text of all mistakes of one document.

Measured: protocol_tests, 21 cases, pass.

--- a/packages/protocol/src/yaml_reader.cc
+++ b/packages/protocol/src/yaml_reader.cc
@@ -13,6 +13,8 @@
 
 // A name that differs in more than this many characters is not offered.
 constexpr size_t kMaxEditDistance = 3;
+// A name that begins like a known one but lacks its unit is offered that one.
+constexpr size_t kMinAbbreviation = 3;
 
 size_t EditDistance(std::string_view a, std::string_view b) {
   std::vector<size_t> row(b.size() + 1);
@@ -46,7 +48,9 @@
   std::string_view nearest;
   size_t smallest = kMaxEditDistance + 1;
   for (const std::string& candidate : known) {
-    const size_t distance = EditDistance(name, candidate);
+    const bool is_abbreviation =
+        name.size() >= kMinAbbreviation && candidate.rfind(name, 0) == 0;
+    const size_t distance = is_abbreviation ? 1 : EditDistance(name, candidate);
     if (distance >= smallest) continue;
     smallest = distance;
     nearest = candidate;
