Add the platform client and its decisions

Cause: daemons and the operators' command need objects of the platform without exceeding their share of its calls and without repeating a write blindly.

Change: coordination/platform_calls.h decides on the token bucket, the backoff with jitter, what an HTTP status means and what became of a lost write. The client reads the object back after every write without an answer and compares the operation; it sends the write again only when the object is unchanged. A write that may have been overwritten is reported as unknown with both versions.

Conclusion: the control plane and the command can use the client.

--- a/packages/transport/include/medlarwinch/transport/platform_client.h
+++ b/packages/transport/include/medlarwinch/transport/platform_client.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
+#include "medlarwinch/coordination/platform_calls.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/endpoint.h"
 #include "medlarwinch/state/result.h"
+#include "medlarwinch/transport/http_server.h"
 
 namespace medlarwinch {
 
@@ -72,7 +75,31 @@
                             Millis wait);
 
  private:
+  // What is left of the time for one call with all its attempts.
+  struct Deadline {
+    TimePoint end;
+    uint32_t attempt = 0;
+  };
+
+  Deadline NewDeadline() const;
+  // Makes one call within this client's share. Fails with kUnavailable when the
+  // platform did not receive or refused it, kTimeout when it may have.
+  Result<HttpResponse> Attempt(const HttpRequest& request, Millis timeout,
+                               const Deadline& deadline);
+  // Waits before the next attempt; false when the time is over.
+  bool WaitForRetry(Deadline& deadline);
+  // Repeats a read until it is answered or the time is over.
+  Result<HttpResponse> Read(const std::string& target, Millis timeout,
+                            Deadline& deadline);
+  Result<PlatformObject> GetBefore(const std::string& key, Deadline& deadline);
+  // Reads the object back after an answer was lost. Returns 0 when the write
+  // has to be sent again, otherwise as Put().
+  Result<uint64_t> ResolveByReading(const std::string& key,
+                                    const LostWrite& write, Deadline& deadline);
+
   PlatformClientOptions options_;
+  CallBudget budget_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/platform_client.cc
@@ -0,0 +1,307 @@
+#include "medlarwinch/transport/platform_client.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "medlarwinch/transport/http_client.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr BackoffPolicy kBackoff;
+
+std::string ObjectTarget(const std::string& key) {
+  return "/v1/objects/" + EscapeQuery(key);
+}
+
+Error BadAnswer(const std::string& target, const std::string& what) {
+  return Error{ErrorCode::kInvalidInput,
+               target + ": the platform's answer can't be understood: " + what};
+}
+
+Error BadStatus(const std::string& target, const HttpResponse& response) {
+  return Error{ErrorCode::kInvalidInput, target + ": the platform answered " +
+                                             std::to_string(response.status) +
+                                             " " + response.body};
+}
+
+Result<PlatformObject> ToObject(const Json& json) {
+  const bool is_object = json.is_object() && json.contains("key") &&
+                         json["key"].is_string() && json.contains("version") &&
+                         json["version"].is_number_unsigned() &&
+                         json.contains("value") && json["value"].is_string();
+  if (!is_object) {
+    return Error{ErrorCode::kInvalidInput,
+                 "no object with key, version and value"};
+  }
+  PlatformObject object;
+  object.key = json["key"].get<std::string>();
+  object.version = json["version"].get<uint64_t>();
+  object.value = json["value"].get<std::string>();
+  const auto operation = json.find("operation");
+  if (operation != json.end() && operation->is_string()) {
+    object.operation = operation->get<std::string>();
+  }
+  return object;
+}
+
+Result<std::vector<PlatformObject>> ToObjects(const Json& json) {
+  if (!json.is_object() || !json.contains("objects") ||
+      !json["objects"].is_array()) {
+    return Error{ErrorCode::kInvalidInput, "no list of objects"};
+  }
+  std::vector<PlatformObject> objects;
+  for (const Json& element : json["objects"]) {
+    Result<PlatformObject> object = ToObject(element);
+    if (!IsOk(object)) return ErrorOf(object);
+    objects.push_back(TakeValue(std::move(object)));
+  }
+  std::sort(objects.begin(), objects.end(),
+            [](const PlatformObject& a, const PlatformObject& b) {
+              return a.key < b.key;
+            });
+  return objects;
+}
+
+// Returns the unsigned number `name` of a JSON object.
+Result<uint64_t> ReadNumber(const std::string& body, const std::string& name) {
+  const Json json = Json::parse(body, nullptr, false);
+  const bool has_number = json.is_object() && json.contains(name) &&
+                          json[name].is_number_unsigned();
+  if (has_number) return json[name].get<uint64_t>();
+  return Error{ErrorCode::kInvalidInput, "no number '" + name + "'"};
+}
+
+Error ConflictError(const std::string& key, uint64_t expected,
+                    uint64_t current) {
+  return Error{ErrorCode::kConflict,
+               key + ": another writer was first: the write was for version " +
+                   std::to_string(expected) + ", the platform has version " +
+                   std::to_string(current)};
+}
+
+// Fails with kInvalidInput when the value is not UTF-8.
+Result<HttpRequest> MakeWrite(const std::string& key, const std::string& value,
+                              const LostWrite& write) {
+  const Json body = {{"value", value},
+                     {"if_version", write.if_version},
+                     {"operation", write.operation}};
+  try {
+    return HttpRequest{"PUT",
+                       ObjectTarget(key),
+                       body.dump(),
+                       {{"content-type", "application/json"}}};
+  } catch (const Json::type_error& error) {
+    return Error{ErrorCode::kInvalidInput,
+                 key + ": the value is not UTF-8 text: " + error.what()};
+  }
+}
+
+// Reads the answer of a write that was handled.
+Result<uint64_t> ReadWriteAnswer(const std::string& key, uint64_t if_version,
+                                 const HttpResponse& answer) {
+  if (answer.status != kStatusOk && answer.status != kStatusConflict) {
+    return BadStatus(key, answer);
+  }
+  const Result<uint64_t> version = ReadNumber(answer.body, "version");
+  if (!IsOk(version)) return BadAnswer(key, ErrorOf(version).message);
+  if (answer.status == kStatusOk) return version;
+  return ConflictError(key, if_version, ValueOf(version));
+}
+
+Error UnknownOutcome(const std::string& key, const std::string& why) {
+  return Error{ErrorCode::kTimeout,
+               key + ": unknown whether the write took effect: " + why};
+}
+
+}  // namespace
+
+PlatformClient::PlatformClient(const PlatformClientOptions& options)
+    : options_(options),
+      budget_{options.calls_per_second, std::max(options.burst, 1.0),
+              std::max(options.burst, 1.0), MonotonicNow()},
+      random_(options.seed) {}
+
+PlatformClient::Deadline PlatformClient::NewDeadline() const {
+  return Deadline{MonotonicNow() + options_.retry_for, 0};
+}
+
+Result<HttpResponse> PlatformClient::Attempt(const HttpRequest& request,
+                                             Millis timeout,
+                                             const Deadline& deadline) {
+  while (true) {
+    const TimePoint now = MonotonicNow();
+    const CallAdmission admission = AdmitCall(budget_, now);
+    budget_ = admission.budget;
+    if (admission.wait == Millis{0}) break;
+    if (now + admission.wait > deadline.end) {
+      return Error{ErrorCode::kUnavailable,
+                   "this process has used up its share of platform calls"};
+    }
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(admission.wait.value));
+  }
+  Result<HttpResponse> response =
+      SendHttpRequest(options_.server, request, timeout);
+  if (!IsOk(response)) return response;
+  const std::string answered =
+      "the platform answered " + std::to_string(ValueOf(response).status);
+  switch (ClassifyStatus(ValueOf(response).status)) {
+    case CallOutcome::kAnswered:
+      return response;
+    case CallOutcome::kRefused:
+      return Error{ErrorCode::kUnavailable, answered};
+    case CallOutcome::kUnknown:
+      return Error{ErrorCode::kTimeout, answered};
+  }
+  return response;
+}
+
+bool PlatformClient::WaitForRetry(Deadline& deadline) {
+  const Millis delay = BackoffDelay(kBackoff, deadline.attempt, random_());
+  if (MonotonicNow() + delay > deadline.end) return false;
+  ++deadline.attempt;
+  std::this_thread::sleep_for(std::chrono::milliseconds(delay.value));
+  return true;
+}
+
+Result<HttpResponse> PlatformClient::Read(const std::string& target,
+                                          Millis timeout, Deadline& deadline) {
+  const HttpRequest request{"GET", target, "", {}};
+  while (true) {
+    Result<HttpResponse> response = Attempt(request, timeout, deadline);
+    if (IsOk(response)) return response;
+    if (WaitForRetry(deadline)) continue;
+    const Error& error = ErrorOf(response);
+    return Error{error.code, target + ": no answer of the platform at " +
+                                 ToString(options_.server) + " after " +
+                                 std::to_string(deadline.attempt + 1) +
+                                 " attempts: " + error.message};
+  }
+}
+
+Result<PlatformObject> PlatformClient::GetBefore(const std::string& key,
+                                                 Deadline& deadline) {
+  const std::string target = ObjectTarget(key);
+  const Result<HttpResponse> response =
+      Read(target, options_.timeout, deadline);
+  if (!IsOk(response)) return ErrorOf(response);
+  const HttpResponse& answer = ValueOf(response);
+  if (answer.status == kStatusNotFound) {
+    return Error{ErrorCode::kNotFound, key + ": there is no such object"};
+  }
+  if (answer.status != kStatusOk) return BadStatus(target, answer);
+  Result<PlatformObject> object =
+      ToObject(Json::parse(answer.body, nullptr, false));
+  if (!IsOk(object)) return BadAnswer(target, ErrorOf(object).message);
+  return object;
+}
+
+Result<PlatformObject> PlatformClient::Get(const std::string& key) {
+  Deadline deadline = NewDeadline();
+  return GetBefore(key, deadline);
+}
+
+Result<std::vector<PlatformObject>> PlatformClient::List(
+    const std::string& prefix) {
+  const std::string target = "/v1/objects?prefix=" + EscapeQuery(prefix);
+  Deadline deadline = NewDeadline();
+  const Result<HttpResponse> response =
+      Read(target, options_.timeout, deadline);
+  if (!IsOk(response)) return ErrorOf(response);
+  const HttpResponse& answer = ValueOf(response);
+  if (answer.status != kStatusOk) return BadStatus(target, answer);
+  Result<std::vector<PlatformObject>> objects =
+      ToObjects(Json::parse(answer.body, nullptr, false));
+  if (!IsOk(objects)) return BadAnswer(target, ErrorOf(objects).message);
+  return objects;
+}
+
+Result<uint64_t> PlatformClient::ResolveByReading(const std::string& key,
+                                                  const LostWrite& write,
+                                                  Deadline& deadline) {
+  const Result<PlatformObject> object = GetBefore(key, deadline);
+  ObservedVersion observed;
+  if (IsOk(object)) {
+    observed = {ValueOf(object).version, ValueOf(object).operation};
+  } else if (ErrorOf(object).code != ErrorCode::kNotFound) {
+    return UnknownOutcome(key, ErrorOf(object).message);
+  }
+  switch (ResolveLostWrite(write, observed)) {
+    case LostWriteResult::kApplied:
+      return observed.version;
+    case LostWriteResult::kUnchanged:
+      return uint64_t{0};
+    case LostWriteResult::kUnknown:
+      break;
+  }
+  return UnknownOutcome(key, "it was for version " +
+                                 std::to_string(write.if_version) +
+                                 " and its answer was lost; another write has "
+                                 "made version " +
+                                 std::to_string(observed.version));
+}
+
+Result<uint64_t> PlatformClient::Put(const std::string& key,
+                                     const std::string& value,
+                                     uint64_t if_version,
+                                     const std::string& operation) {
+  const LostWrite write{operation, if_version};
+  const Result<HttpRequest> request = MakeWrite(key, value, write);
+  if (!IsOk(request)) return ErrorOf(request);
+  Deadline deadline = NewDeadline();
+  bool may_have_applied = false;
+  while (true) {
+    const Result<HttpResponse> response =
+        Attempt(ValueOf(request), options_.timeout, deadline);
+    std::string failure = "the platform reported a conflict";
+    if (!IsOk(response)) {
+      failure = ErrorOf(response).message;
+      may_have_applied |= ErrorOf(response).code == ErrorCode::kTimeout;
+    } else if (ValueOf(response).status != kStatusConflict ||
+               !may_have_applied) {
+      return ReadWriteAnswer(key, if_version, ValueOf(response));
+    }
+    // After a lost answer, a conflict may be with this write itself, so both
+    // are resolved by reading.
+    const bool may_retry = WaitForRetry(deadline);
+    if (may_have_applied) {
+      // One read is made even when the time is over: without it the caller
+      // could not tell what happened.
+      const Result<uint64_t> version = ResolveByReading(key, write, deadline);
+      if (!IsOk(version) || ValueOf(version) > 0) return version;
+    }
+    if (may_retry) continue;
+    if (may_have_applied) return UnknownOutcome(key, failure);
+    return Error{ErrorCode::kUnavailable, key + ": not written: " + failure};
+  }
+}
+
+Result<WatchResult> PlatformClient::Watch(const std::string& prefix,
+                                          uint64_t revision, Millis wait) {
+  const std::string target = "/v1/watch?prefix=" + EscapeQuery(prefix) +
+                             "&after=" + std::to_string(revision) +
+                             "&timeout_ms=" + std::to_string(wait.value);
+  Deadline deadline = NewDeadline();
+  const Result<HttpResponse> response =
+      Read(target, options_.timeout + wait, deadline);
+  if (!IsOk(response)) return ErrorOf(response);
+  const HttpResponse& answer = ValueOf(response);
+  if (answer.status != kStatusOk) return BadStatus(target, answer);
+  const Result<uint64_t> reached = ReadNumber(answer.body, "revision");
+  if (!IsOk(reached)) return BadAnswer(target, ErrorOf(reached).message);
+  Result<std::vector<PlatformObject>> objects =
+      ToObjects(Json::parse(answer.body, nullptr, false));
+  if (!IsOk(objects)) return BadAnswer(target, ErrorOf(objects).message);
+  return WatchResult{ValueOf(reached), TakeValue(std::move(objects))};
+}
+
+}  // namespace medlarwinch
