Add HTTP/3 over QUIC as a transport towards callers

Cause: the thin request protocol is ours; callers should use a usual protocol.

Change: package quic wraps ngtcp2, GnuTLS and nghttp3 without sockets or a clock. The server's connection identifiers are flow identifiers, so that a balancer without state routes every short-header packet.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
   libboost-dev libboost-system-dev libboost-log-dev libboost-thread-dev \
   libboost-filesystem-dev libboost-test-dev libcli11-dev libyaml-cpp-dev \
   nlohmann-json3-dev libsodium-dev libxxhash-dev librapidcheck-dev \
-  libbenchmark-dev pkg-config
+  libbenchmark-dev libngtcp2-dev libngtcp2-crypto-gnutls-dev libnghttp3-dev \
+  libgnutls28-dev pkg-config
 SOURCES = $(shell git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
 
 .PHONY: help setup configure build lint format test bench demo clean
--- /dev/null
+++ b/packages/quic/src/quic_connection.cc
@@ -0,0 +1,499 @@
+#include "medlarwinch/quic/quic_connection.h"
+
+#include <gnutls/gnutls.h>
+#include <ngtcp2/ngtcp2.h>
+#include <ngtcp2/ngtcp2_crypto.h>
+#include <ngtcp2/ngtcp2_crypto_gnutls.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <limits>
+
+#include "http3_session.h"
+#include "medlarwinch/protocol/packet_header.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint64_t kNanosPerMilli = 1'000'000;
+constexpr uint64_t kStreamWindowBytes = 256 * 1'024;
+constexpr uint64_t kConnectionWindowBytes = 1'024 * 1'024;
+constexpr uint64_t kMaxStreams = 100;
+// A feed that sends a line an hour must not lose its connection; callers send
+// keep-alive packets at a third of this time.
+constexpr Millis kIdleTimeout{600'000};
+constexpr size_t kMaxSendBytes = 1'200;
+constexpr const char* kTlsPriority =
+    "NORMAL:-VERS-ALL:+VERS-TLS1.3:-CIPHER-ALL:+AES-128-GCM:+AES-256-GCM:"
+    "+CHACHA20-POLY1305:-GROUP-ALL:+GROUP-X25519:+GROUP-SECP256R1:"
+    "%DISABLE_TLS13_COMPAT_MODE";
+
+ngtcp2_tstamp ToTimestamp(TimePoint time) {
+  return static_cast<ngtcp2_tstamp>(time.value) * kNanosPerMilli;
+}
+
+void FillRandom(uint8_t* bytes, size_t size, const ngtcp2_rand_ctx*) {
+  randombytes_buf(bytes, size);
+}
+
+Error QuicError(const char* action, int64_t status) {
+  return Error{
+      ErrorCode::kUnavailable,
+      std::string(action) + ": " + ngtcp2_strerror(static_cast<int>(status))};
+}
+
+// Routing is the balancer's business, so a connection has one path whose
+// addresses never change.
+ngtcp2_path FixedPath() {
+  static sockaddr_in local{AF_INET, 1, {0x0100007f}, {}};
+  static sockaddr_in remote{AF_INET, 2, {0x0100007f}, {}};
+  ngtcp2_path path{};
+  path.local.addr = reinterpret_cast<ngtcp2_sockaddr*>(&local);
+  path.local.addrlen = sizeof(local);
+  path.remote.addr = reinterpret_cast<ngtcp2_sockaddr*>(&remote);
+  path.remote.addrlen = sizeof(remote);
+  return path;
+}
+
+ngtcp2_transport_params TransportParameters() {
+  ngtcp2_transport_params parameters{};
+  ngtcp2_transport_params_default(&parameters);
+  parameters.initial_max_stream_data_bidi_local = kStreamWindowBytes;
+  parameters.initial_max_stream_data_bidi_remote = kStreamWindowBytes;
+  parameters.initial_max_stream_data_uni = kStreamWindowBytes;
+  parameters.initial_max_data = kConnectionWindowBytes;
+  parameters.initial_max_streams_bidi = kMaxStreams;
+  parameters.initial_max_streams_uni = 3;
+  parameters.max_idle_timeout =
+      static_cast<uint64_t>(kIdleTimeout.value) * kNanosPerMilli;
+  parameters.active_connection_id_limit = 4;
+  return parameters;
+}
+
+}  // namespace
+
+struct QuicConnection::State : public StreamControl {
+  State(bool server, QuicConnectionEvents connection_events)
+      : is_server(server), events(std::move(connection_events)) {
+    connection_ref.get_conn = [](ngtcp2_crypto_conn_ref* ref) {
+      return static_cast<State*>(ref->user_data)->native;
+    };
+    connection_ref.user_data = this;
+  }
+  ~State() override {
+    http3.reset();
+    if (native != nullptr) ngtcp2_conn_del(native);
+    if (tls != nullptr) gnutls_deinit(tls);
+  }
+
+  static State& From(void* user_data) {
+    return *static_cast<State*>(user_data);
+  }
+
+  void Consume(int64_t stream, size_t bytes) override {
+    ngtcp2_conn_extend_max_stream_offset(native, stream, bytes);
+    ngtcp2_conn_extend_max_offset(native, bytes);
+  }
+  void StopReading(int64_t stream, uint64_t code) override {
+    ngtcp2_conn_shutdown_stream_read(native, stream, code);
+  }
+  void StopWriting(int64_t stream, uint64_t code) override {
+    ngtcp2_conn_shutdown_stream_write(native, stream, code);
+  }
+
+  bool StartTls(const TlsCredentials& credentials,
+                const std::string& server_name);
+  bool StartHttp3();
+  bool ReceiveStreamData(int64_t stream, ByteView data, bool is_last);
+  ngtcp2_callbacks Callbacks() const;
+  ngtcp2_cid NewIdentifier();
+  Result<Ok> WritePackets(TimePoint now);
+
+  bool is_server;
+  QuicConnectionEvents events;
+  ngtcp2_crypto_conn_ref connection_ref{};
+  ngtcp2_conn* native = nullptr;
+  gnutls_session_t tls = nullptr;
+  std::unique_ptr<Http3Session> http3;
+  bool has_ended = false;
+};
+
+ngtcp2_cid QuicConnection::State::NewIdentifier() {
+  ngtcp2_cid identifier{};
+  if (events.issue_identifier) {
+    const FlowIdentifierBytes bytes = events.issue_identifier();
+    ngtcp2_cid_init(&identifier, bytes.data(), bytes.size());
+    return identifier;
+  }
+  std::array<uint8_t, kCallerIdentifierBytes> bytes{};
+  randombytes_buf(bytes.data(), bytes.size());
+  ngtcp2_cid_init(&identifier, bytes.data(), bytes.size());
+  return identifier;
+}
+
+bool QuicConnection::State::StartTls(const TlsCredentials& credentials,
+                                     const std::string& server_name) {
+  const unsigned side = is_server ? GNUTLS_SERVER : GNUTLS_CLIENT;
+  if (gnutls_init(&tls, side | GNUTLS_NO_END_OF_EARLY_DATA) != 0) return false;
+  if (gnutls_priority_set_direct(tls, kTlsPriority, nullptr) != 0) return false;
+  const int configured =
+      is_server ? ngtcp2_crypto_gnutls_configure_server_session(tls)
+                : ngtcp2_crypto_gnutls_configure_client_session(tls);
+  if (configured != 0) return false;
+  gnutls_session_set_ptr(tls, &connection_ref);
+  gnutls_credentials_set(tls, GNUTLS_CRD_CERTIFICATE, credentials.native());
+  unsigned char protocol[] = {'h', '3'};
+  const gnutls_datum_t alpn{protocol, sizeof(protocol)};
+  gnutls_alpn_set_protocols(tls, &alpn, 1, GNUTLS_ALPN_MANDATORY);
+  if (!is_server) {
+    gnutls_server_name_set(tls, GNUTLS_NAME_DNS, server_name.data(),
+                           server_name.size());
+    if (credentials.verifies_peer()) {
+      gnutls_session_set_verify_cert(tls, server_name.c_str(), 0);
+    }
+  }
+  return true;
+}
+
+bool QuicConnection::State::StartHttp3() {
+  if (http3 != nullptr) return true;
+  if (ngtcp2_conn_get_max_local_streams_uni(native) < 3) return false;
+  int64_t control = 0;
+  int64_t encoder = 0;
+  int64_t decoder = 0;
+  if (ngtcp2_conn_open_uni_stream(native, &control, nullptr) != 0 ||
+      ngtcp2_conn_open_uni_stream(native, &encoder, nullptr) != 0 ||
+      ngtcp2_conn_open_uni_stream(native, &decoder, nullptr) != 0) {
+    return false;
+  }
+  http3 = std::make_unique<Http3Session>(is_server, events, *this);
+  return http3->BindStreams(control, encoder, decoder);
+}
+
+bool QuicConnection::State::ReceiveStreamData(int64_t stream, ByteView data,
+                                              bool is_last) {
+  if (http3 == nullptr) return false;
+  const nghttp3_ssize consumed = nghttp3_conn_read_stream(
+      http3->native(), stream, data.data(), data.size(), is_last ? 1 : 0);
+  if (consumed < 0) return false;
+  Consume(stream, static_cast<size_t>(consumed));
+  return true;
+}
+
+ngtcp2_callbacks QuicConnection::State::Callbacks() const {
+  ngtcp2_callbacks callbacks{};
+  if (is_server) {
+    callbacks.recv_client_initial = ngtcp2_crypto_recv_client_initial_cb;
+  } else {
+    callbacks.client_initial = ngtcp2_crypto_client_initial_cb;
+    callbacks.recv_retry = ngtcp2_crypto_recv_retry_cb;
+    callbacks.handshake_completed = [](ngtcp2_conn*, void* user_data) {
+      const State& state = From(user_data);
+      if (state.events.on_connected) state.events.on_connected();
+      return 0;
+    };
+  }
+  callbacks.recv_crypto_data = ngtcp2_crypto_recv_crypto_data_cb;
+  callbacks.encrypt = ngtcp2_crypto_encrypt_cb;
+  callbacks.decrypt = ngtcp2_crypto_decrypt_cb;
+  callbacks.hp_mask = ngtcp2_crypto_hp_mask_cb;
+  callbacks.update_key = ngtcp2_crypto_update_key_cb;
+  callbacks.delete_crypto_aead_ctx = ngtcp2_crypto_delete_crypto_aead_ctx_cb;
+  callbacks.delete_crypto_cipher_ctx =
+      ngtcp2_crypto_delete_crypto_cipher_ctx_cb;
+  callbacks.get_path_challenge_data = ngtcp2_crypto_get_path_challenge_data_cb;
+  callbacks.version_negotiation = ngtcp2_crypto_version_negotiation_cb;
+  callbacks.rand = FillRandom;
+  callbacks.get_new_connection_id = [](ngtcp2_conn*, ngtcp2_cid* identifier,
+                                       uint8_t* token, size_t,
+                                       void* user_data) {
+    *identifier = From(user_data).NewIdentifier();
+    randombytes_buf(token, NGTCP2_STATELESS_RESET_TOKENLEN);
+    return 0;
+  };
+  callbacks.remove_connection_id =
+      [](ngtcp2_conn*, const ngtcp2_cid* identifier, void* user_data) {
+        const State& state = From(user_data);
+        if (state.events.retire_identifier) {
+          state.events.retire_identifier(
+              ByteView(identifier->data, identifier->datalen));
+        }
+        return 0;
+      };
+  callbacks.recv_stream_data = [](ngtcp2_conn*, uint32_t flags, int64_t stream,
+                                  uint64_t, const uint8_t* data, size_t length,
+                                  void* user_data, void*) -> int {
+    const bool is_last = (flags & NGTCP2_STREAM_DATA_FLAG_FIN) != 0;
+    const bool is_taken = From(user_data).ReceiveStreamData(
+        stream, ByteView(data, length), is_last);
+    return is_taken ? 0 : NGTCP2_ERR_CALLBACK_FAILURE;
+  };
+  callbacks.acked_stream_data_offset = [](ngtcp2_conn*, int64_t stream,
+                                          uint64_t, uint64_t length,
+                                          void* user_data, void*) {
+    State& state = From(user_data);
+    if (state.http3 != nullptr) {
+      nghttp3_conn_add_ack_offset(state.http3->native(), stream, length);
+    }
+    return 0;
+  };
+  callbacks.stream_close = [](ngtcp2_conn* native, uint32_t flags,
+                              int64_t stream, uint64_t code, void* user_data,
+                              void*) {
+    State& state = From(user_data);
+    const bool has_code =
+        (flags & NGTCP2_STREAM_CLOSE_FLAG_APP_ERROR_CODE_SET) != 0;
+    if (state.http3 != nullptr) {
+      state.http3->CloseStream(stream, has_code ? code : kH3NoError);
+    }
+    if (state.is_server && ngtcp2_is_bidi_stream(stream) != 0) {
+      ngtcp2_conn_extend_max_streams_bidi(native, 1);
+    }
+    return 0;
+  };
+  callbacks.stream_reset = [](ngtcp2_conn*, int64_t stream, uint64_t, uint64_t,
+                              void* user_data, void*) {
+    State& state = From(user_data);
+    if (state.http3 != nullptr) {
+      nghttp3_conn_shutdown_stream_read(state.http3->native(), stream);
+    }
+    return 0;
+  };
+  callbacks.stream_stop_sending = [](ngtcp2_conn*, int64_t stream, uint64_t,
+                                     void* user_data, void*) {
+    State& state = From(user_data);
+    if (state.http3 != nullptr) {
+      nghttp3_conn_shutdown_stream_read(state.http3->native(), stream);
+    }
+    return 0;
+  };
+  callbacks.extend_max_stream_data = [](ngtcp2_conn*, int64_t stream, uint64_t,
+                                        void* user_data, void*) {
+    State& state = From(user_data);
+    if (state.http3 != nullptr) {
+      nghttp3_conn_unblock_stream(state.http3->native(), stream);
+    }
+    return 0;
+  };
+  const ngtcp2_recv_key start_http3 =
+      [](ngtcp2_conn*, ngtcp2_crypto_level level, void* user_data) -> int {
+    if (level != NGTCP2_CRYPTO_LEVEL_APPLICATION) return 0;
+    return From(user_data).StartHttp3() ? 0 : NGTCP2_ERR_CALLBACK_FAILURE;
+  };
+  if (is_server) {
+    callbacks.recv_tx_key = start_http3;
+  } else {
+    callbacks.recv_rx_key = start_http3;
+  }
+  return callbacks;
+}
+
+Result<std::unique_ptr<QuicConnection>> QuicConnection::Accept(
+    const TlsCredentials& credentials, ByteView initial_packet,
+    QuicConnectionEvents events, TimePoint now) {
+  ngtcp2_pkt_hd header{};
+  const int accepted =
+      ngtcp2_accept(&header, initial_packet.data(), initial_packet.size());
+  if (accepted != 0) {
+    return Error{ErrorCode::kInvalidInput,
+                 "packet does not open a QUIC connection"};
+  }
+  std::unique_ptr<State> state =
+      std::make_unique<State>(true, std::move(events));
+  ngtcp2_settings settings{};
+  ngtcp2_settings_default(&settings);
+  settings.initial_ts = ToTimestamp(now);
+  settings.max_tx_udp_payload_size = kMaxSendBytes;
+  settings.no_pmtud = 1;
+  ngtcp2_transport_params parameters = TransportParameters();
+  parameters.original_dcid = header.dcid;
+  parameters.stateless_reset_token_present = 1;
+  randombytes_buf(parameters.stateless_reset_token,
+                  sizeof(parameters.stateless_reset_token));
+  const ngtcp2_cid identifier = state->NewIdentifier();
+  const ngtcp2_callbacks callbacks = state->Callbacks();
+  const ngtcp2_path path = FixedPath();
+  const int created = ngtcp2_conn_server_new(
+      &state->native, &header.scid, &identifier, &path, header.version,
+      &callbacks, &settings, &parameters, nullptr, state.get());
+  if (created != 0) return QuicError("can't accept a connection", created);
+  if (!state->StartTls(credentials, "")) {
+    return Error{ErrorCode::kInternal, "can't start TLS"};
+  }
+  ngtcp2_conn_set_tls_native_handle(state->native, state->tls);
+  return std::unique_ptr<QuicConnection>(new QuicConnection(std::move(state)));
+}
+
+Result<std::unique_ptr<QuicConnection>> QuicConnection::Connect(
+    const TlsCredentials& credentials, const std::string& server_name,
+    QuicConnectionEvents events, TimePoint now) {
+  std::unique_ptr<State> state =
+      std::make_unique<State>(false, std::move(events));
+  ngtcp2_settings settings{};
+  ngtcp2_settings_default(&settings);
+  settings.initial_ts = ToTimestamp(now);
+  settings.max_tx_udp_payload_size = kMaxSendBytes;
+  settings.no_pmtud = 1;
+  const ngtcp2_transport_params parameters = TransportParameters();
+  ngtcp2_cid destination{};
+  std::array<uint8_t, kFlowIdentifierBytes> random{};
+  randombytes_buf(random.data(), random.size());
+  ngtcp2_cid_init(&destination, random.data(), random.size());
+  const ngtcp2_cid source = state->NewIdentifier();
+  const ngtcp2_callbacks callbacks = state->Callbacks();
+  const ngtcp2_path path = FixedPath();
+  const int created = ngtcp2_conn_client_new(
+      &state->native, &destination, &source, &path, NGTCP2_PROTO_VER_V1,
+      &callbacks, &settings, &parameters, nullptr, state.get());
+  if (created != 0) return QuicError("can't create a connection", created);
+  if (!state->StartTls(credentials, server_name)) {
+    return Error{ErrorCode::kInternal, "can't start TLS"};
+  }
+  ngtcp2_conn_set_tls_native_handle(state->native, state->tls);
+  ngtcp2_conn_set_keep_alive_timeout(
+      state->native,
+      static_cast<uint64_t>(kIdleTimeout.value) * kNanosPerMilli / 3);
+  return std::unique_ptr<QuicConnection>(new QuicConnection(std::move(state)));
+}
+
+QuicConnection::QuicConnection(std::unique_ptr<State> state)
+    : state_(std::move(state)) {}
+
+QuicConnection::~QuicConnection() = default;
+
+Result<Ok> QuicConnection::Receive(ByteView packet, TimePoint now) {
+  const ngtcp2_path path = FixedPath();
+  const ngtcp2_pkt_info info{};
+  const int status =
+      ngtcp2_conn_read_pkt(state_->native, &path, &info, packet.data(),
+                           packet.size(), ToTimestamp(now));
+  if (status == 0) return Ok{};
+  // A server asks for an address check only when it is told to; a dropped
+  // packet is sent again by the other side.
+  if (status == NGTCP2_ERR_RETRY) return Ok{};
+  state_->has_ended = true;
+  return QuicError("connection ended", status);
+}
+
+TimePoint QuicConnection::NextTimer() const {
+  const ngtcp2_tstamp expiry = ngtcp2_conn_get_expiry(state_->native);
+  if (expiry == std::numeric_limits<ngtcp2_tstamp>::max()) {
+    return TimePoint{std::numeric_limits<int64_t>::max()};
+  }
+  // Rounded up, so that the timer is never early and fires only once.
+  return TimePoint{
+      static_cast<int64_t>((expiry + kNanosPerMilli - 1) / kNanosPerMilli)};
+}
+
+Result<Ok> QuicConnection::OnTimer(TimePoint now) {
+  const int status =
+      ngtcp2_conn_handle_expiry(state_->native, ToTimestamp(now));
+  if (status == 0) return Ok{};
+  state_->has_ended = true;
+  return QuicError("connection ended", status);
+}
+
+Result<Ok> QuicConnection::Flush(TimePoint now) {
+  if (state_->has_ended) {
+    return Error{ErrorCode::kUnavailable, "connection has ended"};
+  }
+  return state_->WritePackets(now);
+}
+
+Result<Ok> QuicConnection::State::WritePackets(TimePoint now) {
+  std::array<uint8_t, kMaxSendBytes> packet{};
+  std::array<nghttp3_vec, 8> pieces{};
+  const ngtcp2_tstamp timestamp = ToTimestamp(now);
+  while (true) {
+    int64_t stream = -1;
+    int is_last = 0;
+    nghttp3_ssize piece_count = 0;
+    if (http3 != nullptr && ngtcp2_conn_get_max_data_left(native) > 0) {
+      piece_count = nghttp3_conn_writev_stream(
+          http3->native(), &stream, &is_last, pieces.data(), pieces.size());
+      if (piece_count < 0) {
+        return Error{ErrorCode::kInternal, "can't write an HTTP/3 stream"};
+      }
+    }
+    uint32_t flags = NGTCP2_WRITE_STREAM_FLAG_MORE;
+    if (is_last != 0) flags |= NGTCP2_WRITE_STREAM_FLAG_FIN;
+    ngtcp2_ssize taken = -1;
+    ngtcp2_pkt_info info{};
+    const ngtcp2_ssize size = ngtcp2_conn_writev_stream(
+        native, nullptr, &info, packet.data(), packet.size(), &taken, flags,
+        stream, reinterpret_cast<const ngtcp2_vec*>(pieces.data()),
+        static_cast<size_t>(piece_count), timestamp);
+    if (size == NGTCP2_ERR_STREAM_DATA_BLOCKED) {
+      nghttp3_conn_block_stream(http3->native(), stream);
+      continue;
+    }
+    if (size == NGTCP2_ERR_STREAM_SHUT_WR) {
+      nghttp3_conn_shutdown_stream_write(http3->native(), stream);
+      continue;
+    }
+    if (size < 0 && size != NGTCP2_ERR_WRITE_MORE) {
+      has_ended = true;
+      return QuicError("can't write a packet", size);
+    }
+    if (taken >= 0) {
+      nghttp3_conn_add_write_offset(http3->native(), stream,
+                                    static_cast<size_t>(taken));
+    }
+    if (size == NGTCP2_ERR_WRITE_MORE) continue;
+    if (size == 0) break;
+    events.send(ByteView(packet.data(), static_cast<size_t>(size)));
+  }
+  ngtcp2_conn_update_pkt_tx_time(native, timestamp);
+  return Ok{};
+}
+
+Result<int64_t> QuicConnection::SubmitRequest(const Http3Request& request) {
+  if (state_->http3 == nullptr) {
+    return Error{ErrorCode::kUnavailable, "connection is not established"};
+  }
+  int64_t stream = -1;
+  if (ngtcp2_conn_open_bidi_stream(state_->native, &stream, nullptr) != 0) {
+    return Error{ErrorCode::kLimitExceeded, "no stream is free"};
+  }
+  if (!state_->http3->SubmitRequest(stream, request)) {
+    return Error{ErrorCode::kUnavailable, "request can't be submitted"};
+  }
+  return stream;
+}
+
+void QuicConnection::ResetStream(int64_t stream, uint64_t code) {
+  ngtcp2_conn_shutdown_stream(state_->native, stream, code);
+}
+
+Result<Ok> QuicConnection::SubmitResponse(int64_t stream,
+                                          const Http3ResponseHead& head) {
+  if (state_->http3 == nullptr ||
+      !state_->http3->SubmitResponse(stream, head)) {
+    return Error{ErrorCode::kNotFound,
+                 "stream " + std::to_string(stream) + " is gone"};
+  }
+  return Ok{};
+}
+
+void QuicConnection::AppendBody(int64_t stream, ByteView piece, bool is_last) {
+  if (state_->http3 == nullptr) return;
+  state_->http3->AppendBody(stream, piece, is_last);
+}
+
+size_t QuicConnection::UnacknowledgedBytes(int64_t stream) const {
+  return state_->http3 == nullptr ? 0
+                                  : state_->http3->UnacknowledgedBytes(stream);
+}
+
+void QuicConnection::GoAway() {
+  if (state_->http3 != nullptr) state_->http3->GoAway();
+}
+
+bool QuicConnection::is_connected() const {
+  return state_->http3 != nullptr &&
+         ngtcp2_conn_get_handshake_completed(state_->native) != 0;
+}
+
+}  // namespace medlarwinch
