--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/control_types.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "medlarwinch/state/member_entry.h"
+
+namespace medlarwinch {
+
+/// Bounds that keep a control message within one unfragmented datagram of
+/// about 1,400 bytes in the usual case.
+inline constexpr uint32_t kMaxDeltaMembers = 12;
+inline constexpr uint32_t kMaxDeltaRecords = 24;
+inline constexpr uint32_t kMaxDeltaMeans = 24;
+inline constexpr uint32_t kMaxRosterEntries = 48;
+inline constexpr uint32_t kMaxKeepers = 5;
+inline constexpr uint32_t kDigestBuckets = 16;
+/// Deepest node of the digest tree; a bucket of that level holds one of 2^24
+/// parts of the hashes.
+inline constexpr uint8_t kMaxDigestLevel = 5;
+/// Largest text of a document or of the key ring, in bytes.
+inline constexpr uint32_t kMaxRecordBytes = 64 * 1'024;
+inline constexpr uint32_t kMaxFetchedRecords = 64;
+
+/// What an agent counts of its own upstream.
+struct UpstreamLoad {
+  uint32_t flows = 0;
+  uint32_t requests_in_flight = 0;
+  /// Requests finished and failed since the previous heartbeat.
+  uint32_t finished = 0;
+  uint32_t failed = 0;
+
+  friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+
+/// Sent once a second by every member to each of its keepers.
+struct Heartbeat {
+  MemberEntry entry;
+  UpstreamLoad load;
+  uint64_t sequence = 0;
+  /// Hash of the roster that the sender holds; the answer carries the roster
+  /// only when it differs.
+  uint64_t roster_hash = 0;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+/// One upstream of a service, as its agents see each other.
+struct RosterEntry {
+  Endpoint data;
+  int64_t boot = 0;
+  MemberPhase phase = MemberPhase::kStarting;
+  uint32_t slots = 0;
+
+  friend bool operator==(const RosterEntry&, const RosterEntry&) = default;
+};
+
+struct HeartbeatAck {
+  uint64_t sequence = 0;
+  /// What the keeper has on record for the sender.
+  MemberVersion recorded;
+  /// Mean flows per slot of the service; negative when unknown.
+  double mean_flows_per_slot = -1;
+  uint64_t roster_hash = 0;
+  /// The roster when it differs from the sender's and has at most
+  /// kMaxRosterEntries entries; a larger one is fetched.
+  std::vector<RosterEntry> roster;
+  /// Versions of the service's document and of the key ring at the keeper; 0
+  /// when there is none.
+  uint64_t document_version = 0;
+  uint64_t key_ring_version = 0;
+  /// Control addresses of the current keepers of the sender.
+  std::vector<Endpoint> keepers;
+
+  friend bool operator==(const HeartbeatAck&, const HeartbeatAck&) = default;
+};
+
+/// Asks another keeper whether it has heard from a member.
+struct SuspicionQuery {
+  uint64_t query = 0;
+  Endpoint subject;
+  MemberVersion version;
+
+  friend bool operator==(const SuspicionQuery&,
+                         const SuspicionQuery&) = default;
+};
+
+struct SuspicionReply {
+  uint64_t query = 0;
+  Endpoint subject;
+  /// True when a heartbeat arrived within the service's fail_after time.
+  bool heard = false;
+  /// Milliseconds since the last heartbeat.
+  uint32_t age_ms = 0;
+
+  friend bool operator==(const SuspicionReply&,
+                         const SuspicionReply&) = default;
+};
+
+/// Version of a record that lives in the platform: a document ("config/NAME")
+/// or the key ring ("keys/ring").
+struct RecordVersion {
+  std::string name;
+  uint64_t version = 0;
+
+  friend auto operator<=>(const RecordVersion&, const RecordVersion&) = default;
+};
+
+struct ServiceMean {
+  std::string service;
+  double mean_flows_per_slot = 0;
+  /// Keeper that computed the mean, and its count of updates; the higher one
+  /// replaces the lower.
+  Endpoint keeper;
+  uint64_t sequence = 0;
+
+  friend bool operator==(const ServiceMean&, const ServiceMean&) = default;
+};
+
+/// News that is pushed between balancers and passed on when it is new.
+struct Delta {
+  std::vector<MemberEntry> members;
+  std::vector<RecordVersion> records;
+  std::vector<ServiceMean> means;
+
+  friend bool operator==(const Delta&, const Delta&) = default;
+};
+
+/// What a digest covers.
+enum class DigestScope : uint8_t { kMembers = 0, kRecords = 1 };
+
+/// Hashes of what the sender holds, as one node of a tree: level 0 covers
+/// everything, and each further level covers one bucket of the level above.
+struct Digest {
+  DigestScope scope = DigestScope::kMembers;
+  /// Depth of the node, at most kMaxDigestLevel.
+  uint8_t level = 0;
+  /// Bucket numbers on the way to the node, four bits for each level.
+  uint64_t path = 0;
+  /// Hash of each bucket: of member entries, or of record versions when the
+  /// scope is kRecords.
+  std::array<uint64_t, kDigestBuckets> member_buckets{};
+  /// Hash of all record versions.
+  uint64_t records = 0;
+  /// True when the receiver is asked for its own digest if they differ.
+  bool wants_answer = false;
+
+  friend bool operator==(const Digest&, const Digest&) = default;
+};
+
+using ControlMessage = std::variant<Heartbeat, HeartbeatAck, SuspicionQuery,
+                                    SuspicionReply, Delta, Digest>;
+
+/// Asks over TCP for records and, when `members` is set, for the member table.
+struct FetchRequest {
+  std::vector<std::string> names;
+  bool all_records = false;
+  bool members = false;
+  /// Service whose roster is asked for; empty for none.
+  std::string roster_of;
+
+  friend bool operator==(const FetchRequest&, const FetchRequest&) = default;
+};
+
+struct Record {
+  std::string name;
+  uint64_t version = 0;
+  std::string text;
+
+  friend bool operator==(const Record&, const Record&) = default;
+};
+
+struct FetchReply {
+  std::vector<Record> records;
+  std::vector<MemberEntry> members;
+  /// Roster of the service asked for.
+  std::vector<RosterEntry> roster;
+
+  friend bool operator==(const FetchReply&, const FetchReply&) = default;
+};
+
+/// Largest member table in one FetchReply.
+inline constexpr uint32_t kMaxFetchedMembers = 10'000;
+/// Largest roster in one FetchReply.
+inline constexpr uint32_t kMaxFetchedRosterEntries = 4'096;
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/service_means.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/coordination/kept_members.h"
+#include "medlarwinch/coordination/member_table.h"
+
+namespace medlarwinch {
+
+/// A mean is disseminated when it differs from the known one by more than this
+/// share.
+inline constexpr double kMeanChange = 0.02;
+/// Means of one region that its keepers disseminate per second at most; each
+/// reaches a balancer about four times, which takes up half of the 4 KB/s.
+inline constexpr int64_t kMeansPerSecond = 8;
+
+/// A mean and when it was last replaced.
+struct KnownMean {
+  ServiceMean mean;
+  TimePoint changed;
+};
+
+/// Newest disseminated mean by service.
+using KnownMeans = std::map<std::string, KnownMean>;
+
+/// Mean flows per slot by service, computed by a keeper from heartbeats.
+using ComputedMeans = std::map<std::string, double>;
+
+/// Outcome of a merge of means.
+struct MeanOutcome {
+  KnownMeans known;
+  /// Means that were new; they are passed on.
+  std::vector<ServiceMean> accepted;
+};
+
+/// Computes the means of the services whose agents this process keeps, over
+/// ready upstreams whose heartbeat has arrived.
+ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table);
+
+/// Takes means of other keepers; the higher (sequence, keeper) wins.
+MeanOutcome MergeMeans(KnownMeans known, const std::vector<ServiceMean>& means,
+                       TimePoint now);
+
+/// Returns the means that `self` must disseminate: those that differ from the
+/// known one by more than kMeanChange, each service at most once in
+/// `services / kMeansPerSecond` seconds and once a second.
+MeanOutcome PublishMeans(KnownMeans known, const ComputedMeans& computed,
+                         size_t services, const Endpoint& self, TimePoint now);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/agent_control.cc
@@ -0,0 +1,184 @@
+#include "medlarwinch/coordination/agent_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/coordination/member_table.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr size_t kMaxAgentSeeds = 16;
+constexpr size_t kAskedSeeds = 3;
+
+void SendHeartbeat(AgentStep& step, const std::vector<Endpoint>& targets,
+                   const UpstreamLoad& load) {
+  Heartbeat heartbeat;
+  heartbeat.entry = step.state.self;
+  heartbeat.load = load;
+  heartbeat.sequence = ++step.state.heartbeats;
+  heartbeat.roster_hash = step.state.roster_hash;
+  for (const Endpoint& target : targets) {
+    step.actions.messages.push_back(OutgoingMessage{target, heartbeat});
+  }
+}
+
+// Fetches what a keeper has in a higher version.
+void FetchNewer(AgentStep& step, const Endpoint& from, const HeartbeatAck& ack,
+                TimePoint now) {
+  if (now < step.state.fetching_until) return;
+  FetchRequest request;
+  const std::string document = kDocumentPrefix + step.state.self.service;
+  const RecordVersion announced[] = {{document, ack.document_version},
+                                     {kKeyRingName, ack.key_ring_version}};
+  for (const RecordVersion& version : announced) {
+    if (!IsWanted(step.state.records, version)) continue;
+    request.names.push_back(version.name);
+  }
+  const bool needs_roster =
+      ack.roster_hash != step.state.roster_hash && ack.roster.empty();
+  if (needs_roster) request.roster_of = step.state.self.service;
+  if (request.names.empty() && !needs_roster) return;
+  step.state.fetching_until = now + kFetchTimeout;
+  step.actions.fetches.push_back(OutgoingFetch{from, std::move(request)});
+}
+
+void AnswerRecord(AgentStep& step, const MemberVersion& recorded,
+                  const UpstreamLoad& load) {
+  const MemberVersion version =
+      VersionAfterRecord(step.state.self.version, recorded);
+  if (version == step.state.self.version) return;
+  AccountEntry entry;
+  entry.action = "raise_incarnation";
+  entry.service = step.state.self.service;
+  entry.subject = ToString(step.state.self.id);
+  entry.reason.rule = "recorded_above_own_version";
+  entry.reason.facts["recorded_phase"] = MemberPhaseName(recorded.phase);
+  entry.reason.facts["incarnation"] = std::to_string(version.incarnation);
+  step.actions.decisions.push_back(Decision{entry, true});
+  step.state.self.version = version;
+  step.actions.view_changed = true;
+  SendHeartbeat(step, step.state.keepers, load);
+}
+
+void TakeKeepers(AgentStep& step, const std::vector<Endpoint>& keepers,
+                 const UpstreamLoad& load) {
+  if (keepers.empty() || keepers == step.state.keepers) return;
+  std::vector<Endpoint> added;
+  for (const Endpoint& keeper : keepers) {
+    if (std::find(step.state.keepers.begin(), step.state.keepers.end(),
+                  keeper) == step.state.keepers.end()) {
+      added.push_back(keeper);
+    }
+  }
+  step.state.keepers = keepers;
+  SendHeartbeat(step, added, load);
+}
+
+void TakeRoster(AgentStep& step, const std::vector<RosterEntry>& roster,
+                uint64_t hash) {
+  if (hash == step.state.roster_hash) return;
+  step.state.roster = roster;
+  step.state.roster_hash = hash;
+  step.actions.view_changed = true;
+}
+
+}  // namespace
+
+AgentControl StartAgentControl(const MemberEntry& self,
+                               const std::vector<Endpoint>& seeds) {
+  AgentControl state;
+  state.self = self;
+  return AddAgentSeeds(std::move(state), seeds);
+}
+
+AgentControl AddAgentSeeds(AgentControl state,
+                           const std::vector<Endpoint>& seeds) {
+  for (const Endpoint& seed : seeds) {
+    if (std::find(state.seeds.begin(), state.seeds.end(), seed) !=
+        state.seeds.end()) {
+      continue;
+    }
+    if (state.seeds.size() == kMaxAgentSeeds) break;
+    state.seeds.push_back(seed);
+    // A new peer is tried at once.
+    state.next_join = TimePoint{-1};
+  }
+  return state;
+}
+
+bool HasLostKeepers(const AgentControl& state, TimePoint now) {
+  return state.last_answer.value < 0 ||
+         now - state.last_answer > kKeepersLostAfter;
+}
+
+AgentStep TickAgent(AgentControl state, const UpstreamLoad& load, TimePoint now,
+                    Random& random) {
+  AgentStep step{std::move(state), {}};
+  if (HasLostKeepers(step.state, now) && now >= step.state.next_join) {
+    SendHeartbeat(step, PickRandom(step.state.seeds, kAskedSeeds, random),
+                  load);
+    step.state.next_join = now + Jitter(step.state.join_pause, random);
+    step.state.join_pause = std::min(step.state.join_pause * 2, kMaxJoinPause);
+  }
+  if (now < step.state.next_heartbeat) return step;
+  SendHeartbeat(step, step.state.keepers, load);
+  step.state.next_heartbeat = now + kHeartbeatInterval;
+  return step;
+}
+
+AgentStep HandleAgentMessage(AgentControl state, const Endpoint& from,
+                             const ControlMessage& message,
+                             const UpstreamLoad& load, TimePoint now) {
+  AgentStep step{std::move(state), {}};
+  const HeartbeatAck* ack = std::get_if<HeartbeatAck>(&message);
+  if (ack == nullptr) return step;
+  step.state.last_answer = now;
+  step.state.join_pause = kJoinPause;
+  TakeKeepers(step, ack->keepers, load);
+  AnswerRecord(step, ack->recorded, load);
+  if (ack->mean_flows_per_slot >= 0 &&
+      ack->mean_flows_per_slot != step.state.mean_flows_per_slot) {
+    step.state.mean_flows_per_slot = ack->mean_flows_per_slot;
+    step.actions.view_changed = true;
+  }
+  if (!ack->roster.empty()) TakeRoster(step, ack->roster, ack->roster_hash);
+  FetchNewer(step, from, *ack, now);
+  return step;
+}
+
+AgentStep HandleAgentRecords(AgentControl state,
+                             const std::vector<OfferedRecord>& offered) {
+  AgentStep step{std::move(state), {}};
+  step.state.fetching_until = TimePoint{-1};
+  for (const OfferedRecord& offer : offered) {
+    OfferOutcome outcome = OfferRecord(std::move(step.state.records),
+                                       offer.record, offer.error, offer.source);
+    step.state.records = std::move(outcome.store);
+    for (AccountEntry& entry : outcome.decisions) {
+      step.actions.decisions.push_back(Decision{std::move(entry), false});
+    }
+    if (outcome.accepted) step.actions.view_changed = true;
+  }
+  return step;
+}
+
+AgentStep HandleAgentRoster(AgentControl state,
+                            const std::vector<RosterEntry>& roster) {
+  AgentStep step{std::move(state), {}};
+  if (!roster.empty()) TakeRoster(step, roster, HashRoster(roster));
+  return step;
+}
+
+AgentStep ChangeAgentPhase(AgentControl state, MemberPhase phase,
+                           const UpstreamLoad& load, TimePoint now) {
+  AgentStep step{std::move(state), {}};
+  if (phase <= step.state.self.version.phase) return step;
+  step.state.self.version.phase = phase;
+  SendHeartbeat(step, step.state.keepers, load);
+  step.state.next_heartbeat = now + kHeartbeatInterval;
+  step.actions.view_changed = true;
+  return step;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/balancer_control.cc
@@ -0,0 +1,357 @@
+#include "medlarwinch/coordination/balancer_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/coordination/balancer_liveness.h"
+#include "medlarwinch/coordination/digest_tree.h"
+#include "medlarwinch/coordination/keeper_selection.h"
+
+namespace medlarwinch {
+namespace {
+
+// Runs `next` on the state of `step` and collects its actions.
+template <typename Function>
+void Then(BalancerStep& step, Function next) {
+  BalancerStep more = next(std::move(step.state));
+  step.state = std::move(more.state);
+  AppendActions(step.actions, std::move(more.actions));
+}
+
+std::vector<Endpoint> OtherBalancers(const BalancerControl& state,
+                                     bool withdrawn) {
+  std::vector<Endpoint> others;
+  for (const auto& [id, record] : state.table.members) {
+    if (record.entry.kind != MemberKind::kBalancer) continue;
+    if (id == state.self.id) continue;
+    const MemberPhase phase = record.entry.version.phase;
+    if (withdrawn ? phase != MemberPhase::kFailed : IsWithdrawn(phase)) {
+      continue;
+    }
+    others.push_back(id);
+  }
+  return others;
+}
+
+const ServiceSummary& SummaryOf(BalancerControl& state,
+                                const MemberEntry& entry) {
+  const std::map<std::string, ServiceSummary>::iterator found =
+      state.summaries.find(entry.service);
+  if (found != state.summaries.end()) return found->second;
+  ServiceSummary summary;
+  summary.roster = RosterOf(state.table, entry.service);
+  summary.roster_hash = HashRoster(summary.roster);
+  summary.keepers = KeepersOf(entry, state.ready_balancers);
+  return state.summaries[entry.service] = std::move(summary);
+}
+
+HeartbeatAck MakeAck(BalancerControl& state, const Heartbeat& heartbeat) {
+  const MemberEntry& entry = heartbeat.entry;
+  HeartbeatAck ack;
+  ack.sequence = heartbeat.sequence;
+  ack.key_ring_version = VersionInForce(state.records, kKeyRingName);
+  const std::map<Endpoint, MemberRecord>::const_iterator record =
+      state.table.members.find(entry.id);
+  if (record != state.table.members.end()) {
+    ack.recorded = record->second.entry.version;
+  }
+  if (entry.kind == MemberKind::kBalancer) return ack;
+  const ServiceSummary& summary = SummaryOf(state, entry);
+  ack.keepers = summary.keepers;
+  ack.roster_hash = summary.roster_hash;
+  const bool is_small = summary.roster.size() <= kMaxRosterEntries;
+  if (summary.roster_hash != heartbeat.roster_hash && is_small) {
+    ack.roster = summary.roster;
+  }
+  ack.document_version =
+      VersionInForce(state.records, kDocumentPrefix + entry.service);
+  const ComputedMeans::const_iterator own =
+      state.computed_means.find(entry.service);
+  const KnownMeans::const_iterator known = state.means.find(entry.service);
+  if (own != state.computed_means.end()) {
+    ack.mean_flows_per_slot = own->second;
+  } else if (known != state.means.end()) {
+    ack.mean_flows_per_slot = known->second.mean.mean_flows_per_slot;
+  }
+  return ack;
+}
+
+BalancerStep HandleHeartbeat(BalancerControl state, const Endpoint& from,
+                             const Heartbeat& heartbeat, TimePoint now,
+                             Random& random) {
+  const Endpoint& id = heartbeat.entry.id;
+  BalancerStep step =
+      MergeNews(std::move(state), {heartbeat.entry}, Endpoint{}, now, random);
+  step.state.kept =
+      NoteHeartbeat(std::move(step.state.kept), id, heartbeat.load, now);
+  step.state.suspicions = EndSuspicion(std::move(step.state.suspicions), id);
+  if (step.state.doubtful.erase(id) > 0) step.actions.view_changed = true;
+  step.actions.messages.push_back(
+      OutgoingMessage{from, MakeAck(step.state, heartbeat)});
+  return step;
+}
+
+BalancerStep HandleAck(BalancerControl state, const HeartbeatAck& ack,
+                       TimePoint now, Random& random) {
+  MemberEntry recorded = state.self;
+  recorded.version = ack.recorded;
+  return MergeNews(std::move(state), {recorded}, Endpoint{}, now, random);
+}
+
+BalancerStep HandleQuery(BalancerControl state, const Endpoint& from,
+                         const SuspicionQuery& query, TimePoint now) {
+  BalancerStep step{std::move(state), {}};
+  const std::map<Endpoint, MemberRecord>::const_iterator record =
+      step.state.table.members.find(query.subject);
+  if (record == step.state.table.members.end()) return step;
+  const Millis fail_after =
+      HealthOf(step.state.policies, record->second.entry).policy.fail_after;
+  for (const SuspicionReply& reply :
+       AnswerQuery(step.state.kept, query, fail_after, now)) {
+    step.actions.messages.push_back(OutgoingMessage{from, reply});
+  }
+  return step;
+}
+
+// Fetches the announced records that are wanted and not being fetched.
+void FetchWanted(BalancerStep& step, const Endpoint& from,
+                 const std::vector<RecordVersion>& announced, TimePoint now) {
+  FetchRequest request;
+  for (const RecordVersion& version : announced) {
+    if (!IsWanted(step.state.records, version)) continue;
+    const std::map<std::string, TimePoint>::const_iterator running =
+        step.state.fetching.find(version.name);
+    const bool is_running =
+        running != step.state.fetching.end() && now < running->second;
+    if (is_running || request.names.size() == kMaxFetchedRecords) continue;
+    step.state.fetching[version.name] = now + kFetchTimeout;
+    request.names.push_back(version.name);
+  }
+  if (request.names.empty()) return;
+  step.actions.fetches.push_back(OutgoingFetch{from, std::move(request)});
+}
+
+BalancerStep HandleDelta(BalancerControl state, const Endpoint& from,
+                         const Delta& delta, TimePoint now, Random& random) {
+  BalancerStep step =
+      MergeNews(std::move(state), delta.members, from, now, random);
+  FetchWanted(step, from, delta.records, now);
+  MeanOutcome means = MergeMeans(std::move(step.state.means), delta.means, now);
+  step.state.means = std::move(means.known);
+  if (means.accepted.empty()) return step;
+  PushNews(step.state, step.actions, {}, {}, means.accepted, random);
+  step.actions.view_changed = true;
+  return step;
+}
+
+BalancerStep HandleDigest(BalancerControl state, const Endpoint& from,
+                          const Digest& digest, Random& random) {
+  BalancerStep step{std::move(state), {}};
+  const DigestAnswer answer =
+      AnswerDigest(digest, step.state.table, step.state.records, random);
+  for (const Delta& delta : ChunkNews(answer.members, answer.records, {})) {
+    step.actions.messages.push_back(OutgoingMessage{from, delta});
+  }
+  for (const Digest& next : answer.digests) {
+    step.actions.messages.push_back(OutgoingMessage{from, next});
+  }
+  return step;
+}
+
+Digest TopDigest(const BalancerControl& state) {
+  Digest digest =
+      ComputeDigest(MemberItems(state.table), DigestScope::kMembers, 0, 0);
+  digest.records = HashItems(RecordItems(state.records));
+  digest.wants_answer = true;
+  return digest;
+}
+
+// Sends the top digest to one peer.
+void ExchangeDigest(BalancerStep& step, Random& random) {
+  BalancerControl& state = step.state;
+  ++state.exchanges;
+  std::vector<Endpoint> candidates = OtherBalancers(state, false);
+  if (state.exchanges % kReunionInterval == 0) {
+    std::vector<Endpoint> lost = OtherBalancers(state, true);
+    lost.insert(lost.end(), state.seeds.begin(), state.seeds.end());
+    if (!lost.empty()) candidates = std::move(lost);
+  }
+  for (const Endpoint& peer : PickRandom(std::move(candidates), 1, random)) {
+    step.actions.messages.push_back(OutgoingMessage{peer, TopDigest(state)});
+  }
+}
+
+// Asks peers for their members and records until one has answered.
+void TryToJoin(BalancerStep& step, TimePoint now, Random& random) {
+  BalancerControl& state = step.state;
+  if (state.has_joined || now < state.next_join) return;
+  std::vector<Endpoint> peers = state.seeds;
+  for (const Endpoint& other : OtherBalancers(state, false)) {
+    if (std::find(peers.begin(), peers.end(), other) == peers.end()) {
+      peers.push_back(other);
+    }
+  }
+  FetchRequest request;
+  request.all_records = true;
+  request.members = true;
+  Delta introduction;
+  introduction.members.push_back(state.self);
+  for (const Endpoint& peer :
+       PickRandom(std::move(peers), kJoinPeers, random)) {
+    step.actions.fetches.push_back(OutgoingFetch{peer, request});
+    step.actions.messages.push_back(OutgoingMessage{peer, introduction});
+  }
+  state.next_join = now + Jitter(state.join_pause, random);
+  state.join_pause = std::min(state.join_pause * 2, kMaxJoinPause);
+}
+
+void UpdateMeans(BalancerStep& step, TimePoint now, Random& random) {
+  BalancerControl& state = step.state;
+  state.computed_means = ComputeMeans(state.kept, state.table);
+  MeanOutcome published =
+      PublishMeans(std::move(state.means), state.computed_means,
+                   state.policies.size(), state.self.id, now);
+  state.means = std::move(published.known);
+  if (published.accepted.empty()) return;
+  PushNews(state, step.actions, {}, {}, published.accepted, random);
+  step.actions.view_changed = true;
+}
+
+}  // namespace
+
+BalancerControl StartBalancerControl(const MemberEntry& self,
+                                     const std::vector<Endpoint>& seeds,
+                                     TimePoint now) {
+  BalancerControl state;
+  state.self = self;
+  state.table = MergeEntries(MemberTable{}, {self}, now).table;
+  state.ready_balancers = ReadyBalancers(state.table);
+  return AddSeeds(std::move(state), seeds);
+}
+
+BalancerControl AddSeeds(BalancerControl state,
+                         const std::vector<Endpoint>& seeds) {
+  for (const Endpoint& seed : seeds) {
+    if (seed == state.self.id) continue;
+    if (std::find(state.seeds.begin(), state.seeds.end(), seed) !=
+        state.seeds.end()) {
+      continue;
+    }
+    if (state.seeds.size() == kMaxSeeds) break;
+    state.seeds.push_back(seed);
+  }
+  return state;
+}
+
+BalancerStep TickBalancer(BalancerControl state, TimePoint now,
+                          Random& random) {
+  BalancerStep step = NoticePause(std::move(state), now);
+  step.state.last_tick = now;
+  Then(step, [&](BalancerControl next) {
+    return CheckLiveness(std::move(next), now, random);
+  });
+  TryToJoin(step, now, random);
+  if (now < step.state.next_heartbeat) return step;
+  Then(step, [&](BalancerControl next) {
+    return SendHeartbeats(std::move(next), now);
+  });
+  step.state.table = DropOldEntries(std::move(step.state.table), now);
+  std::erase_if(step.state.fetching,
+                [now](const std::pair<const std::string, TimePoint>& fetch) {
+                  return fetch.second <= now;
+                });
+  UpdateMeans(step, now, random);
+  ExchangeDigest(step, random);
+  return step;
+}
+
+BalancerStep HandleBalancerMessage(BalancerControl state, const Endpoint& from,
+                                   const ControlMessage& message, TimePoint now,
+                                   Random& random) {
+  BalancerStep step = NoticePause(std::move(state), now);
+  Then(step, [&](BalancerControl next) {
+    if (const Heartbeat* heartbeat = std::get_if<Heartbeat>(&message)) {
+      return HandleHeartbeat(std::move(next), from, *heartbeat, now, random);
+    }
+    if (const HeartbeatAck* ack = std::get_if<HeartbeatAck>(&message)) {
+      return HandleAck(std::move(next), *ack, now, random);
+    }
+    if (const SuspicionQuery* query = std::get_if<SuspicionQuery>(&message)) {
+      return HandleQuery(std::move(next), from, *query, now);
+    }
+    if (const Delta* delta = std::get_if<Delta>(&message)) {
+      return HandleDelta(std::move(next), from, *delta, now, random);
+    }
+    if (const Digest* digest = std::get_if<Digest>(&message)) {
+      return HandleDigest(std::move(next), from, *digest, random);
+    }
+    BalancerStep done{std::move(next), {}};
+    if (const SuspicionReply* reply = std::get_if<SuspicionReply>(&message)) {
+      done.state.suspicions =
+          TakeReply(std::move(done.state.suspicions), from, *reply);
+    }
+    return done;
+  });
+  return step;
+}
+
+BalancerStep HandleFetchedMembers(BalancerControl state,
+                                  const std::vector<MemberEntry>& members,
+                                  TimePoint now, Random& random) {
+  BalancerStep step =
+      MergeNews(std::move(state), members, Endpoint{}, now, random);
+  if (!members.empty()) step.state.has_joined = true;
+  return step;
+}
+
+BalancerStep HandleOfferedRecords(BalancerControl state,
+                                  const std::vector<OfferedRecord>& offered,
+                                  TimePoint now, Random& random) {
+  BalancerStep step = NoticePause(std::move(state), now);
+  std::vector<RecordVersion> accepted;
+  for (const OfferedRecord& offer : offered) {
+    OfferOutcome outcome = OfferRecord(std::move(step.state.records),
+                                       offer.record, offer.error, offer.source);
+    step.state.records = std::move(outcome.store);
+    step.state.fetching.erase(offer.record.name);
+    // Only the process that read the platform accounts for a version; thousands
+    // of daemons accept the same one from their peers.
+    for (AccountEntry& entry : outcome.decisions) {
+      step.actions.decisions.push_back(
+          Decision{std::move(entry), offer.is_from_platform});
+    }
+    if (!outcome.accepted) continue;
+    accepted.push_back(RecordVersion{offer.record.name, offer.record.version});
+    if (offer.health.has_value()) {
+      step.state.policies[ServiceOfRecord(offer.record.name)] =
+          ServiceHealth{offer.record.version, *offer.health};
+    }
+    step.actions.view_changed = true;
+  }
+  PushNews(step.state, step.actions, {}, accepted, {}, random);
+  return step;
+}
+
+BalancerStep ChangeBalancerPhase(BalancerControl state, MemberPhase phase,
+                                 TimePoint now, Random& random) {
+  if (phase <= state.self.version.phase)
+    return BalancerStep{std::move(state), {}};
+  state.self.version.phase = phase;
+  const MemberEntry entry = state.self;
+  BalancerStep step{std::move(state), {}};
+  MergeOutcome merged = MergeEntries(std::move(step.state.table), {entry}, now);
+  step.state.table = std::move(merged.table);
+  step.state.ready_balancers = ReadyBalancers(step.state.table);
+  step.state.kept =
+      UpdateKept(std::move(step.state.kept), step.state.table,
+                 step.state.self.id, step.state.ready_balancers, now);
+  step.state.summaries.clear();
+  PushNews(step.state, step.actions, {entry}, {}, {}, random);
+  Then(step, [&](BalancerControl next) {
+    return SendHeartbeats(std::move(next), now);
+  });
+  step.actions.view_changed = true;
+  return step;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/balancer_liveness.cc
@@ -0,0 +1,243 @@
+#include "medlarwinch/coordination/balancer_liveness.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "medlarwinch/coordination/digest_tree.h"
+#include "medlarwinch/coordination/keeper_selection.h"
+#include "medlarwinch/coordination/withdrawal_bound.h"
+
+namespace medlarwinch {
+namespace {
+
+template <typename Item>
+void Append(std::vector<Item>& items, std::vector<Item> more) {
+  items.insert(items.end(), std::make_move_iterator(more.begin()),
+               std::make_move_iterator(more.end()));
+}
+
+std::vector<Endpoint> PushCandidates(const BalancerControl& state) {
+  std::vector<Endpoint> candidates;
+  for (const auto& [id, record] : state.table.members) {
+    if (record.entry.kind != MemberKind::kBalancer) continue;
+    if (id == state.self.id) continue;
+    if (IsWithdrawn(record.entry.version.phase)) continue;
+    candidates.push_back(id);
+  }
+  return candidates;
+}
+
+// Follows the table after a change of it.
+void FollowTable(BalancerControl& state, TimePoint now) {
+  state.ready_balancers = ReadyBalancers(state.table);
+  state.kept = UpdateKept(std::move(state.kept), state.table, state.self.id,
+                          state.ready_balancers, now);
+  state.summaries.clear();
+  std::erase_if(state.doubtful, [&](const Endpoint& id) {
+    return state.kept.find(id) == state.kept.end();
+  });
+}
+
+AccountEntry LivenessEntry(const MemberEntry& entry, const Suspicion& suspicion,
+                           const ServiceHealth& health,
+                           const SlotCount& count) {
+  AccountEntry account;
+  account.service = entry.service;
+  account.subject = ToString(entry.id);
+  account.reason.document = health.version == 0 ? "" : entry.service;
+  account.reason.document_version = health.version;
+  std::map<std::string, std::string>& facts = account.reason.facts;
+  facts["kind"] = MemberKindName(entry.kind);
+  facts["heartbeat_age_ms"] = std::to_string(suspicion.age.value);
+  facts["fail_after_ms"] = std::to_string(health.policy.fail_after.value);
+  facts["keepers_asked"] = std::to_string(suspicion.asked.size());
+  facts["keepers_agreed"] = std::to_string(suspicion.agreed.size());
+  facts["failed_slots"] = std::to_string(count.failed);
+  facts["service_slots"] = std::to_string(count.total);
+  facts["data"] = ToString(entry.data);
+  return account;
+}
+
+Decision WithdrawalDecision(const MemberEntry& entry,
+                            const Suspicion& suspicion,
+                            const ServiceHealth& health,
+                            const SlotCount& count) {
+  AccountEntry account = LivenessEntry(entry, suspicion, health, count);
+  const bool is_agent = entry.kind == MemberKind::kAgent;
+  account.action = is_agent ? "withdraw_upstream" : "withdraw_balancer";
+  account.reason.rule = "missed_heartbeats";
+  account.reason.path = "health.fail_after_ms";
+  return Decision{account, true};
+}
+
+Decision RefusalDecision(const MemberEntry& entry, const Suspicion& suspicion,
+                         const ServiceHealth& health, const SlotCount& count) {
+  AccountEntry account = LivenessEntry(entry, suspicion, health, count);
+  account.action = "refuse_withdrawal";
+  account.reason.rule = "max_withdrawn_percent";
+  account.reason.path = "health.max_withdrawn_percent";
+  account.reason.facts["max_withdrawn_percent"] =
+      std::to_string(health.policy.max_withdrawn_percent);
+  return Decision{account, true};
+}
+
+// Decides about one member that its keepers have lost. Returns its failed entry
+// when it is withdrawn.
+std::vector<MemberEntry> DecideLost(BalancerControl& state,
+                                    ControlActions& actions,
+                                    const Suspicion& suspicion, TimePoint now) {
+  MemberEntry entry = state.table.members.at(suspicion.subject).entry;
+  const ServiceHealth health = HealthOf(state.policies, entry);
+  const SlotCount count = CountSlots(state.table, entry.service);
+  const bool is_allowed =
+      entry.kind == MemberKind::kBalancer ||
+      MayWithdraw(count, entry.slots, health.policy.max_withdrawn_percent);
+  if (is_allowed) {
+    entry.version.phase = MemberPhase::kFailed;
+    actions.decisions.push_back(
+        WithdrawalDecision(entry, suspicion, health, count));
+    return {entry};
+  }
+  state.suspicions.not_before[entry.id] = now + health.policy.fail_after;
+  if (state.doubtful.insert(entry.id).second) {
+    actions.decisions.push_back(
+        RefusalDecision(entry, suspicion, health, count));
+    actions.view_changed = true;
+  }
+  return {};
+}
+
+// Answers a record of this process that is above its own version.
+bool AnswerOwnRecord(BalancerControl& state, const MemberVersion& recorded,
+                     ControlActions& actions) {
+  const MemberVersion version =
+      VersionAfterRecord(state.self.version, recorded);
+  if (version == state.self.version) return false;
+  AccountEntry entry;
+  entry.action = "raise_incarnation";
+  entry.subject = ToString(state.self.id);
+  entry.reason.rule = "recorded_above_own_version";
+  entry.reason.facts["recorded_phase"] = MemberPhaseName(recorded.phase);
+  entry.reason.facts["incarnation"] = std::to_string(version.incarnation);
+  actions.decisions.push_back(Decision{entry, true});
+  state.self.version = version;
+  return true;
+}
+
+}  // namespace
+
+void AppendActions(ControlActions& actions, ControlActions more) {
+  Append(actions.messages, std::move(more.messages));
+  Append(actions.fetches, std::move(more.fetches));
+  Append(actions.decisions, std::move(more.decisions));
+  actions.view_changed = actions.view_changed || more.view_changed;
+}
+
+BalancerStep NoticePause(BalancerControl state, TimePoint now) {
+  BalancerStep step{std::move(state), {}};
+  const bool is_paused = step.state.last_tick.value >= 0 &&
+                         now - step.state.last_tick > kControlTick + kLateTick;
+  if (!is_paused) return step;
+  AccountEntry entry;
+  entry.action = "ignore_silence";
+  entry.subject = ToString(step.state.self.id);
+  entry.reason.rule = "own_tick_late";
+  entry.reason.facts["since_tick_ms"] =
+      std::to_string((now - step.state.last_tick).value);
+  step.actions.decisions.push_back(Decision{entry, false});
+  step.state.kept = CountAllAsHeard(std::move(step.state.kept), now);
+  step.state.suspicions.open.clear();
+  step.state.last_tick = now;
+  return step;
+}
+
+void PushNews(const BalancerControl& state, ControlActions& actions,
+              const std::vector<MemberEntry>& members,
+              const std::vector<RecordVersion>& records,
+              const std::vector<ServiceMean>& means, Random& random) {
+  const std::vector<Delta> deltas = ChunkNews(members, records, means);
+  if (deltas.empty()) return;
+  for (const Endpoint& target :
+       PickRandom(PushCandidates(state), kPushTargets, random)) {
+    for (const Delta& delta : deltas) {
+      actions.messages.push_back(OutgoingMessage{target, delta});
+    }
+  }
+}
+
+BalancerStep MergeNews(BalancerControl state,
+                       const std::vector<MemberEntry>& entries,
+                       const Endpoint& replies_to, TimePoint now,
+                       Random& random) {
+  BalancerStep step{std::move(state), {}};
+  bool is_raised = false;
+  std::vector<MemberEntry> others;
+  for (const MemberEntry& entry : entries) {
+    if (entry.id != step.state.self.id) {
+      others.push_back(entry);
+      continue;
+    }
+    is_raised |= AnswerOwnRecord(step.state, entry.version, step.actions);
+  }
+  if (is_raised) others.push_back(step.state.self);
+  MergeOutcome merged = MergeEntries(std::move(step.state.table), others, now);
+  step.state.table = std::move(merged.table);
+  if (replies_to.port != 0) {
+    for (Delta& delta : ChunkNews(merged.newer, {}, {})) {
+      step.actions.messages.push_back(
+          OutgoingMessage{replies_to, std::move(delta)});
+    }
+  }
+  if (merged.accepted.empty()) return step;
+  FollowTable(step.state, now);
+  PushNews(step.state, step.actions, merged.accepted, {}, {}, random);
+  step.actions.view_changed = true;
+  if (is_raised) {
+    BalancerStep sent = SendHeartbeats(std::move(step.state), now);
+    step.state = std::move(sent.state);
+    AppendActions(step.actions, std::move(sent.actions));
+  }
+  return step;
+}
+
+BalancerStep SendHeartbeats(BalancerControl state, TimePoint now) {
+  BalancerStep step{std::move(state), {}};
+  Heartbeat heartbeat;
+  heartbeat.entry = step.state.self;
+  heartbeat.sequence = ++step.state.heartbeats;
+  for (const Endpoint& keeper :
+       KeepersOf(step.state.self, step.state.ready_balancers)) {
+    step.actions.messages.push_back(OutgoingMessage{keeper, heartbeat});
+  }
+  step.state.next_heartbeat = now + kHeartbeatInterval;
+  return step;
+}
+
+BalancerStep CheckLiveness(BalancerControl state, TimePoint now,
+                           Random& random) {
+  BalancerStep step{std::move(state), {}};
+  SuspicionOutcome outcome =
+      EndSuspicions(std::move(step.state.suspicions), step.state.table,
+                    step.state.policies, now);
+  step.state.suspicions = std::move(outcome.state);
+  for (const Suspicion& suspicion : outcome.lost) {
+    const std::vector<MemberEntry> failed =
+        DecideLost(step.state, step.actions, suspicion, now);
+    if (failed.empty()) continue;
+    BalancerStep merged =
+        MergeNews(std::move(step.state), failed, Endpoint{}, now, random);
+    step.state = std::move(merged.state);
+    AppendActions(step.actions, std::move(merged.actions));
+  }
+  SuspicionStart start = StartSuspicions(
+      std::move(step.state.suspicions), step.state.kept, step.state.table,
+      step.state.policies, step.state.self.id, step.state.ready_balancers, now);
+  step.state.suspicions = std::move(start.state);
+  for (const AddressedQuery& query : start.queries) {
+    step.actions.messages.push_back(OutgoingMessage{query.to, query.query});
+  }
+  return step;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/digest_tree.cc
@@ -0,0 +1,204 @@
+#include "medlarwinch/coordination/digest_tree.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "medlarwinch/coordination/rendezvous.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint64_t kPositionSeed = 11;
+constexpr int kBitsPerLevel = 4;
+
+uint64_t MemberPosition(const Endpoint& id) {
+  return HashKeyWithNode(kPositionSeed, id);
+}
+
+uint64_t RecordPosition(const std::string& name) {
+  return HashKey(name, kPositionSeed);
+}
+
+uint64_t HashNumbers(uint64_t a, uint64_t b, uint64_t c) {
+  const uint64_t numbers[3] = {a, b, c};
+  return HashKey(
+      std::string_view(reinterpret_cast<const char*>(numbers), sizeof(numbers)),
+      kPositionSeed);
+}
+
+// Returns the first `level` bucket numbers of a position.
+uint64_t PathOf(uint64_t position, uint8_t level) {
+  if (level == 0) return 0;
+  return position >> (64 - kBitsPerLevel * level);
+}
+
+bool IsUnder(uint64_t position, uint8_t level, uint64_t path) {
+  return PathOf(position, level) == path;
+}
+
+std::vector<uint64_t> DifferingBuckets(const Digest& a, const Digest& b,
+                                       Random& random) {
+  std::vector<uint64_t> buckets;
+  for (uint64_t bucket = 0; bucket < kDigestBuckets; ++bucket) {
+    if (a.member_buckets[bucket] == b.member_buckets[bucket]) continue;
+    buckets.push_back(bucket);
+  }
+  const size_t bound = a.level == 0 ? kMaxBucketsAtTop : kMaxBucketsBelow;
+  while (buckets.size() > bound) {
+    buckets.erase(buckets.begin() +
+                  static_cast<std::ptrdiff_t>(random() % buckets.size()));
+  }
+  return buckets;
+}
+
+size_t CountUnder(const std::vector<DigestItem>& items, uint8_t level,
+                  uint64_t path) {
+  return static_cast<size_t>(
+      std::count_if(items.begin(), items.end(), [&](const DigestItem& item) {
+        return IsUnder(item.position, level, path);
+      }));
+}
+
+void AddContent(DigestAnswer& answer, DigestScope scope, uint8_t level,
+                uint64_t path, const MemberTable& table,
+                const RecordStore& store) {
+  if (scope == DigestScope::kMembers) {
+    for (const auto& [id, record] : table.members) {
+      if (IsWithdrawn(record.entry.version.phase)) continue;
+      if (!IsUnder(MemberPosition(id), level, path)) continue;
+      answer.members.push_back(record.entry);
+    }
+    return;
+  }
+  for (const RecordVersion& version : VersionsInForce(store)) {
+    if (!IsUnder(RecordPosition(version.name), level, path)) continue;
+    answer.records.push_back(version);
+  }
+}
+
+// Fills deltas one after the other. Sizes are those of the encoding.
+struct DeltaPacker {
+  template <typename Item>
+  std::vector<Item>& Fit(size_t size, size_t max_count,
+                         std::vector<Item> Delta::*part) {
+    const bool has_room = !deltas.empty() && used + size <= kMaxDeltaBytes &&
+                          (deltas.back().*part).size() < max_count;
+    if (!has_room) {
+      deltas.emplace_back();
+      used = 0;
+    }
+    used += size;
+    return deltas.back().*part;
+  }
+
+  std::vector<Delta> deltas;
+  size_t used = 0;
+};
+
+}  // namespace
+
+std::vector<DigestItem> MemberItems(const MemberTable& table) {
+  std::vector<DigestItem> items;
+  items.reserve(table.members.size());
+  for (const auto& [id, record] : table.members) {
+    const MemberVersion& version = record.entry.version;
+    if (IsWithdrawn(version.phase)) continue;
+    const uint64_t position = MemberPosition(id);
+    const uint64_t state = (static_cast<uint64_t>(version.incarnation) << 8) |
+                           static_cast<uint64_t>(version.phase);
+    items.push_back(DigestItem{
+        position,
+        HashNumbers(position, static_cast<uint64_t>(version.boot), state)});
+  }
+  return items;
+}
+
+std::vector<DigestItem> RecordItems(const RecordStore& store) {
+  std::vector<DigestItem> items;
+  for (const RecordVersion& version : VersionsInForce(store)) {
+    const uint64_t position = RecordPosition(version.name);
+    items.push_back(
+        DigestItem{position, HashNumbers(position, version.version, 0)});
+  }
+  return items;
+}
+
+uint64_t HashItems(const std::vector<DigestItem>& items) {
+  uint64_t sum = 0;
+  for (const DigestItem& item : items) sum += item.content;
+  return sum;
+}
+
+Digest ComputeDigest(const std::vector<DigestItem>& items, DigestScope scope,
+                     uint8_t level, uint64_t path) {
+  Digest digest;
+  digest.scope = scope;
+  digest.level = level;
+  digest.path = path;
+  for (const DigestItem& item : items) {
+    if (!IsUnder(item.position, level, path)) continue;
+    const uint64_t bucket =
+        PathOf(item.position, static_cast<uint8_t>(level + 1)) % kDigestBuckets;
+    digest.member_buckets[bucket] += item.content;
+  }
+  return digest;
+}
+
+DigestAnswer AnswerDigest(const Digest& digest, const MemberTable& table,
+                          const RecordStore& store, Random& random) {
+  DigestAnswer answer;
+  if (digest.level > kMaxDigestLevel) return answer;
+  const bool is_members = digest.scope == DigestScope::kMembers;
+  const std::vector<DigestItem> records = RecordItems(store);
+  const std::vector<DigestItem> items =
+      is_members ? MemberItems(table) : records;
+  const uint64_t records_hash = HashItems(records);
+  Digest own = ComputeDigest(items, digest.scope, digest.level, digest.path);
+  own.records = records_hash;
+  const std::vector<uint64_t> buckets = DifferingBuckets(digest, own, random);
+  const size_t bound = is_members ? kMaxDeltaMembers : kMaxDeltaRecords;
+  const uint8_t next = static_cast<uint8_t>(digest.level + 1);
+  for (const uint64_t bucket : buckets) {
+    const uint64_t path = (digest.path << kBitsPerLevel) | bucket;
+    const bool is_last = digest.level == kMaxDigestLevel;
+    if (is_last || CountUnder(items, next, path) <= bound) {
+      AddContent(answer, digest.scope, next, path, table, store);
+      continue;
+    }
+    answer.digests.push_back(ComputeDigest(items, digest.scope, next, path));
+    answer.digests.back().records = records_hash;
+    answer.digests.back().wants_answer = true;
+  }
+  if (digest.wants_answer && !buckets.empty()) answer.digests.push_back(own);
+  const bool is_top = is_members && digest.level == 0;
+  if (is_top && digest.wants_answer && digest.records != records_hash) {
+    Digest versions = ComputeDigest(records, DigestScope::kRecords, 0, 0);
+    versions.records = records_hash;
+    versions.wants_answer = true;
+    answer.digests.push_back(versions);
+  }
+  return answer;
+}
+
+std::vector<Delta> ChunkNews(const std::vector<MemberEntry>& members,
+                             const std::vector<RecordVersion>& records,
+                             const std::vector<ServiceMean>& means) {
+  DeltaPacker packer;
+  for (const MemberEntry& member : members) {
+    const size_t size =
+        48 + member.service.size() + member.failure_domain.size();
+    packer.Fit(size, kMaxDeltaMembers, &Delta::members).push_back(member);
+  }
+  for (const RecordVersion& record : records) {
+    packer.Fit(12 + record.name.size(), kMaxDeltaRecords, &Delta::records)
+        .push_back(record);
+  }
+  for (const ServiceMean& mean : means) {
+    packer.Fit(26 + mean.service.size(), kMaxDeltaMeans, &Delta::means)
+        .push_back(mean);
+  }
+  return std::move(packer.deltas);
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/service_means.cc
@@ -0,0 +1,89 @@
+#include "medlarwinch/coordination/service_means.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+struct Total {
+  uint64_t flows = 0;
+  uint64_t slots = 0;
+};
+
+bool IsNewer(const ServiceMean& a, const ServiceMean& b) {
+  return std::tie(a.sequence, a.keeper) > std::tie(b.sequence, b.keeper);
+}
+
+bool HasChanged(double known, double computed) {
+  if (known == computed) return false;
+  return std::abs(computed - known) > kMeanChange * std::abs(known);
+}
+
+}  // namespace
+
+ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table) {
+  std::map<std::string, Total> totals;
+  for (const auto& [id, member] : kept) {
+    if (!member.heard) continue;
+    const std::map<Endpoint, MemberRecord>::const_iterator record =
+        table.members.find(id);
+    if (record == table.members.end()) continue;
+    const MemberEntry& entry = record->second.entry;
+    if (entry.kind != MemberKind::kAgent) continue;
+    if (entry.version.phase != MemberPhase::kReady) continue;
+    Total& total = totals[entry.service];
+    total.flows += member.load.flows;
+    total.slots += entry.slots;
+  }
+  ComputedMeans means;
+  for (const auto& [service, total] : totals) {
+    if (total.slots == 0) continue;
+    means[service] =
+        static_cast<double>(total.flows) / static_cast<double>(total.slots);
+  }
+  return means;
+}
+
+MeanOutcome MergeMeans(KnownMeans known, const std::vector<ServiceMean>& means,
+                       TimePoint now) {
+  MeanOutcome outcome;
+  for (const ServiceMean& mean : means) {
+    const KnownMeans::iterator current = known.find(mean.service);
+    if (current != known.end() && !IsNewer(mean, current->second.mean)) {
+      continue;
+    }
+    known[mean.service] = KnownMean{mean, now};
+    outcome.accepted.push_back(mean);
+  }
+  outcome.known = std::move(known);
+  return outcome;
+}
+
+MeanOutcome PublishMeans(KnownMeans known, const ComputedMeans& computed,
+                         size_t services, const Endpoint& self, TimePoint now) {
+  const Millis interval{std::max<int64_t>(
+      1'000, static_cast<int64_t>(services) * 1'000 / kMeansPerSecond)};
+  MeanOutcome outcome;
+  for (const auto& [service, value] : computed) {
+    const KnownMeans::iterator current = known.find(service);
+    if (current == known.end()) {
+      outcome.accepted.push_back(ServiceMean{service, value, self, 1});
+      continue;
+    }
+    const KnownMean& last = current->second;
+    if (!HasChanged(last.mean.mean_flows_per_slot, value)) continue;
+    if (now - last.changed < interval) continue;
+    outcome.accepted.push_back(
+        ServiceMean{service, value, self, last.mean.sequence + 1});
+  }
+  for (const ServiceMean& mean : outcome.accepted) {
+    known[mean.service] = KnownMean{mean, now};
+  }
+  outcome.known = std::move(known);
+  return outcome;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/suspicion.cc
@@ -0,0 +1,143 @@
+#include "medlarwinch/coordination/suspicion.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/coordination/keeper_selection.h"
+
+namespace medlarwinch {
+namespace {
+
+bool IsOpen(const SuspicionState& state, const Endpoint& subject) {
+  return std::any_of(state.open.begin(), state.open.end(),
+                     [&](const std::pair<const uint64_t, Suspicion>& open) {
+                       return open.second.subject == subject;
+                     });
+}
+
+bool MustWait(const SuspicionState& state, const Endpoint& subject,
+              TimePoint now) {
+  const std::map<Endpoint, TimePoint>::const_iterator found =
+      state.not_before.find(subject);
+  return found != state.not_before.end() && now < found->second;
+}
+
+void Open(SuspicionStart& start, const MemberEntry& entry, Millis age,
+          const Endpoint& self, const std::vector<Endpoint>& ready_balancers,
+          TimePoint now) {
+  const uint64_t number = ++start.state.last_query;
+  Suspicion suspicion;
+  suspicion.subject = entry.id;
+  suspicion.version = entry.version;
+  suspicion.started = now;
+  suspicion.age = age;
+  for (const Endpoint& keeper : KeepersOf(entry, ready_balancers)) {
+    if (keeper == self) continue;
+    suspicion.asked.push_back(keeper);
+    start.queries.push_back(AddressedQuery{
+        keeper, SuspicionQuery{number, entry.id, entry.version}});
+  }
+  start.state.open[number] = std::move(suspicion);
+}
+
+Millis PauseAfter(const Suspicion& suspicion, Millis fail_after) {
+  if (suspicion.denied.empty()) return kUnansweredPause;
+  return std::max(kSuspicionPause, fail_after - suspicion.denied_age);
+}
+
+}  // namespace
+
+SuspicionStart StartSuspicions(SuspicionState state, const KeptMembers& kept,
+                               const MemberTable& table,
+                               const HealthPolicies& policies,
+                               const Endpoint& self,
+                               const std::vector<Endpoint>& ready_balancers,
+                               TimePoint now) {
+  SuspicionStart start;
+  start.state = std::move(state);
+  std::erase_if(start.state.not_before,
+                [now](const std::pair<const Endpoint, TimePoint>& wait) {
+                  return wait.second <= now;
+                });
+  for (const auto& [id, member] : kept) {
+    if (start.state.open.size() >= kMaxOpenSuspicions) break;
+    const std::map<Endpoint, MemberRecord>::const_iterator record =
+        table.members.find(id);
+    if (record == table.members.end()) continue;
+    const MemberEntry& entry = record->second.entry;
+    const Millis age = now - member.last_heard;
+    if (age < HealthOf(policies, entry).policy.fail_after) continue;
+    if (IsWithdrawn(entry.version.phase)) continue;
+    if (MustWait(start.state, id, now) || IsOpen(start.state, id)) continue;
+    Open(start, entry, age, self, ready_balancers, now);
+  }
+  return start;
+}
+
+SuspicionState TakeReply(SuspicionState state, const Endpoint& from,
+                         const SuspicionReply& reply) {
+  const std::map<uint64_t, Suspicion>::iterator found =
+      state.open.find(reply.query);
+  if (found == state.open.end()) return state;
+  Suspicion& suspicion = found->second;
+  if (suspicion.subject != reply.subject) return state;
+  if (std::find(suspicion.asked.begin(), suspicion.asked.end(), from) ==
+      suspicion.asked.end()) {
+    return state;
+  }
+  if (!reply.heard) {
+    suspicion.agreed.insert(from);
+    return state;
+  }
+  const Millis age{reply.age_ms};
+  const bool is_first = suspicion.denied.empty();
+  suspicion.denied_age = is_first ? age : std::min(suspicion.denied_age, age);
+  suspicion.denied.insert(from);
+  return state;
+}
+
+SuspicionState EndSuspicion(SuspicionState state, const Endpoint& subject) {
+  std::erase_if(state.open,
+                [&](const std::pair<const uint64_t, Suspicion>& open) {
+                  return open.second.subject == subject;
+                });
+  state.not_before.erase(subject);
+  return state;
+}
+
+bool IsLost(const Suspicion& suspicion) {
+  if (!suspicion.denied.empty()) return false;
+  return suspicion.asked.empty() || !suspicion.agreed.empty();
+}
+
+SuspicionOutcome EndSuspicions(SuspicionState state, const MemberTable& table,
+                               const HealthPolicies& policies, TimePoint now) {
+  SuspicionOutcome outcome;
+  outcome.state = std::move(state);
+  std::map<uint64_t, Suspicion>& open = outcome.state.open;
+  for (std::map<uint64_t, Suspicion>::iterator it = open.begin();
+       it != open.end();) {
+    const Suspicion& suspicion = it->second;
+    const size_t answers = suspicion.agreed.size() + suspicion.denied.size();
+    const bool is_complete = answers >= suspicion.asked.size();
+    if (!is_complete && now - suspicion.started < kQueryWindow) {
+      ++it;
+      continue;
+    }
+    const std::map<Endpoint, MemberRecord>::const_iterator record =
+        table.members.find(suspicion.subject);
+    const bool is_current = record != table.members.end() &&
+                            record->second.entry.version == suspicion.version;
+    if (is_current) {
+      const Millis fail_after =
+          HealthOf(policies, record->second.entry).policy.fail_after;
+      outcome.state.not_before[suspicion.subject] =
+          now + PauseAfter(suspicion, fail_after);
+      (IsLost(suspicion) ? outcome.lost : outcome.kept).push_back(suspicion);
+    }
+    it = open.erase(it);
+  }
+  return outcome;
+}
+
+}  // namespace medlarwinch
