Add the shell of the control plane

Cause: the roles need membership, liveness and documents as views. Change: ControlPlane runs the decisions in a CAF actor with a UDP control socket, a TCP exchange for records, members and rosters, and detached workers for blocking calls. Platform calls are scheduled by pure decisions: every balancer reads once, watchers watch. The tests use stand-ins for the platform client and the document parser until those arrive. Shown by daemon_tests: three balancers and up to three agents on loopback find each other, get a written document, and withdraw a killed agent 3.5 s after its last heartbeat.

--- /dev/null
+++ b/packages/coordination/src/platform_schedule.cc
@@ -0,0 +1,59 @@
+#include "medlarwinch/coordination/platform_schedule.h"
+
+#include <algorithm>
+
+namespace medlarwinch {
+namespace {
+
+// Returns the time of the next attempt after a failure and doubles the pause.
+TimePoint BackOff(Millis& pause, Millis longest, TimePoint now,
+                  Random& random) {
+  const TimePoint next = now + Jitter(pause, random);
+  pause = std::min(pause * 2, longest);
+  return next;
+}
+
+}  // namespace
+
+DueCalls DecideCalls(PlatformSchedule schedule, bool is_watcher,
+                     TimePoint now) {
+  DueCalls due;
+  const bool may_read = !schedule.is_reading && now >= schedule.next_read;
+  due.read_all = may_read && !schedule.has_read_all;
+  due.read_small = may_read && schedule.has_read_all && is_watcher;
+  due.watch = is_watcher && !schedule.is_watching && now >= schedule.next_watch;
+  schedule.is_reading |= due.read_all || due.read_small;
+  schedule.is_watching |= due.watch;
+  due.schedule = schedule;
+  return due;
+}
+
+PlatformSchedule NoteRead(PlatformSchedule schedule, bool was_read_all, bool ok,
+                          TimePoint now, Random& random) {
+  schedule.is_reading = false;
+  if (!ok) {
+    schedule.next_read =
+        BackOff(schedule.read_pause, kMaxReadPause, now, random);
+    return schedule;
+  }
+  schedule.has_read_all |= was_read_all;
+  schedule.read_pause = kReadPause;
+  schedule.next_read = now + Jitter(kSmallReadInterval, random);
+  return schedule;
+}
+
+PlatformSchedule NoteWatch(PlatformSchedule schedule, uint64_t revision,
+                           bool ok, TimePoint now, Random& random) {
+  schedule.is_watching = false;
+  if (!ok) {
+    schedule.next_watch =
+        BackOff(schedule.watch_pause, kMaxWatchPause, now, random);
+    return schedule;
+  }
+  schedule.watch_pause = kReadPause;
+  schedule.watch_revision = revision;
+  schedule.next_watch = now;
+  return schedule;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/agent_loop.cc
@@ -0,0 +1,101 @@
+#include <utility>
+
+#include "medlarwinch/coordination/agent_control.h"
+#include "medlarwinch/coordination/bootstrap_list.h"
+#include "medlarwinch/coordination/platform_schedule.h"
+#include "medlarwinch/daemon/control_loop.h"
+
+namespace medlarwinch {
+namespace {
+
+class AgentLoop final : public ControlLoop {
+ public:
+  AgentLoop(const MemberEntry& self, const Settings& settings,
+            ControlPlaneHooks hooks, ControlOutputs outputs, Metrics& metrics,
+            uint64_t seed)
+      : ControlLoop(settings, std::move(hooks), std::move(outputs), metrics,
+                    seed),
+        state_(StartAgentControl(self, settings.peers)) {}
+
+  void OnTick(TimePoint now) override {
+    Take(TickAgent(std::move(state_), CurrentLoad(), now, random_));
+    // Agents outnumber balancers; they read the platform only when no balancer
+    // answers.
+    if (!HasLostKeepers(state_, now) || state_.heartbeats == 0) return;
+    schedule_.has_read_all = true;
+    const DueCalls due = DecideCalls(schedule_, true, now);
+    if (!due.read_small) return;
+    schedule_.is_reading = true;
+    PlatformJob job;
+    job.kind = PlatformJobKind::kReadSmall;
+    job.failure_domain = settings_.failure_domain;
+    outputs_.platform(std::move(job));
+  }
+
+  void OnMessage(const Endpoint& from, const ControlMessage& message,
+                 TimePoint now) override {
+    Take(HandleAgentMessage(std::move(state_), from, message, CurrentLoad(),
+                            now));
+  }
+
+  void OnFetched(const Endpoint& from, const std::optional<FetchReply>& reply,
+                 TimePoint /*now*/) override {
+    const FetchReply received = reply.value_or(FetchReply{});
+    Offer(received.records, ToString(from));
+    Take(HandleAgentRoster(std::move(state_), received.roster));
+  }
+
+  void OnPlatform(const PlatformJobResult& result, TimePoint now) override {
+    NotePlatformAnswer(result, now);
+    schedule_ =
+        NoteRead(schedule_, true, !result.error.has_value(), now, random_);
+    state_ =
+        AddAgentSeeds(std::move(state_), ParseBootstrapList(result.bootstrap));
+    Offer(result.records, "platform");
+  }
+
+  void OnPhase(MemberPhase phase, TimePoint now) override {
+    Take(ChangeAgentPhase(std::move(state_), phase, CurrentLoad(), now));
+  }
+
+ protected:
+  void FillView(ControlView& view) const override {
+    view.self = state_.self;
+    view.roster = state_.roster;
+    if (state_.mean_flows_per_slot >= 0) {
+      view.means[state_.self.service] = state_.mean_flows_per_slot;
+    }
+  }
+
+  std::shared_ptr<const RecordStore> CopyRecords() const override {
+    return std::make_shared<const RecordStore>(state_.records);
+  }
+
+ private:
+  void Take(AgentStep step) {
+    state_ = std::move(step.state);
+    Carry(std::move(step.actions));
+  }
+
+  void Offer(const std::vector<Record>& records, const std::string& source) {
+    std::vector<ParsedRecord> parsed = Parse(records, source, false);
+    Take(HandleAgentRecords(std::move(state_), OffersOf(parsed)));
+    UseAccepted(std::move(parsed), state_.records);
+  }
+
+  AgentControl state_;
+  PlatformSchedule schedule_;
+};
+
+}  // namespace
+
+std::unique_ptr<ControlLoop> MakeAgentLoop(const MemberEntry& self,
+                                           const Settings& settings,
+                                           ControlPlaneHooks hooks,
+                                           ControlOutputs outputs,
+                                           Metrics& metrics, uint64_t seed) {
+  return std::make_unique<AgentLoop>(self, settings, std::move(hooks),
+                                     std::move(outputs), metrics, seed);
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/control_loop.cc
@@ -0,0 +1,164 @@
+#include "medlarwinch/daemon/control_loop.h"
+
+#include <utility>
+
+#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/transport/log.h"
+
+namespace medlarwinch {
+namespace {
+
+// A view copies the member table; at full scale that is a millisecond of work,
+// so that at most 20 copies a second are made.
+constexpr Millis kPublishInterval{50};
+
+std::string JoinFacts(const std::map<std::string, std::string>& facts) {
+  std::string text;
+  for (const auto& [name, value] : facts) {
+    if (!text.empty()) text += ' ';
+    text += name + "=" + value;
+  }
+  return text;
+}
+
+}  // namespace
+
+FetchReply MakeFetchReply(const FetchSnapshot& snapshot,
+                          const FetchRequest& request) {
+  FetchReply reply;
+  if (snapshot.records != nullptr) {
+    reply.records = SelectRecords(*snapshot.records, request);
+  }
+  if (snapshot.view == nullptr) return reply;
+  MemberTable table;
+  for (const auto& [id, entry] : snapshot.view->members) {
+    if (request.members && reply.members.size() < kMaxFetchedMembers) {
+      reply.members.push_back(entry);
+    }
+    if (!request.roster_of.empty()) table.members[id].entry = entry;
+  }
+  if (!request.roster_of.empty()) {
+    reply.roster = RosterOf(table, request.roster_of);
+  }
+  return reply;
+}
+
+ControlLoop::ControlLoop(const Settings& settings, ControlPlaneHooks hooks,
+                         ControlOutputs outputs, Metrics& metrics,
+                         uint64_t seed)
+    : settings_(settings),
+      hooks_(std::move(hooks)),
+      outputs_(std::move(outputs)),
+      metrics_(metrics),
+      random_(seed),
+      keys_(std::make_shared<const KeySet>(settings.fleet_key, KeyRing{})) {}
+
+std::optional<Millis> ControlLoop::PublishIfDue(TimePoint now) {
+  if (!view_changed_) return std::nullopt;
+  const Millis since = now - last_publish_;
+  if (last_publish_.value >= 0 && since < kPublishInterval) {
+    return kPublishInterval - since;
+  }
+  std::shared_ptr<ControlView> view = std::make_shared<ControlView>();
+  view->sequence = ++sequence_;
+  view->documents = documents_;
+  view->keys = keys_;
+  view->key_ring_version = key_ring_version_;
+  view->last_platform_answer = last_platform_answer_;
+  FillView(*view);
+  if (records_changed_) records_ = CopyRecords();
+  records_changed_ = false;
+  view_changed_ = false;
+  last_publish_ = now;
+  metrics_.Set("medlarwinch_control_members", {},
+               static_cast<double>(view->members.size()));
+  metrics_.Set("medlarwinch_control_doubtful_members", {},
+               static_cast<double>(view->doubtful.size()));
+  outputs_.publish(FetchSnapshot{view, records_});
+  return std::nullopt;
+}
+
+std::vector<ParsedRecord> ControlLoop::Parse(const std::vector<Record>& records,
+                                             const std::string& source,
+                                             bool is_from_platform) const {
+  std::vector<ParsedRecord> parsed;
+  for (const Record& record : records) {
+    if (!IsRecordName(record.name)) continue;
+    parsed.push_back(ParseRecord(record, source, is_from_platform));
+  }
+  return parsed;
+}
+
+std::vector<OfferedRecord> ControlLoop::OffersOf(
+    const std::vector<ParsedRecord>& parsed) {
+  std::vector<OfferedRecord> offers;
+  offers.reserve(parsed.size());
+  for (const ParsedRecord& record : parsed) offers.push_back(record.offer);
+  return offers;
+}
+
+void ControlLoop::UseAccepted(std::vector<ParsedRecord> parsed,
+                              const RecordStore& store) {
+  for (ParsedRecord& item : parsed) {
+    const Record& record = item.offer.record;
+    if (item.offer.error.has_value()) continue;
+    if (VersionInForce(store, record.name) != record.version) continue;
+    records_changed_ = true;
+    view_changed_ = true;
+    if (item.ring.has_value() && record.version != key_ring_version_) {
+      keys_ = std::make_shared<const KeySet>(settings_.fleet_key, *item.ring);
+      key_ring_version_ = record.version;
+    }
+    if (item.document.has_value()) {
+      documents_[ServiceOfRecord(record.name)] =
+          VersionedDocument{record.version, std::move(*item.document)};
+    }
+  }
+}
+
+void ControlLoop::Carry(ControlActions actions) {
+  for (const Decision& decision : actions.decisions) RecordDecision(decision);
+  for (const OutgoingMessage& message : actions.messages) {
+    outputs_.send(message.to, message.message);
+  }
+  for (OutgoingFetch& fetch : actions.fetches) {
+    outputs_.fetch(std::move(fetch));
+  }
+  view_changed_ = view_changed_ || actions.view_changed;
+}
+
+void ControlLoop::NotePlatformAnswer(const PlatformJobResult& result,
+                                     TimePoint now) {
+  metrics_.Add("medlarwinch_control_platform_jobs_total",
+               {{"result", result.error.has_value() ? "error" : "ok"}});
+  if (result.error.has_value()) {
+    Log(LogLevel::kWarning, "platform_call_failed",
+        {{"error", ErrorCodeName(result.error->code)},
+         {"message", result.error->message}});
+    return;
+  }
+  last_platform_answer_ = now;
+}
+
+UpstreamLoad ControlLoop::CurrentLoad() const {
+  return hooks_.load ? hooks_.load() : UpstreamLoad{};
+}
+
+void ControlLoop::RecordDecision(const Decision& decision) {
+  const AccountEntry& entry = decision.entry;
+  Log(LogLevel::kInfo, entry.action,
+      {{"service", entry.service},
+       {"subject", entry.subject},
+       {"rule", entry.reason.rule},
+       {"document", entry.reason.document},
+       {"document_version",
+        static_cast<int64_t>(entry.reason.document_version)},
+       {"path", entry.reason.path},
+       {"facts", JoinFacts(entry.reason.facts)}});
+  metrics_.Add("medlarwinch_control_decisions_total",
+               {{"action", entry.action}});
+  if (decision.is_accounted && hooks_.account) hooks_.account(entry);
+}
+
+}  // namespace medlarwinch
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -86,8 +86,9 @@
   delta.members = {heartbeat.entry};
   delta.records = {RecordVersion{"config/probe-hub", 7}};
   CheckMutations(ControlMessage(delta));
-  CheckMutations(FetchRequest{{"config/a", "keys/ring"}, false, true});
-  CheckMutations(FetchReply{{Record{"config/a", 3, "service: a"}}, {}});
+  CheckMutations(FetchRequest{{"config/a", "keys/ring"}, false, true, "a"});
+  CheckMutations(
+      FetchReply{{Record{"config/a", 3, "service: a"}}, {}, ack.roster});
 }
 
 // Guards against a length field that makes the decoder allocate gigabytes.
