Add decisions of the agent: acceptance, ledger, key homes, admission, drain

KeyReserve names a holder that was told to be cancelled, so that a later attempt can replace its record by compare-and-swap at the home.

--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/document_context.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "medlarwinch/state/account_entry.h"
+#include "medlarwinch/state/service_document.h"
+
+namespace medlarwinch {
+
+/// The document that a decision follows, with the version that its reasons
+/// name. Version 0 stands for the defaults before any document is known.
+struct DocumentContext {
+  ServiceDocument document;
+  uint64_t version = 0;
+
+  friend bool operator==(const DocumentContext&,
+                         const DocumentContext&) = default;
+};
+
+/// Builds a reason that names `rule`, the context's document and version, and
+/// `path` in it.
+Reason MakeReason(
+    const DocumentContext& context, std::string rule, std::string path,
+    std::initializer_list<std::pair<const std::string, std::string>> facts =
+        {});
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/key_attempt.cc
@@ -0,0 +1,218 @@
+#include "medlarwinch/coordination/key_attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kResendInterval{100};
+// An agent that does not answer ten repetitions counts as gone.
+constexpr Millis kAnswerTimeout{1'000};
+// A request that runs elsewhere is asked about this often until it ends.
+constexpr Millis kRunningPoll{250};
+
+KeyAttemptStep End(KeyAttempt attempt, KeyAttemptAction action) {
+  attempt.stage = KeyAttemptStage::kEnded;
+  KeyAttemptStep step{std::move(attempt), {}};
+  step.actions.push_back(std::move(action));
+  return step;
+}
+
+KeyAttemptStep Refuse(KeyAttempt attempt, Verdict verdict, Reason reason) {
+  reason.facts["attempt"] = std::to_string(attempt.start.attempt);
+  return End(std::move(attempt), RefuseKey{verdict, std::move(reason)});
+}
+
+KeyAttemptStep Ask(KeyAttempt attempt, const AgentBoot& agent, TimePoint now) {
+  attempt.stage = KeyAttemptStage::kAsking;
+  attempt.asked = agent;
+  attempt.next_send = now + kResendInterval;
+  attempt.stage_ends = now + kAnswerTimeout;
+  KeyAttemptStep step{std::move(attempt), {}};
+  step.actions.emplace_back(SendKeyQuery{agent});
+  return step;
+}
+
+// Sends a reservation to every home that has not granted the key.
+void SendReserves(KeyAttemptStep& step, TimePoint now) {
+  step.attempt.next_send = now + kResendInterval;
+  for (const Endpoint& home : step.attempt.start.homes) {
+    if (step.attempt.granted.contains(home)) continue;
+    const auto superseded = step.attempt.superseded.find(home);
+    step.actions.emplace_back(SendKeyReserve{
+        home, superseded == step.attempt.superseded.end()
+                  ? std::nullopt
+                  : std::optional<KeyHolder>(superseded->second)});
+  }
+}
+
+KeyAttemptStep Reserve(KeyAttempt attempt, const DocumentContext& context,
+                       TimePoint now) {
+  if (attempt.start.refusal.has_value()) {
+    // The earlier attempt is proven not to have run only when it is the only
+    // one before this, and its agent has said so.
+    const bool is_proof = attempt.start.attempt == 1 ||
+                          (attempt.start.attempt == 2 &&
+                           !attempt.cancelled.empty());
+    Reason reason = *attempt.start.refusal;
+    return Refuse(std::move(attempt),
+                  is_proof ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                  std::move(reason));
+  }
+  if (attempt.start.homes.empty()) {
+    const bool is_first = attempt.start.attempt == 1;
+    return Refuse(std::move(attempt),
+                  is_first ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                  MakeReason(context, "no_key_home", ""));
+  }
+  attempt.stage = KeyAttemptStage::kReserving;
+  attempt.stage_ends = now + kAnswerTimeout;
+  KeyAttemptStep step{std::move(attempt), {}};
+  SendReserves(step, now);
+  return step;
+}
+
+// The verdict when the key could not be reserved: after an attempt elsewhere, a
+// home that does not answer may hold the record of a request that ran.
+Verdict UnreservedVerdict(const KeyAttempt& attempt) {
+  const bool is_proof = attempt.start.attempt == 1 && !attempt.conflict_seen;
+  return is_proof ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
+KeyAttemptStep EndStage(KeyAttempt attempt, const DocumentContext& context,
+                        const char* rule, const char* path) {
+  const Verdict verdict = attempt.stage == KeyAttemptStage::kReserving
+                              ? UnreservedVerdict(attempt)
+                              : Verdict::kMayHaveRun;
+  return Refuse(std::move(attempt), verdict, MakeReason(context, rule, path));
+}
+
+KeyAttemptStep OnConflict(KeyAttempt attempt, const Endpoint& home,
+                          const KeyHolder& holder, uint16_t holder_tag,
+                          const DocumentContext& context, TimePoint now) {
+  const AgentBoot boot{holder.agent, holder_tag};
+  attempt.conflict_seen = true;
+  if (holder.agent == attempt.start.self.agent) {
+    // An earlier boot of this agent held the key; what it did is unknown.
+    return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                  MakeReason(context, "key_held_by_earlier_boot", ""));
+  }
+  attempt.superseded[home] = holder;
+  if (!attempt.cancelled.contains(boot)) {
+    return Ask(std::move(attempt), boot, now);
+  }
+  KeyAttemptStep step{std::move(attempt), {}};
+  step.actions.emplace_back(SendKeyReserve{home, holder});
+  return step;
+}
+
+}  // namespace
+
+KeyAttemptStep StartKeyAttempt(KeyAttemptStart start,
+                               const DocumentContext& context, TimePoint now) {
+  KeyAttempt attempt;
+  attempt.start = std::move(start);
+  const std::optional<AgentBoot> earlier = attempt.start.earlier;
+  if (!earlier.has_value()) return Reserve(std::move(attempt), context, now);
+  if (*earlier == attempt.start.self) {
+    // The ledger of this agent did not know the key, so it did not run here.
+    attempt.cancelled.insert(*earlier);
+    return Reserve(std::move(attempt), context, now);
+  }
+  if (earlier->agent == attempt.start.self.agent) {
+    return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                  MakeReason(context, "earlier_attempt_at_other_boot", ""));
+  }
+  return Ask(std::move(attempt), *earlier, now);
+}
+
+KeyAttemptStep OnKeyAnswer(KeyAttempt attempt, const AgentBoot& from,
+                           KeyState state, bool has_answer,
+                           const DocumentContext& context, TimePoint now) {
+  if (attempt.stage != KeyAttemptStage::kAsking || attempt.asked != from) {
+    return KeyAttemptStep{std::move(attempt), {}};
+  }
+  switch (state) {
+    case KeyState::kCancelled:
+      attempt.cancelled.insert(from);
+      return Reserve(std::move(attempt), context, now);
+    case KeyState::kRunning:
+      attempt.next_send = now + kRunningPoll;
+      attempt.stage_ends = now + kRunningPoll + kAnswerTimeout;
+      return KeyAttemptStep{std::move(attempt), {}};
+    case KeyState::kRan:
+      if (has_answer) return End(std::move(attempt), RelayStoredAnswer{});
+      return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                    MakeReason(context, "answer_not_stored", ""));
+    case KeyState::kMayHaveRun:
+      return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                    MakeReason(context, "earlier_attempt_may_have_run", ""));
+    case KeyState::kOtherBoot:
+      return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                    MakeReason(context, "earlier_attempt_at_other_boot", ""));
+  }
+  return KeyAttemptStep{std::move(attempt), {}};
+}
+
+KeyAttemptStep OnReserveAnswer(KeyAttempt attempt, const Endpoint& home,
+                               ReserveState state, const KeyHolder& holder,
+                               uint16_t holder_tag,
+                               const DocumentContext& context, TimePoint now) {
+  const std::vector<Endpoint>& homes = attempt.start.homes;
+  if (attempt.stage != KeyAttemptStage::kReserving ||
+      std::find(homes.begin(), homes.end(), home) == homes.end() ||
+      attempt.granted.contains(home)) {
+    return KeyAttemptStep{std::move(attempt), {}};
+  }
+  switch (state) {
+    case ReserveState::kGranted:
+      attempt.granted.insert(home);
+      if (attempt.granted.size() < homes.size()) {
+        return KeyAttemptStep{std::move(attempt), {}};
+      }
+      return End(std::move(attempt), HandOverKey{});
+    case ReserveState::kHeldElsewhere:
+      return OnConflict(std::move(attempt), home, holder, holder_tag, context,
+                        now);
+    case ReserveState::kFull:
+      return EndStage(std::move(attempt), context, "key_home_full",
+                      "idempotency.max_keys");
+  }
+  return KeyAttemptStep{std::move(attempt), {}};
+}
+
+KeyAttemptStep OnKeyAttemptTick(KeyAttempt attempt,
+                                const DocumentContext& context, TimePoint now) {
+  if (attempt.stage == KeyAttemptStage::kEnded) {
+    return KeyAttemptStep{std::move(attempt), {}};
+  }
+  if (now >= attempt.start.deadline) {
+    return EndStage(std::move(attempt), context, "deadline_passed",
+                    "requests.timeout_ms");
+  }
+  if (now >= attempt.stage_ends) {
+    const bool is_asking = attempt.stage == KeyAttemptStage::kAsking;
+    return EndStage(std::move(attempt), context,
+                    is_asking ? "earlier_agent_unanswered"
+                              : "key_home_unanswered",
+                    "");
+  }
+  KeyAttemptStep step{std::move(attempt), {}};
+  if (now < step.attempt.next_send) return step;
+  if (step.attempt.stage == KeyAttemptStage::kReserving) {
+    SendReserves(step, now);
+    return step;
+  }
+  step.attempt.next_send = now + kResendInterval;
+  step.actions.emplace_back(SendKeyQuery{*step.attempt.asked});
+  return step;
+}
+
+KeyAttemptStep AbortKeyAttempt(KeyAttempt attempt,
+                               const DocumentContext& context) {
+  return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                MakeReason(context, "cancelled_by_later_attempt", ""));
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/request_admission.cc
@@ -0,0 +1,123 @@
+#include "medlarwinch/coordination/request_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint16_t kBadRequest = 400;
+constexpr uint16_t kBodyTooLarge = 413;
+constexpr uint16_t kTooManyRequests = 429;
+constexpr uint16_t kUnavailable = 503;
+constexpr uint16_t kDeadlinePassed = 504;
+// The budget holds at most this many seconds of its least rate and as many
+// successes, so that a quiet hour does not pay for a storm of retries.
+constexpr double kMaxRetrySeconds = 10;
+constexpr double kMaxSuccessesHeld = 1'000;
+
+double Seconds(Millis span) { return static_cast<double>(span.value) / 1'000; }
+
+const TenantLimit* FindLimit(const DocumentContext& context,
+                             const std::string& tenant) {
+  for (const TenantLimit& limit : context.document.limits.tenants) {
+    if (limit.name == tenant) return &limit;
+  }
+  return nullptr;
+}
+
+// Fills the bucket up to `now`; a new bucket is full.
+TokenBucket Fill(const AdmissionState& state, const TenantLimit& limit,
+                 TimePoint now) {
+  const double burst = std::max(1.0, limit.burst);
+  const auto found = state.tenants.find(limit.name);
+  if (found == state.tenants.end()) return TokenBucket{burst, now};
+  TokenBucket bucket = found->second;
+  const Millis elapsed = now - bucket.filled_at;
+  if (elapsed.value > 0) {
+    bucket.tokens += Seconds(elapsed) * limit.requests_per_second;
+    bucket.filled_at = now;
+  }
+  bucket.tokens = std::min(bucket.tokens, burst);
+  return bucket;
+}
+
+AdmissionStep Refuse(AdmissionState state, uint16_t status, Reason reason) {
+  return AdmissionStep{std::move(state), std::move(reason), status};
+}
+
+}  // namespace
+
+AdmissionStep AdmitRequest(AdmissionState state,
+                           const AdmissionRequest& request,
+                           const DocumentContext& context, TimePoint now) {
+  const ServiceDocument& document = context.document;
+  if (request.draining) {
+    return Refuse(std::move(state), kUnavailable,
+                  MakeReason(context, "draining", "drain.upstreams"));
+  }
+  if (!request.well_formed) {
+    return Refuse(std::move(state), kBadRequest,
+                  MakeReason(context, "malformed_request", ""));
+  }
+  if (request.body_bytes > document.requests.max_body_bytes) {
+    return Refuse(
+        std::move(state), kBodyTooLarge,
+        MakeReason(context, "body_too_large", "requests.max_body_bytes",
+                   {{"body_bytes", std::to_string(request.body_bytes)}}));
+  }
+  if (now >= request.deadline) {
+    return Refuse(
+        std::move(state), kDeadlinePassed,
+        MakeReason(context, "deadline_passed", "requests.timeout_ms"));
+  }
+  const uint64_t limit = static_cast<uint64_t>(request.slots) *
+                         document.limits.max_requests_per_slot;
+  if (request.requests_in_flight >= limit) {
+    return Refuse(
+        std::move(state), kUnavailable,
+        MakeReason(context, "request_limit", "limits.max_requests_per_slot",
+                   {{"in_flight", std::to_string(request.requests_in_flight)}}));
+  }
+  const TenantLimit* tenant = FindLimit(context, request.tenant);
+  if (tenant == nullptr) return AdmissionStep{std::move(state), {}, 0};
+  TokenBucket bucket = Fill(state, *tenant, now);
+  const bool has_token = bucket.tokens >= 1;
+  if (has_token) bucket.tokens -= 1;
+  state.tenants[tenant->name] = bucket;
+  if (has_token) return AdmissionStep{std::move(state), {}, 0};
+  return Refuse(std::move(state), kTooManyRequests,
+                MakeReason(context, "tenant_rate", "limits.tenants",
+                           {{"tenant", tenant->name}}));
+}
+
+RetryBudget OnSuccess(RetryBudget budget, const RetryPolicy& policy) {
+  const double share = policy.budget_percent / 100.0;
+  const double most = std::max(1.0, policy.min_per_second * kMaxRetrySeconds) +
+                      kMaxSuccessesHeld * share;
+  budget.tokens = std::min(budget.tokens + share, most);
+  return budget;
+}
+
+RetryStep TakeRetry(RetryBudget budget, const DocumentContext& context,
+                    TimePoint now) {
+  const RetryPolicy& policy = context.document.retry;
+  const double least = policy.min_per_second;
+  const double elapsed = std::min(
+      kMaxRetrySeconds, std::max(0.0, Seconds(now - budget.filled_at)));
+  const double most = std::max(1.0, least * kMaxRetrySeconds);
+  // The least rate fills the budget only up to its own bound; tokens above it
+  // come from successes.
+  if (budget.tokens < most) {
+    budget.tokens = std::min(most, budget.tokens + elapsed * least);
+  }
+  budget.filled_at = now;
+  if (budget.tokens >= 1) {
+    budget.tokens -= 1;
+    return RetryStep{budget, {}};
+  }
+  return RetryStep{budget, MakeReason(context, "retry_budget",
+                                      "retry.budget_percent")};
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/flow_table.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
+#include "medlarwinch/coordination/request_window.h"
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/protocol/packet_header.h"
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/endpoint.h"
+
+namespace medlarwinch {
+
+/// The identifier that a caller chose; length 0 for a caller that has only its
+/// address pair.
+struct CallerIdentifier {
+  uint8_t size = 0;
+  std::array<uint8_t, kCallerIdentifierBytes> bytes{};
+
+  /// Returns nothing when `view` is longer than kCallerIdentifierBytes.
+  static std::optional<CallerIdentifier> From(ByteView view);
+  ByteView view() const { return ByteView(bytes.data(), size); }
+
+  friend bool operator==(const CallerIdentifier&,
+                         const CallerIdentifier&) = default;
+};
+
+/// What names a flow before its identifier is known to the caller.
+struct CallerKey {
+  Endpoint service_address;
+  Endpoint caller;
+  CallerIdentifier identifier;
+
+  friend bool operator==(const CallerKey&, const CallerKey&) = default;
+};
+
+struct CallerKeyHash {
+  size_t operator()(const CallerKey& key) const;
+};
+
+/// One open flow. A process holds hundreds of thousands, so what only a flow
+/// with requests in progress needs is kept elsewhere.
+struct Flow {
+  CallerKey key;
+  /// Where answers go, as a FabricPacket.
+  Endpoint fabric;
+  /// Time of the last packet from the caller.
+  TimePoint last_heard;
+  RequestWindow requests;
+  uint16_t requests_in_progress = 0;
+  /// GoAway packets sent; the flow takes no requests once it is above 0.
+  uint8_t go_aways = 0;
+  TimePoint last_go_away;
+};
+
+/// The flows of one agent, by flow number and by caller. Not thread-safe.
+class FlowTable {
+ public:
+  /// Flow numbers count up from `first_number`.
+  explicit FlowTable(uint32_t first_number) : next_number_(first_number) {}
+
+  size_t size() const { return flows_.size(); }
+
+  /// Adds a flow and returns its number. `key` must not be in the table.
+  uint32_t Add(const CallerKey& key, const Endpoint& fabric, TimePoint now);
+
+  /// Returns nullptr when there is no such flow. The pointer is valid until the
+  /// flow is removed.
+  Flow* Find(uint32_t number);
+
+  /// Returns the number of the caller's flow.
+  std::optional<uint32_t> FindNumber(const CallerKey& key) const;
+
+  void Remove(uint32_t number);
+
+  /// Changes the address of the flow's caller, as after a new binding at a NAT.
+  /// Does nothing when another flow has the resulting key.
+  void MoveCaller(uint32_t number, const Endpoint& caller);
+
+  /// True when `predicate` holds for every flow.
+  bool AllOf(const std::function<bool(const Flow&)>& predicate) const;
+
+  /// Visits about one `parts`-th of the flows, a different part in each of
+  /// `parts` calls in a row. `visit` must not add or remove flows.
+  void VisitPart(size_t parts,
+                 const std::function<void(uint32_t, Flow&)>& visit);
+
+ private:
+  std::unordered_map<uint32_t, Flow> flows_;
+  std::unordered_map<CallerKey, uint32_t, CallerKeyHash> numbers_;
+  uint32_t next_number_;
+  size_t next_part_ = 0;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/response_stream.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/protocol/frames.h"
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/verdict.h"
+
+namespace medlarwinch {
+
+/// Unacknowledged bytes of one response above which no more are read from the
+/// upstream.
+inline constexpr size_t kResponseWindowBytes = 64 * 1'024;
+
+/// The sending side of one response: cuts it into parts, keeps what the caller
+/// has not acknowledged, and says what to send again and when.
+class ResponseStream {
+ public:
+  ResponseStream(uint32_t number, TimePoint now);
+
+  /// Appends to the body. Requires that Finish() was not called.
+  void Append(ByteView data);
+
+  /// Ends the response.
+  void Finish(uint16_t status, Verdict verdict);
+
+  bool IsFinished() const { return finished_; }
+  bool IsFull() const { return Held() >= kResponseWindowBytes; }
+  bool IsAcknowledged() const { return fin_acknowledged_; }
+
+  /// Takes an acknowledgement. Offsets outside of what was sent are ignored.
+  void OnAck(const ResponseAckFrame& ack, TimePoint now);
+
+  /// Returns the parts that may be sent now for the first time or because the
+  /// caller misses them.
+  std::vector<ResponsePartFrame> TakeParts(TimePoint now);
+
+  /// Returns the first unacknowledged parts when their time is over; otherwise
+  /// nothing.
+  std::vector<ResponsePartFrame> TakeOverdue(TimePoint now);
+
+  /// Returns an empty part that tells the caller that its request has arrived.
+  ResponsePartFrame ArrivalNotice() const;
+
+  /// True when the caller has acknowledged nothing for so long that it counts
+  /// as gone.
+  bool IsAbandoned(TimePoint now) const;
+
+ private:
+  size_t Held() const { return buffer_.size() - head_; }
+  uint64_t end() const { return base_ + Held(); }
+  bool HasUnacknowledged() const;
+  ResponsePartFrame PartAt(uint64_t offset) const;
+  void Advance(uint64_t offset);
+  void RestartTimer(TimePoint now);
+
+  uint32_t number_;
+  /// Unacknowledged bytes start at buffer_[head_] and at offset base_.
+  Bytes buffer_;
+  size_t head_ = 0;
+  uint64_t base_ = 0;
+  /// Offset of the next byte that was never sent.
+  uint64_t next_ = 0;
+  size_t congestion_bytes_;
+  bool finished_ = false;
+  bool fin_sent_ = false;
+  bool fin_acknowledged_ = false;
+  bool resend_first_ = false;
+  uint16_t status_ = 0;
+  Verdict verdict_ = Verdict::kMayHaveRun;
+  int duplicate_acks_ = 0;
+  Millis timeout_;
+  TimePoint due_;
+  TimePoint last_progress_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/thin_transport.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/daemon/caller_transport.h"
+#include "medlarwinch/daemon/flow_table.h"
+#include "medlarwinch/daemon/response_stream.h"
+#include "medlarwinch/protocol/key_ring.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// What a ThinTransport needs from its process. The functions must be callable
+/// from within every function of the transport.
+struct ThinTransportPorts {
+  /// Sends one datagram from the data socket.
+  std::function<void(const Endpoint& to, ByteView datagram)> send;
+  /// Returns the keys in force.
+  std::function<std::shared_ptr<const KeySet>()> keys;
+  /// Decides on a new flow.
+  std::function<FlowDecision(const ForwardedPacket& packet)> decide_flow;
+};
+
+/// Who this agent is.
+struct AgentIdentity {
+  std::string service;
+  Endpoint data;
+  int64_t boot = 0;
+};
+
+/// Time without a packet from the caller after which a flow is forgotten.
+inline constexpr Millis kFlowIdleTimeout{600'000};
+
+/// Ends the thin request protocol.
+class ThinTransport : public CallerTransport {
+ public:
+  /// `handler` and `metrics` outlive the transport.
+  ThinTransport(AgentIdentity identity, uint32_t first_flow_number,
+                ThinTransportPorts ports, CallerRequestHandler& handler,
+                Metrics& metrics);
+
+  void OnPacket(ForwardedPacket packet, TimePoint now) override;
+  bool Write(const CallerRequestId& id, ByteView data, TimePoint now) override;
+  void Finish(const CallerRequestId& id, uint16_t status, Verdict verdict,
+              TimePoint now) override;
+  void StartDrain(TimePoint now) override;
+  void Tick(TimePoint now) override;
+  size_t flows() const override { return table_.size(); }
+  size_t responses() const override { return streams_.size(); }
+  bool IsDrained() const override;
+
+ private:
+  void OnIdentifiedPacket(const ForwardedPacket& packet,
+                          const PacketHeader& header,
+                          const FlowIdentifier& identifier, Frame frame,
+                          TimePoint now);
+  void OnKeyedPacket(ForwardedPacket packet, const PacketHeader& header,
+                     Frame frame, TimePoint now);
+  void OnUnowned(ForwardedPacket packet, const PacketHeader& header);
+  void OnOpen(ForwardedPacket packet, const PacketHeader& header,
+              const CallerKey& key, TimePoint now);
+  void OnFlowFrame(uint32_t number, Flow& flow, Frame frame, TimePoint now);
+  void OnRequest(uint32_t flow_number, Flow& flow, RequestFrame request,
+                 TimePoint now);
+  void OnAck(uint32_t flow_number, Flow& flow, const ResponseAckFrame& ack,
+             TimePoint now);
+  void OnCancel(uint32_t flow_number, Flow& flow, const CancelFrame& cancel);
+  void PassOn(ForwardedPacket packet);
+  void SendFrame(uint32_t flow_number, const Flow& flow, const Frame& frame);
+  void SendReset(const ForwardedPacket& packet, const PacketHeader& header,
+                 ResetReason reason);
+  void SendParts(const CallerRequestId& id, const Flow& flow,
+                 const std::vector<ResponsePartFrame>& parts);
+  void SendGoAway(uint32_t number, Flow& flow, TimePoint now);
+  void CloseStream(const CallerRequestId& id, Flow& flow);
+  void ResendOverdue(TimePoint now);
+  void SweepFlows(TimePoint now);
+  void SendGoAways(TimePoint now);
+  void ForgetFlow(uint32_t number);
+  void CountMalformed(const char* reason);
+
+  AgentIdentity identity_;
+  uint16_t boot_tag_;
+  ThinTransportPorts ports_;
+  CallerRequestHandler& handler_;
+  Metrics& metrics_;
+  FlowTable table_;
+  std::map<CallerRequestId, ResponseStream> streams_;
+  bool draining_ = false;
+  TimePoint next_sweep_;
+  TimePoint next_go_aways_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/flow_table.cc
@@ -0,0 +1,103 @@
+#include "medlarwinch/daemon/flow_table.h"
+
+#include <algorithm>
+#include <cstring>
+#include <string_view>
+
+#include "medlarwinch/coordination/rendezvous.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr size_t kHashInputBytes = 12 + 1 + kCallerIdentifierBytes;
+
+size_t AppendEndpoint(const Endpoint& endpoint, char* out) {
+  std::memcpy(out, &endpoint.ip, sizeof(endpoint.ip));
+  std::memcpy(out + sizeof(endpoint.ip), &endpoint.port, sizeof(endpoint.port));
+  return sizeof(endpoint.ip) + sizeof(endpoint.port);
+}
+
+}  // namespace
+
+std::optional<CallerIdentifier> CallerIdentifier::From(ByteView view) {
+  if (view.size() > kCallerIdentifierBytes) return std::nullopt;
+  CallerIdentifier identifier;
+  identifier.size = static_cast<uint8_t>(view.size());
+  std::copy(view.begin(), view.end(), identifier.bytes.begin());
+  return identifier;
+}
+
+size_t CallerKeyHash::operator()(const CallerKey& key) const {
+  std::array<char, kHashInputBytes> input{};
+  size_t at = AppendEndpoint(key.service_address, input.data());
+  at += AppendEndpoint(key.caller, input.data() + at);
+  input[at++] = static_cast<char>(key.identifier.size);
+  std::memcpy(input.data() + at, key.identifier.bytes.data(),
+              kCallerIdentifierBytes);
+  return HashKey(std::string_view(input.data(), input.size()));
+}
+
+uint32_t FlowTable::Add(const CallerKey& key, const Endpoint& fabric,
+                        TimePoint now) {
+  while (flows_.contains(next_number_)) ++next_number_;
+  const uint32_t number = next_number_++;
+  Flow flow;
+  flow.key = key;
+  flow.fabric = fabric;
+  flow.last_heard = now;
+  flows_.emplace(number, flow);
+  numbers_.emplace(key, number);
+  return number;
+}
+
+Flow* FlowTable::Find(uint32_t number) {
+  const auto found = flows_.find(number);
+  return found == flows_.end() ? nullptr : &found->second;
+}
+
+std::optional<uint32_t> FlowTable::FindNumber(const CallerKey& key) const {
+  const auto found = numbers_.find(key);
+  if (found == numbers_.end()) return std::nullopt;
+  return found->second;
+}
+
+void FlowTable::Remove(uint32_t number) {
+  const auto found = flows_.find(number);
+  if (found == flows_.end()) return;
+  numbers_.erase(found->second.key);
+  flows_.erase(found);
+}
+
+void FlowTable::MoveCaller(uint32_t number, const Endpoint& caller) {
+  const auto found = flows_.find(number);
+  if (found == flows_.end()) return;
+  CallerKey moved = found->second.key;
+  moved.caller = caller;
+  if (numbers_.contains(moved)) return;
+  numbers_.erase(found->second.key);
+  numbers_.emplace(moved, number);
+  found->second.key = moved;
+}
+
+bool FlowTable::AllOf(
+    const std::function<bool(const Flow&)>& predicate) const {
+  return std::all_of(flows_.begin(), flows_.end(), [&](const auto& entry) {
+    return predicate(entry.second);
+  });
+}
+
+void FlowTable::VisitPart(size_t parts,
+                          const std::function<void(uint32_t, Flow&)>& visit) {
+  const size_t buckets = flows_.bucket_count();
+  next_part_ = (next_part_ + 1) % parts;
+  const size_t first = buckets * next_part_ / parts;
+  const size_t last = buckets * (next_part_ + 1) / parts;
+  for (size_t bucket = first; bucket < last; ++bucket) {
+    for (auto entry = flows_.begin(bucket); entry != flows_.end(bucket);
+         ++entry) {
+      visit(entry->first, entry->second);
+    }
+  }
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/upstream_client.cc
@@ -0,0 +1,321 @@
+#include "medlarwinch/daemon/upstream_client.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <map>
+#include <optional>
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 4 * 1'024;
+constexpr size_t kMaxIdleConnections = 256;
+// Shorter than the keep-alive times of common servers, so that a pooled
+// connection is rarely closed by the upstream as it is taken.
+constexpr Millis kMaxIdleTime{4'000};
+constexpr Millis kConnectTimeout{1'000};
+
+struct Connection {
+  explicit Connection(asio::io_context& context) : stream(context) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  TimePoint idle_since;
+};
+
+// True when the other side has neither closed the idle connection nor sent
+// anything that no request asked for.
+bool IsQuiet(Connection& connection) {
+  char byte = 0;
+  const ssize_t size = recv(connection.stream.socket().native_handle(), &byte,
+                            1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+struct UpstreamClient::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, const Endpoint& endpoint)
+      : context(io),
+        upstream(asio::ip::address_v4(endpoint.ip), endpoint.port),
+        host(ToString(endpoint)) {}
+
+  class Exchange;
+
+  std::unique_ptr<Connection> TakeIdle();
+  void PutIdle(std::unique_ptr<Connection> connection);
+
+  asio::io_context& context;
+  tcp::endpoint upstream;
+  std::string host;
+  std::atomic<uint64_t> next_number{1};
+  // Used on the thread of the io_context only.
+  std::map<uint64_t, std::shared_ptr<Exchange>> exchanges;
+  std::vector<std::unique_ptr<Connection>> idle;
+};
+
+std::unique_ptr<Connection> UpstreamClient::State::TakeIdle() {
+  while (!idle.empty()) {
+    std::unique_ptr<Connection> connection = std::move(idle.back());
+    idle.pop_back();
+    const Millis idle_time = MonotonicNow() - connection->idle_since;
+    if (idle_time < kMaxIdleTime && IsQuiet(*connection)) return connection;
+  }
+  return nullptr;
+}
+
+void UpstreamClient::State::PutIdle(std::unique_ptr<Connection> connection) {
+  if (connection->buffer.size() > 0) return;
+  if (idle.size() >= kMaxIdleConnections) idle.erase(idle.begin());
+  connection->idle_since = MonotonicNow();
+  connection->stream.expires_never();
+  idle.push_back(std::move(connection));
+}
+
+// One request and its response. All functions run on the thread of the
+// io_context; the handlers keep the exchange alive.
+class UpstreamClient::State::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(std::shared_ptr<State> state, uint64_t number,
+           UpstreamRequest request, UpstreamEvents events)
+      : state_(std::move(state)),
+        number_(number),
+        request_(std::move(request)),
+        events_(std::move(events)) {}
+
+  void Start() {
+    if (!request_.fresh_connection) connection_ = state_->TakeIdle();
+    if (connection_ != nullptr) {
+      reused_ = true;
+      WriteRequest();
+      return;
+    }
+    Connect();
+  }
+
+  void Resume() {
+    if (!paused_ || ended_) return;
+    paused_ = false;
+    ReadBody();
+  }
+
+  void Cancel() {
+    if (ended_) return;
+    ended_ = true;
+    CloseConnection();
+    state_->exchanges.erase(number_);
+  }
+
+ private:
+  void Connect() {
+    reused_ = false;
+    connection_ = std::make_unique<Connection>(state_->context);
+    SetDeadline(std::min(request_.head_deadline,
+                         MonotonicNow() + kConnectTimeout));
+    connection_->stream.async_connect(
+        state_->upstream,
+        [self = shared_from_this()](const error_code& error) {
+          if (self->ended_) return;
+          if (error) {
+            self->End(UpstreamEnd::kNotHandedOver);
+            return;
+          }
+          self->WriteRequest();
+        });
+  }
+
+  void WriteRequest() {
+    const Millis remaining = request_.head_deadline - MonotonicNow();
+    // The process may have been paused since the request arrived.
+    if (remaining.value <= 0) {
+      connection_.reset();
+      End(UpstreamEnd::kNotHandedOver);
+      return;
+    }
+    message_ = {};
+    message_.version(11);
+    message_.method_string(request_.method);
+    message_.target(request_.target);
+    message_.set(http::field::host, state_->host);
+    for (const auto& [name, value] : request_.headers) message_.set(name, value);
+    message_.set("x-request-deadline-ms", std::to_string(remaining.value));
+    message_.body().assign(request_.body.begin(), request_.body.end());
+    message_.prepare_payload();
+    SetDeadline(request_.head_deadline);
+    http::async_write(
+        connection_->stream, message_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (self->ended_) return;
+          if (error) {
+            self->OnFailure(error);
+            return;
+          }
+          self->ReadHead();
+        });
+  }
+
+  void ReadHead() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    if (request_.method == "HEAD") parser_->skip(true);
+    http::async_read_header(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (self->ended_) return;
+          if (error) {
+            self->OnFailure(error);
+            return;
+          }
+          self->OnHead();
+        });
+  }
+
+  void OnHead() {
+    head_read_ = true;
+    const int status = static_cast<int>(parser_->get().result_int());
+    const bool not_run =
+        status == 503 && parser_->get()["x-not-run"] == "1";
+    events_.on_head(status, not_run);
+    if (!request_.deadline_covers_body) connection_->stream.expires_never();
+    if (!ended_) ReadBody();
+  }
+
+  void ReadBody() {
+    if (parser_->is_done()) {
+      Complete();
+      return;
+    }
+    parser_->get().body().data = data_.data();
+    parser_->get().body().size = data_.size();
+    parser_->get().body().more = true;
+    http::async_read_some(
+        connection_->stream, connection_->buffer, *parser_,
+        [self = shared_from_this()](const error_code& error, size_t) {
+          if (self->ended_) return;
+          self->OnBody(error);
+        });
+  }
+
+  void OnBody(const error_code& error) {
+    const size_t size = data_.size() - parser_->get().body().size;
+    bool go_on = true;
+    if (size > 0) go_on = events_.on_data(ByteView(data_.data(), size));
+    if (ended_) return;
+    if (error && error != http::error::need_buffer) {
+      OnFailure(error);
+      return;
+    }
+    if (go_on || parser_->is_done()) {
+      ReadBody();
+      return;
+    }
+    paused_ = true;
+  }
+
+  void Complete() {
+    if (parser_->get().keep_alive()) state_->PutIdle(std::move(connection_));
+    End(UpstreamEnd::kComplete);
+  }
+
+  void OnFailure(const error_code& error) {
+    CloseConnection();
+    const bool timed_out = error == beast::error::timeout;
+    // The upstream may close a pooled connection just as it is used. Only
+    // requests that may be repeated use pooled connections.
+    if (reused_ && !head_read_ && !timed_out) {
+      Connect();
+      return;
+    }
+    End(timed_out ? UpstreamEnd::kTimedOut : UpstreamEnd::kBroken);
+  }
+
+  void End(UpstreamEnd end) {
+    ended_ = true;
+    CloseConnection();
+    state_->exchanges.erase(number_);
+    events_.on_end(end);
+  }
+
+  void CloseConnection() {
+    if (connection_ == nullptr) return;
+    connection_->stream.close();
+    // Pending handlers still refer to the connection; they hold the exchange,
+    // and the exchange holds the closed connection.
+    closed_.push_back(std::move(connection_));
+  }
+
+  void SetDeadline(TimePoint deadline) {
+    connection_->stream.expires_after(std::chrono::milliseconds(
+        std::max<int64_t>(1, (deadline - MonotonicNow()).value)));
+  }
+
+  std::shared_ptr<State> state_;
+  uint64_t number_;
+  UpstreamRequest request_;
+  UpstreamEvents events_;
+  std::unique_ptr<Connection> connection_;
+  std::vector<std::unique_ptr<Connection>> closed_;
+  http::request<http::vector_body<uint8_t>> message_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::array<uint8_t, kReadBytes> data_{};
+  bool reused_ = false;
+  bool head_read_ = false;
+  bool paused_ = false;
+  bool ended_ = false;
+};
+
+UpstreamClient::UpstreamClient(asio::io_context& context,
+                               const Endpoint& upstream)
+    : state_(std::make_shared<State>(context, upstream)) {}
+
+UpstreamClient::~UpstreamClient() {
+  // Exchanges hold the state and the state holds the exchanges.
+  std::map<uint64_t, std::shared_ptr<State::Exchange>> exchanges;
+  exchanges.swap(state_->exchanges);
+}
+
+uint64_t UpstreamClient::Start(UpstreamRequest request, UpstreamEvents events) {
+  const uint64_t number = state_->next_number++;
+  std::shared_ptr<State::Exchange> exchange = std::make_shared<State::Exchange>(
+      state_, number, std::move(request), std::move(events));
+  asio::post(state_->context, [state = state_, number, exchange] {
+    state->exchanges.emplace(number, exchange);
+    exchange->Start();
+  });
+  return number;
+}
+
+void UpstreamClient::Resume(uint64_t exchange) {
+  asio::post(state_->context, [state = state_, exchange] {
+    const auto found = state->exchanges.find(exchange);
+    if (found == state->exchanges.end()) return;
+    const std::shared_ptr<State::Exchange> kept = found->second;
+    kept->Resume();
+  });
+}
+
+void UpstreamClient::Cancel(uint64_t exchange) {
+  asio::post(state_->context, [state = state_, exchange] {
+    const auto found = state->exchanges.find(exchange);
+    if (found == state->exchanges.end()) return;
+    const std::shared_ptr<State::Exchange> kept = found->second;
+    kept->Cancel();
+  });
+}
+
+}  // namespace medlarwinch
--- a/packages/protocol/include/medlarwinch/protocol/data_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/data_messages.h
@@ -9,6 +9,7 @@
 #include "medlarwinch/protocol/key_ring.h"
 #include "medlarwinch/protocol/packet_header.h"
 #include "medlarwinch/protocol/serialization.h"
+#include "medlarwinch/state/key_state.h"
 
 namespace medlarwinch {
 
@@ -51,14 +52,6 @@
                          const ForwardedPacket&) = default;
 };
 
-/// 128-bit hash of a service name and an idempotency key.
-struct KeyHash {
-  uint64_t high = 0;
-  uint64_t low = 0;
-
-  friend auto operator<=>(const KeyHash&, const KeyHash&) = default;
-};
-
 /// Asks a home agent to record that `holder` is about to run the key.
 struct KeyReserve {
   uint64_t query = 0;
@@ -66,16 +59,14 @@
   KeyHash key;
   Endpoint holder;
   int64_t holder_boot = 0;
+  /// An earlier holder that has said that it never runs the key; its record is
+  /// replaced. Port 0 names none.
+  Endpoint superseded;
+  int64_t superseded_boot = 0;
 
   friend bool operator==(const KeyReserve&, const KeyReserve&) = default;
 };
 
-enum class ReserveState : uint8_t {
-  kGranted = 0,
-  kHeldElsewhere = 1,
-  kFull = 2,
-};
-
 struct KeyReserveReply {
   uint64_t query = 0;
   KeyHash key;
@@ -99,14 +90,6 @@
   friend bool operator==(const KeyQuery&, const KeyQuery&) = default;
 };
 
-enum class KeyState : uint8_t {
-  kCancelled = 0,
-  kRunning = 1,
-  kRan = 2,
-  kMayHaveRun = 3,
-  kOtherBoot = 4,
-};
-
 struct KeyQueryReply {
   uint64_t query = 0;
   KeyHash key;
@@ -186,7 +169,8 @@
 template <typename Archive>
 void serialize(Archive& archive, KeyReserve& message) {
   archive(message.query, Bounded(message.service, kMaxNameBytes), message.key,
-          message.holder, message.holder_boot);
+          message.holder, message.holder_boot, message.superseded,
+          message.superseded_boot);
 }
 
 template <typename Archive>
