--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/data_path.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/daemon/packet_router.h"
+#include "medlarwinch/transport/metrics.h"
+#include "medlarwinch/transport/udp_socket.h"
+
+namespace medlarwinch {
+
+/// Counters of the packets of one service since the start of the process.
+struct ServiceCounters {
+  std::atomic<uint64_t> packets{0};
+  std::atomic<uint64_t> established{0};
+  std::atomic<uint64_t> new_flows{0};
+  std::atomic<uint64_t> without_identifier{0};
+  std::array<std::atomic<uint64_t>, kDropReasons> dropped{};
+};
+
+/// What the reading threads use until a newer one is published.
+struct RoutingSnapshot {
+  RoutingTables tables;
+  std::shared_ptr<const KeySet> keys;
+  /// In the order of `tables.services`.
+  std::vector<std::shared_ptr<ServiceCounters>> counters;
+};
+
+/// The data path of a balancer: takes packets from the fabric and forwards them
+/// to agents. Its threads keep their own pointer to the snapshot in force and
+/// take a lock only after a newer one was published.
+class DataPath {
+ public:
+  /// Binds `local`. Fails with kUnavailable, naming the address.
+  static Result<std::unique_ptr<DataPath>> Start(const Endpoint& local,
+                                                 int threads);
+
+  ~DataPath();
+  DataPath(const DataPath&) = delete;
+  DataPath& operator=(const DataPath&) = delete;
+
+  /// Replaces the tables and keys that are in force. `keys` is not null.
+  void Publish(RoutingTables tables, std::shared_ptr<const KeySet> keys);
+
+  /// Adds what was counted since the last call to `metrics`. Called by one
+  /// thread at a time.
+  void FlushCounters(Metrics& metrics);
+
+ private:
+  /// Counters as of the last flush, by service and counter name.
+  using FlushedCounts = std::map<std::string, std::map<std::string, uint64_t>>;
+
+  explicit DataPath(std::unique_ptr<UdpSocket> socket);
+
+  void HandleDatagram(const Endpoint& from, ByteView datagram);
+  const RoutingSnapshot& CurrentSnapshot();
+  std::shared_ptr<ServiceCounters> CountersOf(const std::string& service);
+
+  /// Tells data paths apart in the caches of the reading threads.
+  const uint64_t id_;
+  std::atomic<uint64_t> sequence_{0};
+  std::mutex mutex_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  std::map<std::string, std::shared_ptr<ServiceCounters>> counters_;
+  FlushedCounts flushed_;
+  /// Packets for which no service was found.
+  ServiceCounters unknown_service_;
+  std::atomic<uint64_t> send_failures_{0};
+  /// Last, so that its threads end first.
+  std::unique_ptr<UdpSocket> socket_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/routing_actor.cc
@@ -0,0 +1,134 @@
+#include "medlarwinch/daemon/routing_actor.h"
+
+#include <caf/all.hpp>
+#include <chrono>
+#include <utility>
+
+#include "medlarwinch/transport/log.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("rt_tick")>;
+
+constexpr std::chrono::milliseconds kTick{100};
+constexpr Millis kFlushInterval{1'000};
+// Views arrive in bursts when many members change; tables for 10,000 members
+// take milliseconds to make.
+constexpr Millis kMinRebuildInterval{50};
+
+struct RoutingState {
+  RoutingActorContext context;
+  std::shared_ptr<const ControlView> view;
+  RoutingTables tables;
+  bool has_new_view = false;
+  TimePoint last_rebuild{0};
+  TimePoint last_flush{0};
+  TimePoint next_change{-1};
+};
+
+std::vector<RoutedDocument> RoutedDocuments(const ControlView& view) {
+  std::vector<RoutedDocument> documents;
+  for (const auto& [service, versioned] : view.documents) {
+    documents.push_back(RoutedDocument{versioned.version, &versioned.document});
+  }
+  return documents;
+}
+
+void ReportChange(const RoutingActorContext& context,
+                  const TableChange& change) {
+  const Reason& reason = change.reason;
+  const auto before = reason.facts.find("before");
+  Log(LogLevel::kInfo, change.action,
+      {{"service", change.service},
+       {"subject", change.subject},
+       {"rule", reason.rule},
+       {"document_version", static_cast<int64_t>(reason.document_version)},
+       {"path", reason.path},
+       {"before", before != reason.facts.end() ? before->second : ""}});
+  if (!context.account) return;
+  AccountEntry entry;
+  entry.action = change.action;
+  entry.service = change.service;
+  entry.subject = change.subject;
+  entry.reason = reason;
+  context.account(std::move(entry));
+}
+
+void SetGauges(const RoutingState& state) {
+  Metrics& metrics = *state.context.metrics;
+  for (const ServiceTable& table : state.tables.services) {
+    double accepting = 0;
+    for (const TableUpstream& upstream : table.upstreams) {
+      if (upstream.weights.accepting > 0) ++accepting;
+    }
+    const MetricLabels labels{{"service", table.service}};
+    metrics.Set("medlarwinch_accepting_upstreams", labels, accepting);
+    metrics.Set("medlarwinch_doubtful_upstreams", labels,
+                static_cast<double>(table.doubtful.size()));
+  }
+}
+
+void Rebuild(RoutingState& state, TimePoint now) {
+  const ControlView& view = *state.view;
+  const RoutingInput input{view.members, view.doubtful, view.ready_since,
+                           RoutedDocuments(view), view.means};
+  RoutingUpdate update = BuildRoutingTables(input, state.tables, now);
+  for (const TableChange& change : update.changes) {
+    ReportChange(state.context, change);
+  }
+  state.tables = std::move(update.tables);
+  state.next_change = update.next_change;
+  state.last_rebuild = now;
+  state.has_new_view = false;
+  state.context.data_path->Publish(state.tables, view.keys);
+  SetGauges(state);
+}
+
+bool IsRebuildDue(const RoutingState& state, TimePoint now) {
+  if (state.view == nullptr || state.view->keys == nullptr) return false;
+  if (now - state.last_rebuild < kMinRebuildInterval) return false;
+  return state.has_new_view ||
+         (state.next_change.value >= 0 && now >= state.next_change);
+}
+
+void Tick(RoutingState& state) {
+  const TimePoint now = MonotonicNow();
+  if (IsRebuildDue(state, now)) Rebuild(state, now);
+  if (now - state.last_flush < kFlushInterval) return;
+  state.last_flush = now;
+  state.context.data_path->FlushCounters(*state.context.metrics);
+}
+
+caf::behavior RoutingBehavior(caf::stateful_actor<RoutingState>* self,
+                              const RoutingActorContext& context) {
+  self->state.context = context;
+  self->delayed_send(self, kTick, TickAtom::value);
+  return {
+      [self](const ViewMessage& message) {
+        RoutingState& state = self->state;
+        if (state.view != nullptr &&
+            message.view->sequence <= state.view->sequence) {
+          return;
+        }
+        state.view = message.view;
+        state.has_new_view = true;
+        const TimePoint now = MonotonicNow();
+        if (IsRebuildDue(state, now)) Rebuild(state, now);
+      },
+      [self](TickAtom) {
+        Tick(self->state);
+        self->delayed_send(self, kTick, TickAtom::value);
+      },
+  };
+}
+
+}  // namespace
+
+caf::actor SpawnRoutingActor(caf::actor_system& system,
+                             RoutingActorContext context) {
+  return system.spawn(RoutingBehavior, std::move(context));
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/tests/data_path_test.cc
@@ -0,0 +1,150 @@
+#include "medlarwinch/daemon/data_path.h"
+
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <deque>
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kLoopback = 0x7f000001;
+constexpr Endpoint kServiceAddress{0x0a000001, 443};
+constexpr Endpoint kCaller{0x0a000099, 5'000};
+
+// A UDP socket whose datagrams the test takes one by one.
+class Mailbox {
+ public:
+  Mailbox() : socket_(TakeValue(UdpSocket::Bind(Endpoint{kLoopback, 0}))) {
+    socket_->Start([this](const Endpoint&, ByteView datagram) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      received_.emplace_back(datagram.begin(), datagram.end());
+      arrived_.notify_one();
+    });
+  }
+  ~Mailbox() { socket_->Stop(); }
+
+  // Empty when nothing arrives within two seconds.
+  Bytes Take() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    arrived_.wait_for(lock, std::chrono::seconds(2),
+                      [this] { return !received_.empty(); });
+    if (received_.empty()) return {};
+    Bytes bytes = received_.front();
+    received_.pop_front();
+    return bytes;
+  }
+
+  const UdpSocket& socket() const { return *socket_; }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable arrived_;
+  std::deque<Bytes> received_;
+  std::unique_ptr<UdpSocket> socket_;
+};
+
+struct DataPathWithOneUpstream {
+  DataPathWithOneUpstream() {
+    document.service = "probe-hub";
+    document.addresses = {kServiceAddress};
+    MemberEntry member;
+    member.id = Endpoint{kLoopback, 7'100};
+    member.version.phase = MemberPhase::kReady;
+    member.service = document.service;
+    member.slots = 4;
+    member.data = upstream.socket().local();
+    members[member.id] = member;
+    Publish();
+  }
+
+  void Publish() {
+    const RoutingInput input{
+        members, doubtful, ready_since, {RoutedDocument{3, &document}}, means};
+    path->Publish(
+        BuildRoutingTables(input, RoutingTables{}, TimePoint{0}).tables, keys);
+  }
+
+  void SendFromFabric(const Bytes& payload) {
+    fabric.socket().Send(path_address, EncodeFabricPacket(FabricPacket{
+                                           kServiceAddress, kCaller, payload}));
+  }
+
+  ForwardedPacket TakeForwarded() {
+    const Result<DataMessage> message =
+        DecodeDataMessage(keys->seal_key(), upstream.Take());
+    BOOST_REQUIRE(IsOk(message));
+    return std::get<ForwardedPacket>(ValueOf(message));
+  }
+
+  ServiceDocument document;
+  std::map<Endpoint, MemberEntry> members;
+  std::set<Endpoint> doubtful;
+  std::map<Endpoint, TimePoint> ready_since;
+  std::map<std::string, double> means{{"probe-hub", 12.5}};
+  std::shared_ptr<const KeySet> keys =
+      std::make_shared<KeySet>(FleetKey{1}, KeyRing{});
+  Mailbox upstream;
+  Mailbox fabric;
+  const Endpoint path_address{kLoopback, 17'391};
+  std::unique_ptr<DataPath> path = TakeValue(DataPath::Start(path_address, 2));
+};
+
+BOOST_FIXTURE_TEST_SUITE(DataPathOnLoopback, DataPathWithOneUpstream)
+
+// Guards against an agent that can't answer because fields are missing.
+BOOST_AUTO_TEST_CASE(OpenPacket_Received_IsForwardedWithCandidates) {
+  Bytes open;
+  AppendLongHeader(kThinProtocolVersion, Bytes(20, 9), Bytes(8, 1), open);
+  SendFromFabric(open);
+  const ForwardedPacket packet = TakeForwarded();
+  BOOST_TEST(packet.service == "probe-hub");
+  BOOST_CHECK(packet.service_address == kServiceAddress);
+  BOOST_CHECK(packet.caller == kCaller);
+  BOOST_CHECK(packet.fabric == fabric.socket().local());
+  BOOST_CHECK(packet.candidates ==
+              std::vector<Endpoint>{upstream.socket().local()});
+  BOOST_TEST(packet.accepting_candidates == 1);
+  BOOST_TEST(packet.mean_flows_per_slot == 12.5);
+  BOOST_CHECK(packet.payload == open);
+}
+
+BOOST_AUTO_TEST_CASE(ValidIdentifier_Received_GoesToNamedAgent) {
+  FlowIdentifier identifier;
+  identifier.agent = upstream.socket().local();
+  Bytes data;
+  AppendShortHeader(IssueFlowIdentifier(*keys, "probe-hub", identifier), data);
+  members.clear();
+  Publish();
+  SendFromFabric(data);
+  const ForwardedPacket packet = TakeForwarded();
+  BOOST_TEST(packet.candidates.empty());
+  Metrics metrics;
+  path->FlushCounters(metrics);
+  BOOST_TEST(metrics.Render().find("medlarwinch_packets_established_total{"
+                                   "service=\"probe-hub\"} 1") !=
+             std::string::npos);
+}
+
+// Guards against counts that are added again with each flush.
+BOOST_AUTO_TEST_CASE(DroppedPackets_FlushedTwice_AreCountedOnce) {
+  fabric.socket().Send(path_address, Bytes(5, 1));
+  SendFromFabric(Bytes{0x40, 1});
+  Bytes open;
+  AppendLongHeader(kThinProtocolVersion, Bytes(20, 9), Bytes(8, 1), open);
+  SendFromFabric(open);
+  TakeForwarded();
+  Metrics metrics;
+  path->FlushCounters(metrics);
+  path->FlushCounters(metrics);
+  const std::string text = metrics.Render();
+  BOOST_TEST(text.find("medlarwinch_packets_dropped_total{reason=\"malformed_"
+                       "packet\",service=\"probe-hub\"} 1\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("medlarwinch_packets_dropped_total{reason=\"malformed_"
+                       "packet\",service=\"\"} 1\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
