Add the stand-in platform

The object API of the design's section 5 over HTTP: one revision counter, conditional writes with operation identifiers, prefix lists and watches. Tests need its outages, so it can refuse connections, answer late, or lose the answer of a write that took effect. The API's listener closes while it is down; the faults are switched at an address of their own.

--- /dev/null
+++ b/standins/include/medlarwinch/standins/object_store.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/state/result.h"
+#include "medlarwinch/transport/platform_client.h"
+
+namespace medlarwinch {
+
+/// Outcome of a conditional write.
+struct PutOutcome {
+  bool is_written = false;
+  /// The new version when written; otherwise the current one, 0 without an
+  /// object.
+  uint64_t version = 0;
+};
+
+/// The objects of the stand-in platform, in memory. One counter numbers all
+/// writes; an object's version is the number of its last write. All functions
+/// may be called from any thread.
+class ObjectStore {
+ public:
+  /// Fails with kNotFound.
+  Result<PlatformObject> Get(const std::string& key) const;
+
+  /// Writes when the object's version is `if_version` (0: no object).
+  PutOutcome Put(const std::string& key, const std::string& value,
+                 uint64_t if_version, const std::string& operation);
+
+  /// Returns the objects whose key starts with `prefix`, ordered by key.
+  std::vector<PlatformObject> List(const std::string& prefix) const;
+
+  /// Number of the last write.
+  uint64_t revision() const;
+
+  /// Waits up to `wait` for objects under `prefix` with a version above
+  /// `after`. Without any it returns `after` and no objects.
+  WatchResult Watch(const std::string& prefix, uint64_t after, Millis wait);
+
+  /// Ends all pending watches without objects, as an outage does.
+  void InterruptWatches();
+
+ private:
+  std::vector<PlatformObject> ChangedAfter(const std::string& prefix,
+                                           uint64_t after) const;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, PlatformObject> objects_;
+  uint64_t revision_ = 0;
+  uint64_t interruptions_ = 0;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/include/medlarwinch/standins/platform_service.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "medlarwinch/standins/call_meter.h"
+#include "medlarwinch/standins/object_store.h"
+#include "medlarwinch/state/endpoint.h"
+#include "medlarwinch/transport/http_server.h"
+
+namespace medlarwinch {
+
+/// Settings of the stand-in platform.
+struct PlatformSettings {
+  /// Address of the object API; closed while the platform is down.
+  Endpoint api;
+  /// Address of /control/, which stays open.
+  Endpoint control;
+  double writes_per_second = 300;
+  double reads_per_second = 2'000;
+};
+
+/// The platform's object API over HTTP with faults that a test switches:
+/// POST /control/down, /control/slow?ms=N, /control/drop-answers, each with
+/// on=1 or on=0; GET /control/stats returns the counts of calls by kind.
+class PlatformService {
+ public:
+  /// Listens on both addresses; fails with kUnavailable.
+  static Result<std::unique_ptr<PlatformService>> Start(
+      const PlatformSettings& settings);
+
+  ~PlatformService();
+  PlatformService(const PlatformService&) = delete;
+  PlatformService& operator=(const PlatformService&) = delete;
+
+ private:
+  explicit PlatformService(const PlatformSettings& settings);
+
+  Result<Ok> OpenApi();
+  HttpResponse HandleControl(const HttpRequest& request);
+  HttpResponse SwitchFault(const HttpTarget& target);
+  HttpResponse SetDown(bool is_down);
+  HttpResponse Stats();
+  HttpResponse HandleApi(const HttpRequest& request);
+  HttpResponse HandleRead(const HttpTarget& target);
+  HttpResponse HandlePut(const std::string& key, const std::string& body);
+  HttpResponse HandleWatch(const HttpTarget& target);
+  void Count(const std::string& kind);
+  // Holds a handler until the outage that it belongs to ends, at most `wait`.
+  void Hold(Millis wait);
+
+  PlatformSettings settings_;
+  ObjectStore store_;
+  CallMeter writes_;
+  CallMeter reads_;
+  std::mutex mutex_;
+  std::condition_variable released_;
+  std::map<std::string, uint64_t> counts_;
+  uint64_t releases_ = 0;
+  std::atomic<int64_t> slow_ms_{0};
+  std::atomic<bool> drops_answers_{false};
+  std::mutex api_mutex_;
+  std::unique_ptr<HttpServer> api_server_;
+  std::unique_ptr<HttpServer> control_server_;
+};
+
+}  // namespace medlarwinch
