Add the stand-in fabric

Sprays callers' packets over the live balancers and returns the answers of agents, with latencies, loss, duplication and reordering. It injects forged and corrupted identifiers and packets replayed at another service's address, and counts answers in the name of a service that the caller never addressed.

--- /dev/null
+++ b/standins/include/medlarwinch/standins/delay_queue.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <queue>
+#include <thread>
+#include <vector>
+
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/transport/udp_socket.h"
+
+namespace medlarwinch {
+
+/// Sends datagrams after a delay, from one thread of its own. Datagrams with
+/// the same due time leave in the order in which they were added.
+class DelayQueue {
+ public:
+  DelayQueue();
+  /// Drops what is still waiting.
+  ~DelayQueue();
+  DelayQueue(const DelayQueue&) = delete;
+  DelayQueue& operator=(const DelayQueue&) = delete;
+
+  /// Sends at once when `delay` is not positive. `socket` outlives the queue.
+  void Send(const UdpSocket& socket, const Endpoint& to, Bytes datagram,
+            std::chrono::microseconds delay);
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  struct Waiting {
+    Clock::time_point due;
+    uint64_t sequence = 0;
+    const UdpSocket* socket = nullptr;
+    Endpoint to;
+    Bytes datagram;
+  };
+
+  struct IsLater {
+    bool operator()(const Waiting& a, const Waiting& b) const {
+      if (a.due != b.due) return a.due > b.due;
+      return a.sequence > b.sequence;
+    }
+  };
+
+  void Run();
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::priority_queue<Waiting, std::vector<Waiting>, IsLater> waiting_;
+  uint64_t next_sequence_ = 0;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/include/medlarwinch/standins/packet_fabric.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <shared_mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "medlarwinch/protocol/data_messages.h"
+#include "medlarwinch/standins/delay_queue.h"
+#include "medlarwinch/standins/fabric_settings.h"
+#include "medlarwinch/transport/http_server.h"
+#include "medlarwinch/transport/udp_socket.h"
+
+namespace medlarwinch {
+
+/// Share of packets, in percent, that each fault hits. Injected packets are
+/// sent in addition to the caller's own.
+struct FabricFaults {
+  std::atomic<double> lose{0};
+  std::atomic<double> duplicate{0};
+  /// Delays a packet by up to 20 ms, so that later ones overtake it.
+  std::atomic<double> reorder{0};
+  /// Injects a copy with a random flow identifier that names a real agent.
+  std::atomic<double> forge{0};
+  /// Injects a copy with one changed bit in the identifier.
+  std::atomic<double> corrupt{0};
+  /// Injects a copy at the address of another service.
+  std::atomic<double> replay{0};
+};
+
+/// Counts of packets since the start.
+struct FabricCounts {
+  std::atomic<uint64_t> from_callers{0};
+  std::atomic<uint64_t> to_balancers{0};
+  std::atomic<uint64_t> to_callers{0};
+  std::atomic<uint64_t> lost{0};
+  std::atomic<uint64_t> duplicated{0};
+  std::atomic<uint64_t> reordered{0};
+  std::atomic<uint64_t> forged{0};
+  std::atomic<uint64_t> corrupted{0};
+  std::atomic<uint64_t> replayed{0};
+  std::atomic<uint64_t> malformed{0};
+  /// Packets for which no balancer was live.
+  std::atomic<uint64_t> without_balancer{0};
+  /// Answers to a caller that never sent a packet.
+  std::atomic<uint64_t> unknown_caller{0};
+  /// Answers in the name of a service that the caller never addressed, other
+  /// than Reset, which is how a service refuses a packet that it does not own.
+  std::atomic<uint64_t> misdelivered{0};
+  /// Reset answers in the name of another service.
+  std::atomic<uint64_t> foreign_resets{0};
+};
+
+/// Sprays the packets of callers over balancers and returns the answers, with
+/// latencies and faults. POST /control/balancers?add=NAME&data=E&domain=D,
+/// /control/balancers?remove=NAME, /control/cut?balancer=NAME&on=1,
+/// /control/fault?kind=KIND&percent=P; GET /control/stats.
+class PacketFabric {
+ public:
+  /// Binds all sockets; fails with kUnavailable.
+  static Result<std::unique_ptr<PacketFabric>> Start(
+      const FabricSettings& settings);
+
+  ~PacketFabric();
+  PacketFabric(const PacketFabric&) = delete;
+  PacketFabric& operator=(const PacketFabric&) = delete;
+
+  const FabricCounts& counts() const { return counts_; }
+  FabricFaults& faults() { return faults_; }
+
+  void AddBalancer(const FabricBalancer& balancer);
+  void RemoveBalancer(const std::string& name);
+  /// Loses all packets to a balancer that still counts as live.
+  void SetCut(const std::string& name, bool is_cut);
+
+ private:
+  // The way back to a caller.
+  struct CallerPath {
+    // Socket of the load tool; zero port for a caller with plain packets.
+    Endpoint tool;
+    Endpoint service_address;
+    std::string entry_domain;
+  };
+
+  explicit PacketFabric(const FabricSettings& settings);
+
+  Result<Ok> Open();
+  void OnToolDatagram(const Endpoint& from, ByteView datagram);
+  void OnPlainPacket(const Endpoint& service, const Endpoint& from,
+                     ByteView payload);
+  void OnAnswer(const Endpoint& from, ByteView datagram);
+  CallerPath LearnCaller(const FabricPacket& packet, const Endpoint& tool);
+  void Spray(const FabricPacket& packet, const std::string& entry_domain);
+  void SendToBalancer(const FabricPacket& packet,
+                      const std::string& entry_domain);
+  void InjectCopies(const FabricPacket& packet,
+                    const std::string& entry_domain);
+  void CountForeignAnswer(const FabricPacket& packet);
+  std::optional<FabricBalancer> ChooseBalancer();
+  bool Happens(double percent);
+  uint64_t Random();
+  std::chrono::microseconds Delay(const std::string& from_domain,
+                                  const std::string& to_domain);
+  HttpResponse HandleControl(const HttpRequest& request);
+  HttpResponse HandleChange(const HttpTarget& target);
+  HttpResponse SetFault(const std::string& kind, double percent);
+  HttpResponse Stats() const;
+
+  FabricSettings settings_;
+  FabricCounts counts_;
+  FabricFaults faults_;
+  std::mutex random_mutex_;
+  std::mt19937_64 random_;
+  mutable std::shared_mutex balancers_mutex_;
+  std::vector<FabricBalancer> balancers_;
+  std::set<std::string> cut_;
+  mutable std::shared_mutex callers_mutex_;
+  std::unordered_map<uint64_t, CallerPath> callers_;
+  std::unique_ptr<UdpSocket> ingress_;
+  std::unique_ptr<UdpSocket> fabric_;
+  std::map<Endpoint, std::unique_ptr<UdpSocket>> service_sockets_;
+  std::unique_ptr<DelayQueue> delays_;
+  std::unique_ptr<HttpServer> control_server_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/delay_queue.cc
@@ -0,0 +1,59 @@
+#include "medlarwinch/standins/delay_queue.h"
+
+#include <utility>
+
+namespace medlarwinch {
+
+DelayQueue::DelayQueue() : thread_([this] { Run(); }) {}
+
+DelayQueue::~DelayQueue() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    changed_.notify_all();
+  }
+  thread_.join();
+}
+
+void DelayQueue::Send(const UdpSocket& socket, const Endpoint& to,
+                      Bytes datagram, std::chrono::microseconds delay) {
+  if (delay.count() <= 0) {
+    socket.Send(to, datagram);
+    return;
+  }
+  const Clock::time_point due = Clock::now() + delay;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const bool is_first = waiting_.empty() || due < waiting_.top().due;
+  waiting_.push(
+      Waiting{due, next_sequence_++, &socket, to, std::move(datagram)});
+  if (is_first) changed_.notify_one();
+}
+
+void DelayQueue::Run() {
+  std::vector<Waiting> due;
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    if (waiting_.empty()) {
+      changed_.wait(lock);
+      continue;
+    }
+    const Clock::time_point now = Clock::now();
+    while (!waiting_.empty() && waiting_.top().due <= now) {
+      // The element is removed in the next statement, so that its content may
+      // be moved although top() is constant.
+      due.push_back(std::move(const_cast<Waiting&>(waiting_.top())));
+      waiting_.pop();
+    }
+    if (due.empty()) {
+      const Clock::time_point next = waiting_.top().due;
+      changed_.wait_until(lock, next);
+      continue;
+    }
+    lock.unlock();
+    for (const Waiting& item : due) item.socket->Send(item.to, item.datagram);
+    due.clear();
+    lock.lock();
+  }
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/tests/packet_fabric_test.cc
@@ -0,0 +1,193 @@
+#include "medlarwinch/standins/packet_fabric.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+
+#include "medlarwinch/protocol/frames.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Endpoint kIngress{0x7f000001, 17'411};
+constexpr Endpoint kFabric{0x7f000001, 17'412};
+constexpr Endpoint kControl{0x7f000001, 17'413};
+constexpr Endpoint kProbeHub{0x7f000001, 17'414};
+constexpr Endpoint kReportDesk{0x7f000001, 17'415};
+constexpr Endpoint kAnyPort{0x7f000001, 0};
+constexpr Endpoint kCaller{0x0a000001, 1'024};
+
+// Waits up to 3 s for a count to reach a value.
+template <typename Count>
+bool Reaches(const Count& count, uint64_t value) {
+  for (int round = 0; round < 300 && count < value; ++round) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return count >= value;
+}
+
+std::unique_ptr<UdpSocket> BindAny() {
+  Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(kAnyPort);
+  BOOST_REQUIRE(IsOk(socket));
+  return TakeValue(std::move(socket));
+}
+
+// A balancer that answers each packet itself, as an agent would.
+class EchoBalancer {
+ public:
+  EchoBalancer() : socket_(BindAny()) {
+    socket_->Start([this](const Endpoint& from, ByteView datagram) {
+      const Result<FabricPacket> packet = DecodeFabricPacket(datagram);
+      if (!IsOk(packet)) return;
+      ++received_;
+      FabricPacket answer = ValueOf(packet);
+      if (!answer_payload_.empty()) answer.payload = answer_payload_;
+      socket_->Send(from, EncodeFabricPacket(answer));
+    });
+  }
+  ~EchoBalancer() { socket_->Stop(); }
+
+  void set_answer_payload(const Bytes& payload) { answer_payload_ = payload; }
+  const Endpoint& address() const { return socket_->local(); }
+  const std::atomic<uint64_t>& received() const { return received_; }
+
+ private:
+  std::unique_ptr<UdpSocket> socket_;
+  Bytes answer_payload_;
+  std::atomic<uint64_t> received_{0};
+};
+
+struct FabricWithTwoBalancers {
+  FabricWithTwoBalancers() {
+    FabricSettings settings;
+    settings.ingress = kIngress;
+    settings.fabric = kFabric;
+    settings.control = kControl;
+    settings.services = {{"probe-hub", kProbeHub},
+                         {"report-desk", kReportDesk}};
+    settings.balancers = {{"b1", first.address(), ""},
+                          {"b2", second.address(), ""}};
+    Result<std::unique_ptr<PacketFabric>> started =
+        PacketFabric::Start(settings);
+    BOOST_REQUIRE(IsOk(started));
+    fabric = TakeValue(std::move(started));
+    tool = BindAny();
+    tool->Start([this](const Endpoint&, ByteView datagram) {
+      if (IsOk(DecodeFabricPacket(datagram))) ++answers;
+    });
+  }
+  ~FabricWithTwoBalancers() { tool->Stop(); }
+
+  void SendShortPackets(int count) const {
+    FlowIdentifierBytes identifier{};
+    FabricPacket packet{kProbeHub, kCaller, {}};
+    AppendShortHeader(identifier, packet.payload);
+    const Bytes frame = EncodeFrame(PingFrame{});
+    packet.payload.insert(packet.payload.end(), frame.begin(), frame.end());
+    const Bytes datagram = EncodeFabricPacket(packet);
+    for (int index = 0; index < count; ++index) tool->Send(kIngress, datagram);
+  }
+
+  EchoBalancer first;
+  EchoBalancer second;
+  std::unique_ptr<PacketFabric> fabric;
+  std::unique_ptr<UdpSocket> tool;
+  std::atomic<uint64_t> answers{0};
+};
+
+BOOST_FIXTURE_TEST_SUITE(StandinFabric, FabricWithTwoBalancers)
+
+BOOST_AUTO_TEST_CASE(ManyPackets_Sent_AreSprayedAndAnswered) {
+  SendShortPackets(1'000);
+  BOOST_TEST(Reaches(answers, 1'000));
+  BOOST_TEST(first.received() > 350U);
+  BOOST_TEST(second.received() > 350U);
+  BOOST_TEST(fabric->counts().misdelivered == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PlainCaller_SendsToServiceAddress_GetsPlainAnswer) {
+  std::atomic<uint64_t> plain_answers{0};
+  const std::unique_ptr<UdpSocket> caller = BindAny();
+  caller->Start([&](const Endpoint& from, ByteView datagram) {
+    if (from == kProbeHub && datagram.size() == 3) ++plain_answers;
+  });
+  caller->Send(kProbeHub, Bytes{1, 2, 3});
+  BOOST_TEST(Reaches(plain_answers, 1));
+  caller->Stop();
+}
+
+// Guards against packets to a balancer that the test has taken away.
+BOOST_AUTO_TEST_CASE(BalancerRemoved_PacketsSent_GoToTheOther) {
+  fabric->RemoveBalancer("b1");
+  SendShortPackets(200);
+  BOOST_TEST(Reaches(answers, 200));
+  BOOST_TEST(first.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(BalancerCut_PacketsSent_AboutHalfAreLost) {
+  fabric->SetCut("b1", true);
+  SendShortPackets(400);
+  BOOST_TEST(Reaches(fabric->counts().from_callers, 400));
+  BOOST_TEST(fabric->counts().lost > 100U);
+  BOOST_TEST(first.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AllFaults_PacketsSent_AreCounted) {
+  fabric->faults().lose = 20;
+  fabric->faults().duplicate = 20;
+  fabric->faults().reorder = 20;
+  fabric->faults().forge = 20;
+  fabric->faults().corrupt = 20;
+  fabric->faults().replay = 20;
+  SendShortPackets(1'000);
+  BOOST_TEST(Reaches(fabric->counts().from_callers, 1'000));
+  const FabricCounts& counts = fabric->counts();
+  for (const std::atomic<uint64_t>* count :
+       {&counts.lost, &counts.duplicated, &counts.reordered, &counts.forged,
+        &counts.corrupted, &counts.replayed}) {
+    BOOST_TEST(*count > 100U);
+  }
+}
+
+// Guards against a check that never fails: the balancers here answer a packet
+// that was replayed at another service's address.
+BOOST_AUTO_TEST_CASE(ReplayedPacket_AnsweredByOtherService_IsMisdelivered) {
+  fabric->faults().replay = 100;
+  SendShortPackets(10);
+  BOOST_TEST(Reaches(fabric->counts().misdelivered, 10));
+}
+
+// Guards against a refusal of a replayed packet that counts as misdelivery.
+BOOST_AUTO_TEST_CASE(ReplayedPacket_RefusedWithReset_IsNotMisdelivered) {
+  Bytes reset;
+  AppendShortHeader(FlowIdentifierBytes{}, reset);
+  const Bytes frame = EncodeFrame(ResetFrame{});
+  reset.insert(reset.end(), frame.begin(), frame.end());
+  first.set_answer_payload(reset);
+  second.set_answer_payload(reset);
+  fabric->faults().replay = 100;
+  SendShortPackets(10);
+  BOOST_TEST(Reaches(fabric->counts().foreign_resets, 10));
+  BOOST_TEST(fabric->counts().misdelivered == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a latency that is not applied.
+BOOST_AUTO_TEST_CASE(DelayQueue_DelayOf50Ms_IsKept) {
+  const std::unique_ptr<UdpSocket> receiver = BindAny();
+  const std::unique_ptr<UdpSocket> sender = BindAny();
+  std::atomic<uint64_t> received{0};
+  receiver->Start([&](const Endpoint&, ByteView) { ++received; });
+  const auto start = std::chrono::steady_clock::now();
+  DelayQueue queue;
+  queue.Send(*sender, receiver->local(), Bytes{1},
+             std::chrono::milliseconds(50));
+  BOOST_TEST(Reaches(received, 1));
+  const auto elapsed = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((elapsed >= std::chrono::milliseconds(50)));
+  receiver->Stop();
+}
+
+}  // namespace
+}  // namespace medlarwinch
