Add the stand-in upstream

An asynchronous HTTP/1.1 server. Every answer starts with its service, its upstream and the request's own token, so that a caller detects a crossed or misdelivered answer without any help of the daemons. Executions of requests that may not be repeated are logged before the work starts, so that one that is cut short counts too.

--- /dev/null
+++ b/standins/include/medlarwinch/standins/line_log.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <fstream>
+#include <initializer_list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// One key and its value in a line of a LineLog.
+struct LineField {
+  std::string_view key;
+  std::string value;
+};
+
+/// A log file of lines "time=MS event=E key=value ...", which the checks read.
+/// `time` is wall-clock milliseconds. Each line is flushed, so that a process
+/// that is killed loses none.
+class LineLog {
+ public:
+  /// Opens `file` for appending. Fails with kUnavailable.
+  static Result<std::unique_ptr<LineLog>> Open(const std::string& file);
+
+  /// Writes one line; blanks and control characters in values become '_'.
+  void Write(std::string_view event, std::initializer_list<LineField> fields);
+
+ private:
+  explicit LineLog(const std::string& file);
+
+  std::mutex mutex_;
+  std::ofstream stream_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/line_log.cc
@@ -0,0 +1,36 @@
+#include "medlarwinch/standins/line_log.h"
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+
+Result<std::unique_ptr<LineLog>> LineLog::Open(const std::string& file) {
+  std::unique_ptr<LineLog> log(new LineLog(file));
+  if (!log->stream_) {
+    return Error{ErrorCode::kUnavailable, file + ": can't be opened"};
+  }
+  return log;
+}
+
+LineLog::LineLog(const std::string& file) : stream_(file, std::ios::app) {}
+
+void LineLog::Write(std::string_view event,
+                    std::initializer_list<LineField> fields) {
+  std::string line = "time=" + std::to_string(WallNow().value) + " event=";
+  line += event;
+  for (const LineField& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    for (const char character : field.value) {
+      const bool is_plain = character > ' ' && character != '\x7f';
+      line += is_plain ? character : '_';
+    }
+  }
+  line += '\n';
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stream_ << line;
+  stream_.flush();
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/upstream_session.cc
@@ -0,0 +1,297 @@
+#include "medlarwinch/standins/upstream_session.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "medlarwinch/standins/answer_text.h"
+
+namespace medlarwinch {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr int64_t kMaxLargeBody = 16 * 1'024 * 1'024;
+constexpr int64_t kDefaultFeedIntervalMs = 1'000;
+// Failing requests are the first ones of each hundred.
+constexpr uint64_t kPercent = 100;
+
+int64_t ParseNumber(std::string_view text, int64_t fallback) {
+  int64_t number = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  return parsed.ec == std::errc() ? number : fallback;
+}
+
+}  // namespace
+
+UpstreamSession::UpstreamSession(asio::ip::tcp::socket socket,
+                                 std::shared_ptr<UpstreamState> state)
+    : stream_(std::move(socket)),
+      state_(std::move(state)),
+      timer_(stream_.get_executor()) {}
+
+UpstreamSession::~UpstreamSession() {
+  LeaveWork();
+  if (is_feeding_) --state_->feeds;
+}
+
+void UpstreamSession::Run() {
+  boost::system::error_code ignored;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  asio::dispatch(stream_.get_executor(),
+                 [self = shared_from_this()] { self->ReadRequest(); });
+}
+
+void UpstreamSession::ReadRequest() {
+  request_ = {};
+  http::async_read(
+      stream_, buffer_, request_,
+      [self = shared_from_this()](beast::error_code error, size_t /*bytes*/) {
+        if (!error) self->Dispatch();
+      });
+}
+
+void UpstreamSession::Dispatch() {
+  target_ = ParseTarget(std::string(request_.target()));
+  if (target_.path == "/health") {
+    const bool is_well = state_->says_well;
+    Respond(is_well ? 200 : 503, is_well ? "well\n" : "ill\n");
+    return;
+  }
+  if (target_.path.rfind("/control/", 0) == 0) {
+    Respond(200, ControlAnswer());
+    return;
+  }
+  if (target_.path == "/feed") {
+    StartFeed();
+    return;
+  }
+  const bool is_known = IsExecutionPath() || target_.path == "/echo" ||
+                        target_.path == "/report" ||
+                        target_.path == "/manifest";
+  if (!is_known) {
+    Respond(404, Head() + "\n");
+    return;
+  }
+  StartShortRequest();
+}
+
+void UpstreamSession::StartShortRequest() {
+  const int64_t shed_above = state_->shed_above;
+  if (shed_above > 0 && state_->in_progress >= shed_above) {
+    ++state_->shed;
+    Respond(503, Head() + "\n", true);
+    return;
+  }
+  ++state_->in_progress;
+  is_working_ = true;
+  LogEvent("start");
+  int64_t work = state_->work_ms;
+  const auto age = std::chrono::steady_clock::now() - state_->started;
+  if (age < std::chrono::milliseconds(state_->settings.cold_ms)) {
+    work *= state_->settings.cold_factor;
+  }
+  work = QueryNumber("work_ms", work);
+  const uint64_t sequence = state_->sequence++;
+  if (sequence % kPercent <
+      static_cast<uint64_t>(state_->fail_percent.load())) {
+    ++state_->failed;
+    LeaveWork();
+    Respond(500, Head() + "\n");
+    return;
+  }
+  // The line stands before the work, so that an execution that is cut short
+  // counts as one too.
+  if (IsExecutionPath()) {
+    ++state_->executed;
+    LogEvent("run");
+  }
+  const int64_t deadline =
+      ParseNumber(Header("x-request-deadline-ms"), INT64_MAX);
+  const bool is_expired = work > deadline;
+  timer_.expires_after(std::chrono::milliseconds(std::min(work, deadline)));
+  timer_.async_wait([self = shared_from_this(),
+                     is_expired](const boost::system::error_code& error) {
+    if (!error) self->FinishWork(is_expired);
+  });
+  WatchForCancellation();
+}
+
+void UpstreamSession::WatchForCancellation() {
+  stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (error || !self->is_working_) return;
+        boost::system::error_code ignored;
+        if (self->stream_.socket().available(ignored) > 0) return;
+        self->LeaveWork();
+        self->LogEvent("cancelled");
+        ++self->state_->cancelled;
+        self->timer_.cancel();
+        self->stream_.close();
+      });
+}
+
+void UpstreamSession::FinishWork(bool is_expired) {
+  if (!is_working_) return;
+  LeaveWork();
+  boost::system::error_code ignored;
+  stream_.socket().cancel(ignored);
+  if (is_expired) {
+    ++state_->expired;
+    LogEvent("expired");
+    Respond(504, Head() + "\n");
+    return;
+  }
+  Respond(200, AnswerToWork());
+}
+
+void UpstreamSession::LeaveWork() {
+  if (!is_working_) return;
+  is_working_ = false;
+  --state_->in_progress;
+}
+
+std::string UpstreamSession::AnswerToWork() {
+  if (target_.path == "/echo") return Head() + "\n" + request_.body();
+  if (IsExecutionPath()) return Head() + " accepted=1\n";
+  const int64_t size =
+      std::clamp<int64_t>(QueryNumber("bytes", 0), 0, kMaxLargeBody);
+  return Head() + " bytes=" + std::to_string(size) + "\n" +
+         PatternBody(Query("token"), static_cast<uint64_t>(size));
+}
+
+void UpstreamSession::Respond(unsigned status, const std::string& body,
+                              bool not_run) {
+  response_.emplace(static_cast<http::status>(status), request_.version());
+  response_->set(http::field::content_type, "text/plain");
+  response_->set("x-service", state_->settings.service);
+  response_->set("x-request-token", Query("token"));
+  if (not_run) response_->set("x-not-run", "1");
+  response_->keep_alive(request_.keep_alive());
+  response_->body() = body;
+  response_->prepare_payload();
+  http::async_write(
+      stream_, *response_,
+      [self = shared_from_this()](beast::error_code error, size_t /*bytes*/) {
+        if (error) return;
+        if (!self->response_->keep_alive()) {
+          self->stream_.close();
+          return;
+        }
+        self->ReadRequest();
+      });
+}
+
+void UpstreamSession::StartFeed() {
+  feed_line_ = 0;
+  feed_lines_ = QueryNumber("lines", INT64_MAX);
+  feed_interval_ms_ =
+      std::max<int64_t>(1, QueryNumber("interval_ms", kDefaultFeedIntervalMs));
+  is_feeding_ = true;
+  ++state_->feeds;
+  LogEvent("start");
+  chunk_ = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nx-service: " +
+           state_->settings.service + "\r\ntransfer-encoding: chunked\r\n\r\n";
+  asio::async_write(
+      stream_, asio::buffer(chunk_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t /*bytes*/) {
+        if (!error) self->WriteFeedLine();
+      });
+}
+
+void UpstreamSession::WriteFeedLine() {
+  const std::string line =
+      Head() + " line=" + std::to_string(feed_line_) + "\n";
+  char size[20];
+  const std::to_chars_result end =
+      std::to_chars(size, size + sizeof(size), line.size(), 16);
+  chunk_ = std::string(size, end.ptr) + "\r\n" + line + "\r\n";
+  ++feed_line_;
+  if (feed_line_ >= feed_lines_) chunk_ += "0\r\n\r\n";
+  asio::async_write(stream_, asio::buffer(chunk_),
+                    [self = shared_from_this()](
+                        const boost::system::error_code& error,
+                        size_t /*bytes*/) { self->OnFeedWritten(error); });
+}
+
+void UpstreamSession::OnFeedWritten(const boost::system::error_code& error) {
+  if (error || feed_line_ >= feed_lines_) {
+    is_feeding_ = false;
+    --state_->feeds;
+    if (error) {
+      ++state_->cancelled;
+      LogEvent("cancelled");
+      return;
+    }
+    ReadRequest();
+    return;
+  }
+  timer_.expires_after(std::chrono::milliseconds(feed_interval_ms_));
+  timer_.async_wait([self = shared_from_this()](
+                        const boost::system::error_code& timer_error) {
+    if (!timer_error) self->WriteFeedLine();
+  });
+}
+
+std::string UpstreamSession::ControlAnswer() {
+  if (target_.path == "/control/set") {
+    state_->work_ms = QueryNumber("work_ms", state_->work_ms);
+    state_->shed_above = QueryNumber("shed_above", state_->shed_above);
+    state_->fail_percent = QueryNumber("fail_percent", state_->fail_percent);
+    state_->says_well =
+        QueryNumber("says_well", state_->says_well ? 1 : 0) != 0;
+  }
+  const nlohmann::json json{{"in_progress", state_->in_progress.load()},
+                            {"feeds", state_->feeds.load()},
+                            {"executed", state_->executed.load()},
+                            {"shed", state_->shed.load()},
+                            {"failed", state_->failed.load()},
+                            {"cancelled", state_->cancelled.load()},
+                            {"expired", state_->expired.load()}};
+  return json.dump();
+}
+
+void UpstreamSession::LogEvent(const char* event) const {
+  state_->log->Write(event, {{"service", state_->settings.service},
+                             {"upstream", state_->settings.name},
+                             {"path", target_.path},
+                             {"token", Query("token")},
+                             {"key", Header("idempotency-key")},
+                             {"body", request_.body()}});
+}
+
+bool UpstreamSession::IsExecutionPath() const {
+  return target_.path == "/samples" || target_.path == "/orders";
+}
+
+std::string UpstreamSession::Query(const std::string& name) const {
+  const auto found = target_.query.find(name);
+  return found == target_.query.end() ? std::string() : found->second;
+}
+
+int64_t UpstreamSession::QueryNumber(const std::string& name,
+                                     int64_t fallback) const {
+  return ParseNumber(Query(name), fallback);
+}
+
+std::string UpstreamSession::Header(const char* name) const {
+  const auto field = request_.find(name);
+  return field == request_.end() ? std::string() : std::string(field->value());
+}
+
+std::string UpstreamSession::Head() const {
+  return FormatAnswerHead(AnswerHead{state_->settings.service,
+                                     state_->settings.name, Query("token")});
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/tests/upstream_server_test.cc
@@ -0,0 +1,144 @@
+#include "medlarwinch/standins/upstream_server.h"
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "medlarwinch/standins/answer_text.h"
+#include "medlarwinch/standins/process_main.h"
+#include "medlarwinch/transport/http_client.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Endpoint kListen{0x7f000001, 17'421};
+constexpr Millis kWait{2'000};
+
+struct RunningUpstream {
+  RunningUpstream()
+      : log_file((std::filesystem::temp_directory_path() /
+                  ("standin-upstream-" + std::to_string(getpid()) + ".log"))
+                     .string()) {
+    UpstreamSettings settings;
+    settings.listen = kListen;
+    settings.service = "probe-hub";
+    settings.name = "probe-hub/1";
+    settings.execution_log = log_file;
+    Result<std::unique_ptr<UpstreamServer>> started =
+        UpstreamServer::Start(settings);
+    BOOST_REQUIRE(IsOk(started));
+    server = TakeValue(std::move(started));
+  }
+  ~RunningUpstream() {
+    server.reset();
+    std::filesystem::remove(log_file);
+  }
+
+  static Result<HttpResponse> Call(
+      const std::string& method, const std::string& target,
+      const std::string& body = "",
+      const std::map<std::string, std::string>& headers = {},
+      Millis wait = kWait) {
+    return SendHttpRequest(kListen, HttpRequest{method, target, body, headers},
+                           wait);
+  }
+
+  std::string log_file;
+  std::unique_ptr<UpstreamServer> server;
+};
+
+BOOST_FIXTURE_TEST_SUITE(StandinUpstream, RunningUpstream)
+
+BOOST_AUTO_TEST_CASE(Echo_Called_NamesServiceAndToken) {
+  const Result<HttpResponse> answer = Call("POST", "/echo?token=t1", "hello");
+  BOOST_REQUIRE(IsOk(answer));
+  BOOST_TEST(ValueOf(answer).body ==
+             "service=probe-hub upstream=probe-hub/1 token=t1\nhello");
+}
+
+BOOST_AUTO_TEST_CASE(Report_Called_HasThePatternOfItsToken) {
+  const Result<HttpResponse> answer =
+      Call("GET", "/report?bytes=300000&token=t2");
+  BOOST_REQUIRE(IsOk(answer));
+  const std::string& body = ValueOf(answer).body;
+  const size_t end = body.find('\n');
+  BOOST_TEST(FieldOf(body.substr(0, end), "bytes") == "300000");
+  BOOST_CHECK(body.substr(end + 1) == PatternBody("t2", 300'000));
+  BOOST_CHECK(PatternBody("t2", 300'000) != PatternBody("t3", 300'000));
+}
+
+// Guards against feeds with missing or repeated lines.
+BOOST_AUTO_TEST_CASE(FeedOfFiveLines_Read_IsNumbered) {
+  const Result<HttpResponse> answer =
+      Call("GET", "/feed?interval_ms=5&lines=5&token=f");
+  BOOST_REQUIRE(IsOk(answer));
+  std::string expected;
+  for (int line = 0; line < 5; ++line) {
+    expected += "service=probe-hub upstream=probe-hub/1 token=f line=" +
+                std::to_string(line) + "\n";
+  }
+  BOOST_TEST(ValueOf(answer).body == expected);
+}
+
+// Guards against executions that the at-most-once check can't see.
+BOOST_AUTO_TEST_CASE(Samples_Posted_StandInTheExecutionLog) {
+  const Result<HttpResponse> answer = Call(
+      "POST", "/samples?token=t4", "moisture=3", {{"idempotency-key", "k4"}});
+  BOOST_REQUIRE(IsOk(answer));
+  const Result<std::string> log = ReadTextFile(log_file);
+  BOOST_REQUIRE(IsOk(log));
+  BOOST_TEST(ValueOf(log).find("event=run service=probe-hub "
+                               "upstream=probe-hub/1 path=/samples token=t4 "
+                               "key=k4 body=moisture=3\n") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(DeadlineBelowWorkTime_Called_ExpiresAtTheDeadline) {
+  const Result<HttpResponse> answer =
+      Call("GET", "/echo?work_ms=1500", "", {{"x-request-deadline-ms", "30"}});
+  BOOST_REQUIRE(IsOk(answer));
+  BOOST_TEST(ValueOf(answer).status == 504);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionClosedDuringWork_Noticed_IsCancelled) {
+  const Result<HttpResponse> answer =
+      Call("GET", "/echo?work_ms=5000", "", {}, Millis{50});
+  BOOST_REQUIRE(!IsOk(answer));
+  for (int round = 0; round < 100 && server->state().cancelled == 0; ++round) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(server->state().cancelled == 1U);
+  BOOST_TEST(server->state().in_progress == 0);
+}
+
+BOOST_AUTO_TEST_CASE(LoadAboveBound_Called_IsShedWithoutRunning) {
+  BOOST_REQUIRE(IsOk(Call("POST", "/control/set?shed_above=1")));
+  std::thread slow([] { Call("GET", "/echo?work_ms=300"); });
+  for (int round = 0; round < 100 && server->state().in_progress == 0;
+       ++round) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  const Result<HttpResponse> answer = Call("POST", "/samples?token=t5");
+  slow.join();
+  BOOST_REQUIRE(IsOk(answer));
+  BOOST_TEST(ValueOf(answer).status == 503);
+  BOOST_TEST(server->state().executed == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(FailingRequests_HealthAsked_SaysWell) {
+  BOOST_REQUIRE(IsOk(Call("POST", "/control/set?fail_percent=100")));
+  const Result<HttpResponse> answer = Call("GET", "/echo");
+  const Result<HttpResponse> health = Call("GET", "/health");
+  BOOST_REQUIRE(IsOk(answer));
+  BOOST_REQUIRE(IsOk(health));
+  BOOST_TEST(ValueOf(answer).status == 500);
+  BOOST_TEST(ValueOf(health).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
