Give each test process a loopback address of its own

Cause: test programs bound fixed ports on 127.0.0.1; two of them at the same time, in one checkout or in several, failed with 'Address already in use' (standins_tests: 12 failures, daemon_tests: 1 failure in four runs).

Change: ProcessLoopbackIp() derives the address from the process id; all tests with fixed ports use it.

Conclusion: test programs no longer depend on which others run.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -21,6 +21,7 @@
   add_executable(${name}_tests ${sources}
                                ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
   target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK)
+  target_include_directories(${name}_tests PRIVATE ${PROJECT_SOURCE_DIR}/cmake)
   target_link_libraries(${name}_tests PRIVATE Boost::unit_test_framework rapidcheck
                                               ${ARGN})
   add_test(NAME ${name}_tests COMMAND ${name}_tests)
--- /dev/null
+++ b/cmake/test_address.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace medlarwinch {
+
+/// Returns a loopback address that no other test process uses, so that test
+/// programs which bind fixed ports run side by side on one machine. The second
+/// byte is 64 or more; scenarios use lower ones.
+inline uint32_t ProcessLoopbackIp() {
+  constexpr uint32_t kLoopbackNet = 0x7f000000;
+  constexpr uint32_t kTestRange = 0x400000;
+  constexpr uint32_t kProcessBits = 0x3fffff;
+  return kLoopbackNet | kTestRange |
+         (static_cast<uint32_t>(getpid()) & kProcessBits);
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/tests/data_path_test.cc
+++ b/packages/daemon/tests/data_path_test.cc
@@ -4,10 +4,12 @@
 #include <condition_variable>
 #include <deque>
 
+#include "test_address.h"
+
 namespace medlarwinch {
 namespace {
 
-constexpr uint32_t kLoopback = 0x7f000001;
+const uint32_t kLoopback = ProcessLoopbackIp();
 constexpr Endpoint kServiceAddress{0x0a000001, 443};
 constexpr Endpoint kCaller{0x0a000099, 5'000};
 
--- a/packages/transport/tests/http_test.cc
+++ b/packages/transport/tests/http_test.cc
@@ -3,11 +3,12 @@
 
 #include "medlarwinch/transport/http_client.h"
 #include "medlarwinch/transport/http_server.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
-constexpr Endpoint kServer{0x7f000001, 17'381};
+const Endpoint kServer{ProcessLoopbackIp(), 17'381};
 
 BOOST_AUTO_TEST_SUITE(HttpClientAndServer)
 
--- a/packages/transport/tests/support/fake_platform.cc
+++ b/packages/transport/tests/support/fake_platform.cc
@@ -1,13 +1,13 @@
 #include "fake_platform.h"
 
-#include <unistd.h>
-
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <thread>
 #include <utility>
 
+#include "test_address.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -34,8 +34,8 @@
 }  // namespace
 
 Endpoint TestAddress(uint16_t index) {
-  const uint32_t host = (static_cast<uint32_t>(getpid()) & 0x3fffff) | 0x400000;
-  return Endpoint{0x7f000000 | host, static_cast<uint16_t>(kFirstPort + index)};
+  return Endpoint{ProcessLoopbackIp(),
+                  static_cast<uint16_t>(kFirstPort + index)};
 }
 
 FakePlatform::FakePlatform() { SetDown(false); }
--- a/standins/tests/upstream_server_test.cc
+++ b/standins/tests/upstream_server_test.cc
@@ -10,11 +10,12 @@
 #include "medlarwinch/standins/answer_text.h"
 #include "medlarwinch/standins/process_main.h"
 #include "medlarwinch/transport/http_client.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
-constexpr Endpoint kListen{0x7f000001, 17'421};
+const Endpoint kListen{ProcessLoopbackIp(), 17'421};
 constexpr Millis kWait{2'000};
 
 struct RunningUpstream {
