Bound the cost of large member tables

Change: fetched members are not pushed on, keepers are worked out again only when the ready balancers change, changed means publish a view once a second, the pause between views grows with their size, and a new keeper waits for its first heartbeats before it computes a mean. The withdrawal bound covers balancers too, since the smaller side of a partition could otherwise record the larger one as failed, group by group.

--- a/packages/coordination/include/medlarwinch/coordination/balancer_liveness.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_liveness.h
@@ -14,13 +14,16 @@
 BalancerStep CheckLiveness(BalancerControl state, TimePoint now,
                            Random& random);
 
+/// Whether accepted entries are pushed to other balancers.
+enum class PassOn { kNo, kYes };
+
 /// Merges entries into the table, passes on what is new, and answers a record
 /// of the own failure. `replies_to` gets entries that are newer here; a zero
 /// address gets none.
 BalancerStep MergeNews(BalancerControl state,
                        const std::vector<MemberEntry>& entries,
-                       const Endpoint& replies_to, TimePoint now,
-                       Random& random);
+                       const Endpoint& replies_to, PassOn pass_on,
+                       TimePoint now, Random& random);
 
 /// Sends a heartbeat to each keeper of this balancer.
 BalancerStep SendHeartbeats(BalancerControl state, TimePoint now);
--- a/packages/coordination/include/medlarwinch/coordination/control_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_actions.h
@@ -48,6 +48,8 @@
   std::vector<Decision> decisions;
   /// True when readers need a new view.
   bool view_changed = false;
+  /// True when a mean changed; a new view may wait for it.
+  bool means_changed = false;
 };
 
 /// A record that was read from the platform or a peer, with the result of its
--- a/packages/coordination/include/medlarwinch/coordination/kept_members.h
+++ b/packages/coordination/include/medlarwinch/coordination/kept_members.h
@@ -44,6 +44,12 @@
                        const std::vector<Endpoint>& ready_balancers,
                        TimePoint now);
 
+/// The same for one member whose entry has changed.
+KeptMembers FollowMember(KeptMembers kept, const MemberEntry& entry,
+                         const Endpoint& self,
+                         const std::vector<Endpoint>& ready_balancers,
+                         TimePoint now);
+
 /// Notes a heartbeat of a kept member; one of another member changes nothing.
 KeptMembers NoteHeartbeat(KeptMembers kept, const Endpoint& id,
                           const UpstreamLoad& load, TimePoint now);
--- a/packages/coordination/include/medlarwinch/coordination/service_means.h
+++ b/packages/coordination/include/medlarwinch/coordination/service_means.h
@@ -17,6 +17,14 @@
 /// reaches a balancer about four times, which takes up half of the 4 KB/s.
 inline constexpr int64_t kMeansPerSecond = 8;
 
+/// Time that a new keeper waits for the first heartbeats of all agents before
+/// it computes a mean; a mean over a part of them misleads the others.
+inline constexpr Millis kFirstHeartbeats{2'000};
+/// A load older than this is left out of the mean.
+inline constexpr Millis kStaleLoad{3'000};
+/// Services whose mean is remembered at most.
+inline constexpr size_t kMaxKnownMeans = 16'384;
+
 /// A mean and when it was last replaced.
 struct KnownMean {
   ServiceMean mean;
@@ -37,8 +45,9 @@
 };
 
 /// Computes the means of the services whose agents this process keeps, over
-/// ready upstreams whose heartbeat has arrived.
-ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table);
+/// ready upstreams with a recent heartbeat.
+ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table,
+                           TimePoint now);
 
 /// Takes means of other keepers; the higher (sequence, keeper) wins.
 MeanOutcome MergeMeans(KnownMeans known, const std::vector<ServiceMean>& means,
--- a/packages/coordination/include/medlarwinch/coordination/withdrawal_bound.h
+++ b/packages/coordination/include/medlarwinch/coordination/withdrawal_bound.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
 
 #include "medlarwinch/coordination/member_table.h"
 
@@ -15,8 +14,14 @@
   uint64_t failed = 0;
 };
 
-/// Counts the slots of a service over whole entries of the table.
-SlotCount CountSlots(const MemberTable& table, const std::string& service);
+/// Slots of a member for the bound; a balancer counts as one. Bounding the
+/// balancers too keeps the smaller side of a partition from recording the other
+/// side as failed, group by group.
+uint32_t SlotsOf(const MemberEntry& entry);
+
+/// Counts the slots of a member's service, or the balancers, over whole entries
+/// of the table.
+SlotCount CountSlots(const MemberTable& table, const MemberEntry& member);
 
 /// True when recording one more upstream with `slots` slots, already part of
 /// the total, as failed leaves at most `max_percent` of the slots withdrawn.
--- a/packages/coordination/src/balancer_control.cc
+++ b/packages/coordination/src/balancer_control.cc
@@ -80,8 +80,8 @@
                              const Heartbeat& heartbeat, TimePoint now,
                              Random& random) {
   const Endpoint& id = heartbeat.entry.id;
-  BalancerStep step =
-      MergeNews(std::move(state), {heartbeat.entry}, Endpoint{}, now, random);
+  BalancerStep step = MergeNews(std::move(state), {heartbeat.entry}, Endpoint{},
+                                PassOn::kYes, now, random);
   step.state.kept =
       NoteHeartbeat(std::move(step.state.kept), id, heartbeat.load, now);
   step.state.suspicions = EndSuspicion(std::move(step.state.suspicions), id);
@@ -95,7 +95,8 @@
                        TimePoint now, Random& random) {
   MemberEntry recorded = state.self;
   recorded.version = ack.recorded;
-  return MergeNews(std::move(state), {recorded}, Endpoint{}, now, random);
+  return MergeNews(std::move(state), {recorded}, Endpoint{}, PassOn::kYes, now,
+                   random);
 }
 
 BalancerStep HandleQuery(BalancerControl state, const Endpoint& from,
@@ -133,14 +134,14 @@
 
 BalancerStep HandleDelta(BalancerControl state, const Endpoint& from,
                          const Delta& delta, TimePoint now, Random& random) {
-  BalancerStep step =
-      MergeNews(std::move(state), delta.members, from, now, random);
+  BalancerStep step = MergeNews(std::move(state), delta.members, from,
+                                PassOn::kYes, now, random);
   FetchWanted(step, from, delta.records, now);
   MeanOutcome means = MergeMeans(std::move(step.state.means), delta.means, now);
   step.state.means = std::move(means.known);
   if (means.accepted.empty()) return step;
   PushNews(step.state, step.actions, {}, {}, means.accepted, random);
-  step.actions.view_changed = true;
+  step.actions.means_changed = true;
   return step;
 }
 
@@ -207,14 +208,14 @@
 
 void UpdateMeans(BalancerStep& step, TimePoint now, Random& random) {
   BalancerControl& state = step.state;
-  state.computed_means = ComputeMeans(state.kept, state.table);
+  state.computed_means = ComputeMeans(state.kept, state.table, now);
   MeanOutcome published =
       PublishMeans(std::move(state.means), state.computed_means,
                    state.policies.size(), state.self.id, now);
   state.means = std::move(published.known);
   if (published.accepted.empty()) return;
   PushNews(state, step.actions, {}, {}, published.accepted, random);
-  step.actions.view_changed = true;
+  step.actions.means_changed = true;
 }
 
 }  // namespace
@@ -298,8 +299,9 @@
 BalancerStep HandleFetchedMembers(BalancerControl state,
                                   const std::vector<MemberEntry>& members,
                                   TimePoint now, Random& random) {
-  BalancerStep step =
-      MergeNews(std::move(state), members, Endpoint{}, now, random);
+  // The table of a peer is no news to the others.
+  BalancerStep step = MergeNews(std::move(state), members, Endpoint{},
+                                PassOn::kNo, now, random);
   if (!members.empty()) step.state.has_joined = true;
   return step;
 }
--- a/packages/coordination/src/balancer_liveness.cc
+++ b/packages/coordination/src/balancer_liveness.cc
@@ -28,12 +28,31 @@
   return candidates;
 }
 
-// Follows the table after a change of it.
-void FollowTable(BalancerControl& state, TimePoint now) {
-  state.ready_balancers = ReadyBalancers(state.table);
-  state.kept = UpdateKept(std::move(state.kept), state.table, state.self.id,
-                          state.ready_balancers, now);
-  state.summaries.clear();
+bool ConcernsBalancers(const std::vector<MemberEntry>& changed) {
+  return std::any_of(changed.begin(), changed.end(),
+                     [](const MemberEntry& entry) {
+                       return entry.kind == MemberKind::kBalancer;
+                     });
+}
+
+// Follows the table after a change of it. Who keeps whom is worked out again
+// only when the ready balancers have changed.
+void FollowTable(BalancerControl& state,
+                 const std::vector<MemberEntry>& changed, TimePoint now) {
+  std::vector<Endpoint> ready = state.ready_balancers;
+  if (ConcernsBalancers(changed)) ready = ReadyBalancers(state.table);
+  if (ready != state.ready_balancers) {
+    state.ready_balancers = std::move(ready);
+    state.kept = UpdateKept(std::move(state.kept), state.table, state.self.id,
+                            state.ready_balancers, now);
+    state.summaries.clear();
+  } else {
+    for (const MemberEntry& entry : changed) {
+      state.kept = FollowMember(std::move(state.kept), entry, state.self.id,
+                                state.ready_balancers, now);
+      state.summaries.erase(entry.service);
+    }
+  }
   std::erase_if(state.doubtful, [&](const Endpoint& id) {
     return state.kept.find(id) == state.kept.end();
   });
@@ -89,10 +108,9 @@
                                     const Suspicion& suspicion, TimePoint now) {
   MemberEntry entry = state.table.members.at(suspicion.subject).entry;
   const ServiceHealth health = HealthOf(state.policies, entry);
-  const SlotCount count = CountSlots(state.table, entry.service);
+  const SlotCount count = CountSlots(state.table, entry);
   const bool is_allowed =
-      entry.kind == MemberKind::kBalancer ||
-      MayWithdraw(count, entry.slots, health.policy.max_withdrawn_percent);
+      MayWithdraw(count, SlotsOf(entry), health.policy.max_withdrawn_percent);
   if (is_allowed) {
     entry.version.phase = MemberPhase::kFailed;
     actions.decisions.push_back(
@@ -132,6 +150,7 @@
   Append(actions.fetches, std::move(more.fetches));
   Append(actions.decisions, std::move(more.decisions));
   actions.view_changed = actions.view_changed || more.view_changed;
+  actions.means_changed = actions.means_changed || more.means_changed;
 }
 
 BalancerStep NoticePause(BalancerControl state, TimePoint now) {
@@ -168,8 +187,8 @@
 
 BalancerStep MergeNews(BalancerControl state,
                        const std::vector<MemberEntry>& entries,
-                       const Endpoint& replies_to, TimePoint now,
-                       Random& random) {
+                       const Endpoint& replies_to, PassOn pass_on,
+                       TimePoint now, Random& random) {
   BalancerStep step{std::move(state), {}};
   bool is_raised = false;
   std::vector<MemberEntry> others;
@@ -190,7 +209,11 @@
     }
   }
   if (merged.accepted.empty()) return step;
-  FollowTable(step.state, now);
+  FollowTable(step.state, merged.accepted, now);
+  if (pass_on == PassOn::kNo) {
+    merged.accepted = is_raised ? std::vector<MemberEntry>{step.state.self}
+                                : std::vector<MemberEntry>{};
+  }
   PushNews(step.state, step.actions, merged.accepted, {}, {}, random);
   step.actions.view_changed = true;
   if (is_raised) {
@@ -225,8 +248,8 @@
     const std::vector<MemberEntry> failed =
         DecideLost(step.state, step.actions, suspicion, now);
     if (failed.empty()) continue;
-    BalancerStep merged =
-        MergeNews(std::move(step.state), failed, Endpoint{}, now, random);
+    BalancerStep merged = MergeNews(std::move(step.state), failed, Endpoint{},
+                                    PassOn::kYes, now, random);
     step.state = std::move(merged.state);
     AppendActions(step.actions, std::move(merged.actions));
   }
--- a/packages/coordination/src/kept_members.cc
+++ b/packages/coordination/src/kept_members.cc
@@ -17,9 +17,21 @@
                        const std::vector<Endpoint>& ready_balancers,
                        TimePoint now) {
   KeptMembers updated;
+  // All agents of a service have the same keepers.
+  std::map<std::string, bool> keeps_service;
   for (const auto& [id, record] : table.members) {
     if (IsWithdrawn(record.entry.version.phase)) continue;
-    if (!IsKeeperOf(self, record.entry, ready_balancers)) continue;
+    if (record.entry.kind == MemberKind::kAgent) {
+      const std::string& service = record.entry.service;
+      std::map<std::string, bool>::iterator keeps = keeps_service.find(service);
+      if (keeps == keeps_service.end()) {
+        const bool is_keeper = IsKeeperOf(self, record.entry, ready_balancers);
+        keeps = keeps_service.emplace(service, is_keeper).first;
+      }
+      if (!keeps->second) continue;
+    } else if (!IsKeeperOf(self, record.entry, ready_balancers)) {
+      continue;
+    }
     const KeptMembers::iterator known = kept.find(id);
     if (known == kept.end()) {
       updated.emplace_hint(updated.end(), id, KeptMember{now, false, {}});
@@ -30,6 +42,20 @@
   return updated;
 }
 
+KeptMembers FollowMember(KeptMembers kept, const MemberEntry& entry,
+                         const Endpoint& self,
+                         const std::vector<Endpoint>& ready_balancers,
+                         TimePoint now) {
+  if (IsWithdrawn(entry.version.phase)) {
+    kept.erase(entry.id);
+    return kept;
+  }
+  if (kept.count(entry.id) > 0) return kept;
+  if (!IsKeeperOf(self, entry, ready_balancers)) return kept;
+  kept[entry.id] = KeptMember{now, false, {}};
+  return kept;
+}
+
 KeptMembers NoteHeartbeat(KeptMembers kept, const Endpoint& id,
                           const UpstreamLoad& load, TimePoint now) {
   const KeptMembers::iterator member = kept.find(id);
--- a/packages/coordination/src/service_means.cc
+++ b/packages/coordination/src/service_means.cc
@@ -11,6 +11,7 @@
 struct Total {
   uint64_t flows = 0;
   uint64_t slots = 0;
+  bool is_partial = false;
 };
 
 bool IsNewer(const ServiceMean& a, const ServiceMean& b) {
@@ -24,10 +25,10 @@
 
 }  // namespace
 
-ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table) {
+ComputedMeans ComputeMeans(const KeptMembers& kept, const MemberTable& table,
+                           TimePoint now) {
   std::map<std::string, Total> totals;
   for (const auto& [id, member] : kept) {
-    if (!member.heard) continue;
     const std::map<Endpoint, MemberRecord>::const_iterator record =
         table.members.find(id);
     if (record == table.members.end()) continue;
@@ -35,12 +36,18 @@
     if (entry.kind != MemberKind::kAgent) continue;
     if (entry.version.phase != MemberPhase::kReady) continue;
     Total& total = totals[entry.service];
+    const Millis age = now - member.last_heard;
+    if (!member.heard) {
+      total.is_partial |= age < kFirstHeartbeats;
+      continue;
+    }
+    if (age > kStaleLoad) continue;
     total.flows += member.load.flows;
     total.slots += entry.slots;
   }
   ComputedMeans means;
   for (const auto& [service, total] : totals) {
-    if (total.slots == 0) continue;
+    if (total.slots == 0 || total.is_partial) continue;
     means[service] =
         static_cast<double>(total.flows) / static_cast<double>(total.slots);
   }
@@ -55,6 +62,7 @@
     if (current != known.end() && !IsNewer(mean, current->second.mean)) {
       continue;
     }
+    if (current == known.end() && known.size() >= kMaxKnownMeans) continue;
     known[mean.service] = KnownMean{mean, now};
     outcome.accepted.push_back(mean);
   }
--- a/packages/coordination/src/withdrawal_bound.cc
+++ b/packages/coordination/src/withdrawal_bound.cc
@@ -2,15 +2,19 @@
 
 namespace medlarwinch {
 
-SlotCount CountSlots(const MemberTable& table, const std::string& service) {
+uint32_t SlotsOf(const MemberEntry& entry) {
+  return entry.kind == MemberKind::kBalancer ? 1 : entry.slots;
+}
+
+SlotCount CountSlots(const MemberTable& table, const MemberEntry& member) {
   SlotCount count;
   for (const auto& [id, record] : table.members) {
     const MemberEntry& entry = record.entry;
-    if (entry.kind != MemberKind::kAgent || entry.service != service) continue;
+    if (entry.kind != member.kind || entry.service != member.service) continue;
     if (entry.version.phase == MemberPhase::kLeft) continue;
-    count.total += entry.slots;
-    if (entry.version.phase == MemberPhase::kFailed)
-      count.failed += entry.slots;
+    count.total += SlotsOf(entry);
+    if (entry.version.phase != MemberPhase::kFailed) continue;
+    count.failed += SlotsOf(entry);
   }
   return count;
 }
--- a/packages/daemon/include/medlarwinch/daemon/control_loop.h
+++ b/packages/daemon/include/medlarwinch/daemon/control_loop.h
@@ -96,6 +96,8 @@
   std::shared_ptr<const RecordStore> records_;
   bool records_changed_ = true;
   bool view_changed_ = true;
+  bool means_changed_ = false;
+  Millis publish_interval_;
   uint64_t sequence_ = 0;
   TimePoint last_publish_{-1};
   TimePoint last_platform_answer_{-1};
--- a/packages/daemon/src/control_loop.cc
+++ b/packages/daemon/src/control_loop.cc
@@ -9,9 +9,12 @@
 namespace medlarwinch {
 namespace {
 
-// A view copies the member table; at full scale that is a millisecond of work,
-// so that at most 20 copies a second are made.
+// A view copies the members and documents. The pause between two views grows
+// with their number, so that copying takes up a bounded share of a core.
 constexpr Millis kPublishInterval{50};
+constexpr int64_t kItemsPerPublishMilli = 50;
+// Means change all the time and are only a hint to agents.
+constexpr Millis kMeanPublishInterval{1'000};
 
 std::string JoinFacts(const std::map<std::string, std::string>& facts) {
   std::string text;
@@ -55,11 +58,11 @@
       keys_(std::make_shared<const KeySet>(settings.fleet_key, KeyRing{})) {}
 
 std::optional<Millis> ControlLoop::PublishIfDue(TimePoint now) {
-  if (!view_changed_) return std::nullopt;
+  if (!view_changed_ && !means_changed_) return std::nullopt;
+  const Millis interval =
+      view_changed_ ? publish_interval_ : kMeanPublishInterval;
   const Millis since = now - last_publish_;
-  if (last_publish_.value >= 0 && since < kPublishInterval) {
-    return kPublishInterval - since;
-  }
+  if (last_publish_.value >= 0 && since < interval) return interval - since;
   std::shared_ptr<ControlView> view = std::make_shared<ControlView>();
   view->sequence = ++sequence_;
   view->documents = documents_;
@@ -70,7 +73,11 @@
   if (records_changed_) records_ = CopyRecords();
   records_changed_ = false;
   view_changed_ = false;
+  means_changed_ = false;
   last_publish_ = now;
+  const size_t items = view->members.size() + view->documents.size();
+  publish_interval_ = kPublishInterval + Millis{static_cast<int64_t>(items) /
+                                                kItemsPerPublishMilli};
   metrics_.Set("medlarwinch_control_members", {},
                static_cast<double>(view->members.size()));
   metrics_.Set("medlarwinch_control_doubtful_members", {},
@@ -126,6 +133,7 @@
     outputs_.fetch(std::move(fetch));
   }
   view_changed_ = view_changed_ || actions.view_changed;
+  means_changed_ = means_changed_ || actions.means_changed;
 }
 
 void ControlLoop::NotePlatformAnswer(const PlatformJobResult& result,
