--- a/packages/protocol/src/yaml_reader.cc
+++ b/packages/protocol/src/yaml_reader.cc
@@ -1,15 +1,20 @@
 #include "medlarwinch/protocol/yaml_reader.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <numeric>
 #include <set>
 
+#include "medlarwinch/coordination/document_fields.h"
+
 namespace medlarwinch {
 namespace {
 
 // A name that differs in more than this many characters is not offered.
 constexpr size_t kMaxEditDistance = 3;
+// A name that begins like a known one but lacks its unit is offered that one.
+constexpr size_t kMinAbbreviation = 3;
 
 size_t EditDistance(std::string_view a, std::string_view b) {
   std::vector<size_t> row(b.size() + 1);
@@ -26,6 +31,16 @@
   return row[b.size()];
 }
 
+// Reads decimal digits only: YAML takes "010" for 8, which no operator means.
+bool ReadDecimal(const std::string& text, int64_t& value) {
+  const size_t digits = text.rfind('-', 0) == 0 ? 1 : 0;
+  if (text.size() > digits + 1 && text[digits] == '0') return false;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, value);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 }  // namespace
 
 std::string_view NearestName(std::string_view name,
@@ -33,7 +48,9 @@
   std::string_view nearest;
   size_t smallest = kMaxEditDistance + 1;
   for (const std::string& candidate : known) {
-    const size_t distance = EditDistance(name, candidate);
+    const bool is_abbreviation =
+        name.size() >= kMinAbbreviation && candidate.rfind(name, 0) == 0;
+    const size_t distance = is_abbreviation ? 1 : EditDistance(name, candidate);
     if (distance >= smallest) continue;
     smallest = distance;
     nearest = candidate;
@@ -103,7 +120,8 @@
 
 bool YamlReader::Has(const std::string& name) const {
   const YAML::Node& map = node_;
-  return map[name].IsDefined();
+  const YAML::Node field = map[name];
+  return field.IsDefined() && !field.IsNull();
 }
 
 YamlReader YamlReader::Section(const std::string& name) {
@@ -158,8 +176,8 @@
   if (!field.has_value()) return fallback;
   int64_t value = 0;
   const bool is_read = field->IsScalar() &&
-                       YAML::convert<int64_t>::decode(*field, value) &&
-                       value >= min && value <= max;
+                       ReadDecimal(field->Scalar(), value) && value >= min &&
+                       value <= max;
   if (is_read) return value;
   Fail(name, "expected a whole number from " + std::to_string(min) + " to " +
                  std::to_string(max));
@@ -175,8 +193,8 @@
                        YAML::convert<double>::decode(*field, value) &&
                        value >= min && value <= max;
   if (is_read) return value;
-  Fail(name, "expected a number from " + std::to_string(min) + " to " +
-                 std::to_string(max));
+  Fail(name, "expected a number from " + FormatNumber(min) + " to " +
+                 FormatNumber(max));
   return fallback;
 }
 
@@ -240,9 +258,16 @@
   for (const auto& [path, visited] : shared_->visited) {
     const std::vector<std::string> known(visited.known.begin(),
                                          visited.known.end());
+    std::set<std::string> seen;
     for (const auto& field : visited.node) {
       const std::string name =
           field.first.IsScalar() ? field.first.Scalar() : "?";
+      // Without this check the first of two values would silently be used.
+      if (!seen.insert(name).second) {
+        shared_->Add(field.first.Mark().line,
+                     path.empty() ? name : path + "." + name,
+                     "the field stands twice");
+      }
       if (visited.known.count(name) > 0) continue;
       std::string message = "unknown field";
       const std::string_view nearest = NearestName(name, known);
