--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "medlarwinch/coordination/agent_drain.h"
+#include "medlarwinch/daemon/agent_situation.h"
+#include "medlarwinch/daemon/control_view.h"
+#include "medlarwinch/daemon/decision_log.h"
+#include "medlarwinch/daemon/request_executor.h"
+#include "medlarwinch/daemon/thin_transport.h"
+#include "medlarwinch/daemon/upstream_client.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// What an AgentEngine is made with.
+struct AgentEngineOptions {
+  AgentIdentity identity;
+  Endpoint upstream;
+  uint32_t slots = 1;
+  FleetKey fleet_key{};
+  /// Seed of the first flow number.
+  uint32_t seed = 1;
+};
+
+/// How an AgentEngine reaches its surroundings; the functions return at once
+/// and do not call the engine.
+struct AgentEnginePorts {
+  /// Sends one datagram from the data socket.
+  std::function<void(const Endpoint& to, ByteView datagram)> send;
+  /// Announces a later phase of the agent.
+  std::function<void(MemberPhase phase)> set_phase;
+  /// Takes a record of a decision.
+  std::function<void(AccountEntry entry)> account;
+};
+
+/// The agent without its sockets, actors and signals: flows, requests, keys and
+/// drain behind one lock. All functions may be called from any thread.
+class AgentEngine {
+ public:
+  /// `context` runs on one thread and has stopped before the engine ends;
+  /// `metrics` outlives the engine.
+  AgentEngine(const AgentEngineOptions& options, AgentEnginePorts ports,
+              boost::asio::io_context& context, Metrics& metrics);
+  AgentEngine(const AgentEngine&) = delete;
+  AgentEngine& operator=(const AgentEngine&) = delete;
+
+  /// Takes one datagram of the data address.
+  void OnDatagram(const Endpoint& from, ByteView datagram);
+
+  /// Takes the newest view of the control plane.
+  void OnView(const ControlView& view);
+
+  /// Marks the upstream as able to take requests; slow start begins.
+  void SetReady();
+
+  /// Asks for a drain.
+  void DrainBySignal();
+  void DrainByUpstream();
+
+  /// Does what is due; called every 20 ms.
+  void Tick();
+
+  /// True once the drain is over and the process may end.
+  bool HasLeft() const;
+
+  /// Load for the next heartbeat.
+  UpstreamLoad TakeLoad();
+
+  /// Phase, flows, requests, ledger, drain progress and document version as a
+  /// JSON object; `control` is another JSON object to include.
+  std::string StatusJson(const std::string& control) const;
+
+ private:
+  FlowDecision DecideFlow(const ForwardedPacket& packet);
+  void Decide(const char* action, const std::string& subject,
+              const Reason& reason);
+  void Emit(AccountEntry entry);
+  void SetReadyAgents(std::vector<Endpoint> ready);
+  void StepDrainNow(TimePoint now);
+  void StepOutlierNow(TimePoint now);
+  void SetGauges();
+  ServiceSlots SlotsOfService() const;
+
+  AgentEngineOptions options_;
+  AgentEnginePorts ports_;
+  Metrics& metrics_;
+  SipKey seal_key_;
+  mutable std::mutex mutex_;
+  AgentSituation situation_;
+  std::vector<RosterEntry> roster_;
+  double mean_flows_per_slot_ = -1;
+  TimePoint warm_since_;
+  MemberPhase phase_ = MemberPhase::kStarting;
+  DrainState drain_;
+  bool termination_signal_ = false;
+  bool upstream_drains_ = false;
+  TimePoint next_second_;
+  DecisionLog decisions_;
+  UpstreamClient upstream_;
+  RequestExecutor executor_;
+  ThinTransport transport_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/decision_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "medlarwinch/state/account_entry.h"
+#include "medlarwinch/state/clock.h"
+
+namespace medlarwinch {
+
+/// Coalesces decisions of the same kind: an overloaded agent sheds thousands of
+/// requests a second for one reason, and the account and the log need one entry
+/// with their number. Not thread-safe.
+class DecisionLog {
+ public:
+  using Emit = std::function<void(AccountEntry entry)>;
+
+  DecisionLog(std::string service, Emit emit);
+
+  /// Takes a decision. The first one of its kind is emitted at once, later ones
+  /// by Flush() with the fact `count`.
+  void Record(const std::string& action, const std::string& subject,
+              const Reason& reason, TimePoint now);
+
+  /// Emits what was held for at least a second.
+  void Flush(TimePoint now);
+
+ private:
+  // Action, rule, document version.
+  using Kind = std::tuple<std::string, std::string, uint64_t>;
+  struct Held {
+    AccountEntry entry;
+    uint64_t count = 0;
+    TimePoint since;
+  };
+
+  std::string service_;
+  Emit emit_;
+  std::map<Kind, Held> held_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/request_executor.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/coordination/outlier_detection.h"
+#include "medlarwinch/coordination/request_admission.h"
+#include "medlarwinch/daemon/agent_situation.h"
+#include "medlarwinch/daemon/caller_transport.h"
+#include "medlarwinch/daemon/key_service.h"
+#include "medlarwinch/daemon/upstream_client.h"
+#include "medlarwinch/protocol/control_messages.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// How a RequestExecutor reaches its surroundings.
+struct RequestExecutorPorts {
+  std::function<void(const Endpoint& to, const DataMessage& message)> send;
+  /// Runs a function under the engine's lock; called from other threads.
+  std::function<void(const std::function<void()>& function)> locked;
+  std::function<TimePoint()> now;
+  DecisionSink decide;
+};
+
+/// Decides on each request, hands it to the upstream and passes the response
+/// to the transport. Not thread-safe.
+class RequestExecutor : public CallerRequestHandler {
+ public:
+  /// `situation`, `upstream` and `metrics` outlive the executor.
+  RequestExecutor(AgentIdentity identity, const AgentSituation& situation,
+                  UpstreamClient& upstream, RequestExecutorPorts ports,
+                  Metrics& metrics);
+
+  /// Must be called once before any other function.
+  void SetTransport(CallerTransport* transport) { transport_ = transport; }
+
+  void OnRequest(const CallerRequestId& id, RequestFrame request) override;
+  void OnCancelled(const CallerRequestId& id) override;
+  void OnWritable(const CallerRequestId& id) override;
+
+  /// Cuts every request in progress.
+  void CutAll(const Reason& reason);
+
+  void Tick(TimePoint now);
+
+  KeyService& keys() { return keys_; }
+  const KeyService& keys() const { return keys_; }
+  OutlierState& outlier() { return outlier_; }
+  size_t in_progress() const { return requests_.size(); }
+
+  /// Returns the counts since the previous call.
+  UpstreamLoad TakeLoad();
+
+ private:
+  struct ActiveRequest {
+    RequestFrame frame;
+    KeyHash key;
+    TimePoint started;
+    TimePoint deadline;
+    /// 0 until the request is handed to the upstream.
+    uint64_t exchange = 0;
+    bool head_arrived = false;
+    bool not_run = false;
+    uint16_t status = 0;
+    /// The response so far, while it may still be stored in the ledger.
+    Bytes answer;
+    bool is_storable = true;
+  };
+
+  void HandOver(const CallerRequestId& id);
+  void Relay(const CallerRequestId& id, uint16_t status,
+             const StoredAnswer& answer);
+  void RefuseKeyed(const CallerRequestId& id, Verdict verdict,
+                   const Reason& reason);
+  void OnHead(const CallerRequestId& id, uint64_t exchange, int status,
+              bool not_run);
+  bool OnData(const CallerRequestId& id, uint64_t exchange, ByteView data);
+  void OnEnd(const CallerRequestId& id, uint64_t exchange, UpstreamEnd end);
+  Verdict EndInLedger(ActiveRequest& request, Verdict verdict);
+  void Finish(const CallerRequestId& id, uint16_t status, Verdict verdict);
+  void CountOutcomeOf(const ActiveRequest& request, UpstreamEnd end);
+  AdmissionStep Admit(const ActiveRequest& request, TimePoint now);
+  ActiveRequest* FindExchange(const CallerRequestId& id, uint64_t exchange);
+
+  AgentIdentity identity_;
+  const AgentSituation& situation_;
+  UpstreamClient& upstream_;
+  RequestExecutorPorts ports_;
+  Metrics& metrics_;
+  CallerTransport* transport_ = nullptr;
+  KeyService keys_;
+  AdmissionState admission_;
+  RetryBudget retries_;
+  OutlierState outlier_;
+  std::map<CallerRequestId, ActiveRequest> requests_;
+  /// Requests at the upstream whose response has not begun.
+  uint32_t unanswered_ = 0;
+  uint32_t finished_ = 0;
+  uint32_t failed_ = 0;
+};
+
+}  // namespace medlarwinch
--- a/packages/daemon/include/medlarwinch/daemon/thin_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/thin_transport.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/daemon/agent_situation.h"
 #include "medlarwinch/daemon/caller_transport.h"
 #include "medlarwinch/daemon/flow_table.h"
 #include "medlarwinch/daemon/response_stream.h"
@@ -27,13 +28,6 @@
   std::function<FlowDecision(const ForwardedPacket& packet)> decide_flow;
 };
 
-/// Who this agent is.
-struct AgentIdentity {
-  std::string service;
-  Endpoint data;
-  int64_t boot = 0;
-};
-
 /// Time without a packet from the caller after which a flow is forgotten.
 inline constexpr Millis kFlowIdleTimeout{600'000};
 
--- /dev/null
+++ b/packages/daemon/src/agent_engine.cc
@@ -0,0 +1,320 @@
+#include "medlarwinch/daemon/agent_engine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "medlarwinch/transport/log.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kSecond{1'000};
+
+const char* DrainTriggerName(DrainTrigger trigger) {
+  switch (trigger) {
+    case DrainTrigger::kDocument:
+      return "document";
+    case DrainTrigger::kSignal:
+      return "signal";
+    case DrainTrigger::kUpstream:
+      return "upstream";
+  }
+  return "";
+}
+
+}  // namespace
+
+AgentEngine::AgentEngine(const AgentEngineOptions& options,
+                         AgentEnginePorts ports,
+                         boost::asio::io_context& context, Metrics& metrics)
+    : options_(options),
+      ports_(std::move(ports)),
+      metrics_(metrics),
+      seal_key_(KeySet(options.fleet_key, KeyRing{}).seal_key()),
+      warm_since_(MonotonicNow()),
+      decisions_(options.identity.service,
+                 [this](AccountEntry entry) { Emit(std::move(entry)); }),
+      upstream_(context, options.upstream),
+      executor_(
+          options.identity, situation_, upstream_,
+          RequestExecutorPorts{
+              [this](const Endpoint& to, const DataMessage& message) {
+                ports_.send(to, EncodeDataMessage(seal_key_, message));
+              },
+              [this](const std::function<void()>& function) {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                function();
+              },
+              MonotonicNow,
+              [this](const char* action, const std::string& subject,
+                     const Reason& reason) { Decide(action, subject, reason); }},
+          metrics),
+      transport_(options.identity, options.seed,
+                 ThinTransportPorts{
+                     ports_.send, [this] { return situation_.keys; },
+                     [this](const ForwardedPacket& packet) {
+                       return DecideFlow(packet);
+                     }},
+                 executor_, metrics) {
+  situation_.context.document.service = options.identity.service;
+  situation_.keys =
+      std::make_shared<const KeySet>(options.fleet_key, KeyRing{});
+  situation_.ready = {options.identity.data};
+  situation_.slots = options.slots;
+  executor_.SetTransport(&transport_);
+}
+
+void AgentEngine::OnDatagram(const Endpoint& from, ByteView datagram) {
+  Result<DataMessage> message = DecodeDataMessage(seal_key_, datagram);
+  if (!IsOk(message)) {
+    metrics_.Add("medlarwinch_malformed_packets_total",
+                 {{"reason", ErrorCodeName(ErrorOf(message).code)}});
+    return;
+  }
+  DataMessage content = TakeValue(std::move(message));
+  const TimePoint now = MonotonicNow();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (ForwardedPacket* packet = std::get_if<ForwardedPacket>(&content)) {
+    transport_.OnPacket(std::move(*packet), now);
+    return;
+  }
+  executor_.keys().OnMessage(from, content, now);
+}
+
+FlowDecision AgentEngine::DecideFlow(const ForwardedPacket& packet) {
+  AcceptanceState state;
+  state.flows = static_cast<uint32_t>(transport_.flows());
+  state.slots = options_.slots;
+  state.mean_flows_per_slot = mean_flows_per_slot_ >= 0
+                                  ? mean_flows_per_slot_
+                                  : packet.mean_flows_per_slot;
+  const OutlierState& outlier = executor_.outlier();
+  TimePoint warm_since = warm_since_;
+  if (outlier.returned_at.has_value()) {
+    warm_since = std::max(warm_since, *outlier.returned_at);
+  }
+  state.warm_for = MonotonicNow() - warm_since;
+  state.draining = situation_.draining;
+  state.ejected = outlier.ejected;
+  CandidatePosition position;
+  position.hop = packet.hop;
+  position.candidates = packet.candidates.size();
+  position.accepting = packet.accepting_candidates;
+  if (packet.candidates.empty()) position = CandidatePosition{0, 1, 1};
+  FlowDecision decision = DecideNewFlow(state, position, situation_.context);
+  if (decision.action == FlowAction::kAccept) {
+    metrics_.Add("medlarwinch_flows_accepted_total", {});
+  } else if (decision.action == FlowAction::kPassOn) {
+    metrics_.Add("medlarwinch_flows_passed_on_total",
+                 {{"reason", decision.reason.rule}});
+  } else {
+    metrics_.Add("medlarwinch_flows_shed_total",
+                 {{"reason", decision.reason.rule}});
+    Decide("shed_flow", ToString(packet.caller), decision.reason);
+  }
+  return decision;
+}
+
+void AgentEngine::OnView(const ControlView& view) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::string& service = options_.identity.service;
+  const auto document = view.documents.find(service);
+  if (document != view.documents.end() &&
+      document->second.version > situation_.context.version) {
+    situation_.context.document = document->second.document;
+    situation_.context.version = document->second.version;
+  }
+  if (view.keys != nullptr) situation_.keys = view.keys;
+  const auto mean = view.means.find(service);
+  mean_flows_per_slot_ = mean == view.means.end() ? -1 : mean->second;
+  roster_ = view.roster;
+  std::vector<Endpoint> ready;
+  for (const RosterEntry& entry : roster_) {
+    const bool is_self = entry.data == options_.identity.data;
+    if (entry.phase != MemberPhase::kReady || is_self) continue;
+    ready.push_back(entry.data);
+  }
+  if (!situation_.draining) ready.push_back(options_.identity.data);
+  SetReadyAgents(std::move(ready));
+}
+
+void AgentEngine::SetReadyAgents(std::vector<Endpoint> ready) {
+  std::sort(ready.begin(), ready.end());
+  if (ready == situation_.ready) return;
+  const std::vector<Endpoint> before =
+      std::exchange(situation_.ready, std::move(ready));
+  executor_.keys().OnReadyChanged(before, situation_.ready, MonotonicNow());
+}
+
+void AgentEngine::SetReady() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (phase_ != MemberPhase::kStarting) return;
+  phase_ = MemberPhase::kReady;
+  warm_since_ = MonotonicNow();
+  ports_.set_phase(phase_);
+}
+
+void AgentEngine::DrainBySignal() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  termination_signal_ = true;
+}
+
+void AgentEngine::DrainByUpstream() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  upstream_drains_ = true;
+}
+
+void AgentEngine::Tick() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const TimePoint now = MonotonicNow();
+  transport_.Tick(now);
+  executor_.Tick(now);
+  StepDrainNow(now);
+  if (now < next_second_) return;
+  next_second_ = now + kSecond;
+  StepOutlierNow(now);
+  decisions_.Flush(now);
+  SetGauges();
+}
+
+void AgentEngine::StepDrainNow(TimePoint now) {
+  DrainInput input;
+  input.upstream = options_.upstream;
+  input.termination_signal = termination_signal_;
+  input.upstream_drains = upstream_drains_;
+  input.in_progress = executor_.in_progress() + transport_.responses();
+  input.is_told = drain_.phase == DrainPhase::kDraining &&
+                  input.in_progress == 0 && transport_.IsDrained() &&
+                  executor_.keys().open_transfers() == 0;
+  DrainStep step = StepDrain(drain_, input, situation_.context, now);
+  drain_ = step.state;
+  const std::string subject = ToString(options_.upstream);
+  for (const DrainDecision& decision : step.actions) {
+    switch (decision.action) {
+      case DrainAction::kStart: {
+        Decide("start_drain", subject, decision.reason);
+        phase_ = MemberPhase::kDraining;
+        ports_.set_phase(phase_);
+        situation_.draining = true;
+        std::vector<Endpoint> ready = situation_.ready;
+        std::erase(ready, options_.identity.data);
+        SetReadyAgents(std::move(ready));
+        transport_.StartDrain(now);
+        break;
+      }
+      case DrainAction::kCut:
+        executor_.CutAll(decision.reason);
+        break;
+      case DrainAction::kLeave:
+        Decide("leave", subject, decision.reason);
+        phase_ = MemberPhase::kLeft;
+        ports_.set_phase(phase_);
+        break;
+    }
+  }
+}
+
+ServiceSlots AgentEngine::SlotsOfService() const {
+  ServiceSlots slots;
+  slots.own = options_.slots;
+  slots.total = options_.slots;
+  for (const RosterEntry& entry : roster_) {
+    if (entry.data == options_.identity.data) continue;
+    // An upstream that has left for good is no part of the service any more.
+    if (entry.phase == MemberPhase::kLeft) continue;
+    slots.total += entry.slots;
+    if (entry.phase != MemberPhase::kReady) slots.withdrawn += entry.slots;
+  }
+  return slots;
+}
+
+void AgentEngine::StepOutlierNow(TimePoint now) {
+  OutlierStep step = StepOutlier(std::move(executor_.outlier()),
+                                 SlotsOfService(), situation_.context, now);
+  executor_.outlier() = std::move(step.state);
+  const std::string subject = ToString(options_.upstream);
+  switch (step.action) {
+    case OutlierAction::kNone:
+      return;
+    case OutlierAction::kEject:
+      Decide("eject_upstream", subject, step.reason);
+      return;
+    case OutlierAction::kRefuseEjection:
+      Decide("refuse_ejection", subject, step.reason);
+      return;
+    case OutlierAction::kReturn:
+      Decide("return_upstream", subject, step.reason);
+      return;
+  }
+}
+
+void AgentEngine::Decide(const char* action, const std::string& subject,
+                         const Reason& reason) {
+  decisions_.Record(action, subject, reason, MonotonicNow());
+}
+
+void AgentEngine::Emit(AccountEntry entry) {
+  std::string facts;
+  for (const auto& [name, value] : entry.reason.facts) {
+    facts += (facts.empty() ? "" : ",") + name + ":" + value;
+  }
+  Log(LogLevel::kInfo, entry.action,
+      {{"service", entry.service},
+       {"subject", entry.subject},
+       {"rule", entry.reason.rule},
+       {"document_version",
+        static_cast<int64_t>(entry.reason.document_version)},
+       {"path", entry.reason.path},
+       {"facts", facts}});
+  ports_.account(std::move(entry));
+}
+
+void AgentEngine::SetGauges() {
+  metrics_.Set("medlarwinch_flows", {}, static_cast<double>(transport_.flows()));
+  metrics_.Set("medlarwinch_requests_in_progress", {},
+               static_cast<double>(executor_.in_progress()));
+  metrics_.Set("medlarwinch_ledger_keys", {},
+               static_cast<double>(executor_.keys().ledger_size()));
+  metrics_.Set("medlarwinch_key_home_records", {},
+               static_cast<double>(executor_.keys().home_records()));
+}
+
+bool AgentEngine::HasLeft() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return drain_.phase == DrainPhase::kLeft;
+}
+
+UpstreamLoad AgentEngine::TakeLoad() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  UpstreamLoad load = executor_.TakeLoad();
+  load.flows = static_cast<uint32_t>(transport_.flows());
+  return load;
+}
+
+std::string AgentEngine::StatusJson(const std::string& control) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json status;
+  status["service"] = options_.identity.service;
+  status["phase"] = MemberPhaseName(phase_);
+  status["flows"] = transport_.flows();
+  status["requests_in_flight"] = executor_.in_progress();
+  status["responses_unacknowledged"] = transport_.responses();
+  status["ledger_keys"] = executor_.keys().ledger_size();
+  status["key_home_records"] = executor_.keys().home_records();
+  status["document_version"] = situation_.context.version;
+  status["mean_flows_per_slot"] = mean_flows_per_slot_;
+  status["drain"]["active"] = situation_.draining;
+  if (situation_.draining) {
+    status["drain"]["trigger"] = DrainTriggerName(drain_.trigger);
+    status["drain"]["elapsed_ms"] = (MonotonicNow() - drain_.started).value;
+    status["drain"]["open_key_transfers"] = executor_.keys().open_transfers();
+  }
+  status["control"] =
+      nlohmann::json::parse(control.empty() ? "{}" : control, nullptr, false);
+  return status.dump();
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/daemon/src/key_service.cc
@@ -0,0 +1,461 @@
+#include "medlarwinch/daemon/key_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "medlarwinch/coordination/rendezvous.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kTransferInterval{200};
+// After this many unanswered sends the receiver counts as gone; two other homes
+// still have the record.
+constexpr int kMaxTransferSends = 10;
+constexpr uint64_t kHighSeed = 1;
+constexpr uint64_t kLowSeed = 2;
+
+std::optional<KeyHolder> Superseded(const KeyReserve& message) {
+  if (message.superseded.port == 0) return std::nullopt;
+  return KeyHolder{message.superseded, message.superseded_boot};
+}
+
+}  // namespace
+
+KeyHash HashIdempotencyKey(const std::string& service, const std::string& key) {
+  const std::string text = service + '\0' + key;
+  return KeyHash{HashKey(text, kHighSeed), HashKey(text, kLowSeed)};
+}
+
+KeyService::KeyService(AgentIdentity identity, const AgentSituation& situation,
+                       KeyServicePorts ports)
+    : identity_(std::move(identity)),
+      situation_(situation),
+      ports_(std::move(ports)) {}
+
+void KeyService::Begin(const CallerRequestId& id, const KeyedRequest& request,
+                       TimePoint now) {
+  BeginStep begun = BeginRequest(std::move(ledger_), request.key,
+                                 request.attempt, ledger_limits(), now);
+  ledger_ = std::move(begun.ledger);
+  const DocumentContext& context = situation_.context;
+  if (begun.result == BeginResult::kKnown) {
+    AnswerKnown(id, request, begun.known);
+    return;
+  }
+  if (begun.result == BeginResult::kFull) {
+    const bool is_first = request.attempt == 1;
+    ports_.refuse(id, is_first ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                  MakeReason(context, "ledger_full", "idempotency.max_keys"));
+    return;
+  }
+  KeyAttemptStart start;
+  start.key = request.key;
+  start.self = AgentBoot{identity_.data, BootTag(identity_.boot)};
+  start.attempt = request.attempt;
+  start.homes = ChooseKeyHomes(request.key, situation_.ready);
+  start.refusal = request.refusal;
+  start.deadline = request.deadline;
+  const std::optional<FlowIdentifier> earlier = VerifyFlowIdentifier(
+      *situation_.keys, identity_.service, request.earlier_flow);
+  if (earlier.has_value()) {
+    start.earlier = AgentBoot{earlier->agent, earlier->boot_tag};
+  }
+  const bool is_unverifiable =
+      !earlier.has_value() && !request.earlier_flow.empty();
+  const bool is_too_old =
+      request.attempt > 1 &&
+      request.age.value > context.document.idempotency.retention.value / 2;
+  OpenAttempt& open = attempts_[id];
+  open.query = next_query_++;
+  attempts_by_query_[open.query] = id;
+  attempts_by_key_[request.key] = id;
+  if (is_unverifiable || is_too_old) {
+    open.attempt.start = std::move(start);
+    const char* rule = is_too_old ? "older_than_half_of_retention"
+                                  : "earlier_flow_not_verifiable";
+    Perform(id,
+            RefuseKey{Verdict::kMayHaveRun,
+                      MakeReason(context, rule, "idempotency.retention_ms")},
+            now);
+    return;
+  }
+  Apply(id, StartKeyAttempt(std::move(start), context, now), now);
+}
+
+void KeyService::AnswerKnown(const CallerRequestId& id,
+                             const KeyedRequest& request,
+                             const LedgerEntry& entry) {
+  const DocumentContext& context = situation_.context;
+  switch (entry.state) {
+    case LedgerState::kReserving:
+    case LedgerState::kRunning:
+      waiters_[id] = Waiter{request.key, request.deadline};
+      return;
+    case LedgerState::kRan:
+      if (entry.answer != nullptr) {
+        ports_.relay(id, entry.status, entry.answer);
+        return;
+      }
+      ports_.refuse(id, Verdict::kMayHaveRun,
+                    MakeReason(context, "answer_not_stored", ""));
+      return;
+    case LedgerState::kMayHaveRun:
+      ports_.refuse(id, Verdict::kMayHaveRun,
+                    MakeReason(context, "earlier_attempt_may_have_run", ""));
+      return;
+    case LedgerState::kWithdrawn:
+      // The proof covers this agent only; what attempts before this one did at
+      // other agents is not known here.
+      ports_.refuse(
+          id, request.attempt == 1 ? Verdict::kNotRun : Verdict::kMayHaveRun,
+          MakeReason(context, "attempt_withdrawn", ""));
+      return;
+    case LedgerState::kCancelled:
+      ports_.refuse(id, Verdict::kMayHaveRun,
+                    MakeReason(context, "cancelled_by_later_attempt", ""));
+      return;
+  }
+}
+
+void KeyService::AnswerWaiters(TimePoint now) {
+  std::vector<std::pair<CallerRequestId, Waiter>> ready;
+  for (const auto& [id, waiter] : waiters_) {
+    const auto found = ledger_.entries.find(waiter.key);
+    const bool is_open =
+        found != ledger_.entries.end() &&
+        (found->second.state == LedgerState::kReserving ||
+         found->second.state == LedgerState::kRunning);
+    if (is_open && now < waiter.deadline) continue;
+    ready.emplace_back(id, waiter);
+  }
+  for (const auto& [id, waiter] : ready) {
+    waiters_.erase(id);
+    const auto found = ledger_.entries.find(waiter.key);
+    const bool is_open =
+        found == ledger_.entries.end() ||
+        found->second.state == LedgerState::kReserving ||
+        found->second.state == LedgerState::kRunning;
+    // The attempt that was waited for did not run, but a later one may.
+    const bool is_withdrawn = !is_open &&
+                              found->second.state == LedgerState::kWithdrawn;
+    if (is_open || is_withdrawn) {
+      ports_.refuse(id, Verdict::kMayHaveRun,
+                    MakeReason(situation_.context, "waited_for_other_attempt",
+                               "requests.timeout_ms"));
+      continue;
+    }
+    KeyedRequest request;
+    request.key = waiter.key;
+    AnswerKnown(id, request, found->second);
+  }
+}
+
+void KeyService::Abandon(const CallerRequestId& id, TimePoint now) {
+  waiters_.erase(id);
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const KeyAttemptStart start = found->second.attempt.start;
+  attempts_by_query_.erase(found->second.query);
+  attempts_by_key_.erase(start.key);
+  attempts_.erase(found);
+  Withdraw(start.key, start.attempt, now);
+}
+
+void KeyService::End(const KeyHash& key, LedgerState state, uint16_t status,
+                     StoredAnswer answer, TimePoint now) {
+  ledger_ = EndRequest(std::move(ledger_), key, state, status,
+                       std::move(answer), ledger_limits(), now);
+}
+
+bool KeyService::Withdraw(const KeyHash& key, uint32_t attempt,
+                          TimePoint now) {
+  WithdrawStep step = WithdrawRequest(std::move(ledger_), key, attempt,
+                                      ledger_limits(), now);
+  ledger_ = std::move(step.ledger);
+  return step.is_proof;
+}
+
+void KeyService::OnMessage(const Endpoint& from, const DataMessage& message,
+                           TimePoint now) {
+  std::visit(
+      [&](const auto& content) {
+        using Content = std::decay_t<decltype(content)>;
+        if constexpr (!std::is_same_v<Content, ForwardedPacket>) {
+          Handle(from, content, now);
+        }
+      },
+      message);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyReserve& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  const KeyHolder holder{message.holder, message.holder_boot};
+  const ReserveStep step =
+      ReserveHere(message.key, holder, Superseded(message), now);
+  KeyReserveReply reply;
+  reply.query = message.query;
+  reply.key = message.key;
+  reply.state = step.state;
+  reply.holder = step.holder.agent;
+  reply.holder_boot = step.holder.boot;
+  ports_.send(from, reply);
+}
+
+ReserveStep KeyService::ReserveHere(const KeyHash& key, const KeyHolder& holder,
+                                    const std::optional<KeyHolder>& superseded,
+                                    TimePoint now) {
+  ReserveStep step = ReserveKey(std::move(home_), key, holder, superseded,
+                                home_limits(), now);
+  home_ = std::move(step.home);
+  step.home = KeyHome{};
+  if (situation_.draining && step.state == ReserveState::kGranted) {
+    // The holder's roster still names this agent; the next home needs the
+    // record as well.
+    KeyHome granted;
+    granted.records[key] = home_.records[key];
+    std::vector<Endpoint> before = situation_.ready;
+    before.push_back(identity_.data);
+    StartTransfers(PlanKeyTransfers(granted, before, situation_.ready, now),
+                   now);
+  }
+  return step;
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyReserveReply& message,
+                        TimePoint now) {
+  const auto query = attempts_by_query_.find(message.query);
+  if (query == attempts_by_query_.end()) return;
+  const CallerRequestId id = query->second;
+  OpenAttempt& open = attempts_[id];
+  if (open.attempt.start.key != message.key) return;
+  Apply(id,
+        OnReserveAnswer(std::move(open.attempt), from, message.state,
+                        KeyHolder{message.holder, message.holder_boot},
+                        BootTag(message.holder_boot), situation_.context, now),
+        now);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyQuery& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  KeyQueryReply reply;
+  reply.query = message.query;
+  reply.key = message.key;
+  reply.state = KeyState::kOtherBoot;
+  if (message.boot_tag == BootTag(identity_.boot)) {
+    QueryStep step = QueryRequest(std::move(ledger_), message.key,
+                                  ledger_limits(), now);
+    ledger_ = std::move(step.ledger);
+    reply.state = step.state;
+    reply.status = step.status;
+    reply.has_answer = step.answer != nullptr;
+    if (step.answer != nullptr) reply.answer = *step.answer;
+    if (step.aborted) AbortAttempt(message.key, now);
+  }
+  ports_.send(from, reply);
+}
+
+void KeyService::AbortAttempt(const KeyHash& key, TimePoint now) {
+  const auto found = attempts_by_key_.find(key);
+  if (found == attempts_by_key_.end()) return;
+  const CallerRequestId id = found->second;
+  Apply(id,
+        AbortKeyAttempt(std::move(attempts_[id].attempt), situation_.context),
+        now);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyQueryReply& message,
+                        TimePoint now) {
+  const auto query = attempts_by_query_.find(message.query);
+  if (query == attempts_by_query_.end()) return;
+  const CallerRequestId id = query->second;
+  OpenAttempt& open = attempts_[id];
+  const std::optional<AgentBoot> asked = open.attempt.asked;
+  const bool is_ours = open.attempt.start.key == message.key &&
+                       asked.has_value() && asked->agent == from;
+  if (!is_ours) return;
+  relayed_status_ = message.status;
+  relayed_answer_ =
+      std::make_shared<const std::vector<uint8_t>>(message.answer);
+  Apply(id,
+        OnKeyAnswer(std::move(open.attempt), *asked, message.state,
+                    message.has_answer, situation_.context, now),
+        now);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyTransfer& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  std::vector<MovedKey> keys;
+  keys.reserve(message.records.size());
+  for (const KeyRecord& record : message.records) {
+    keys.push_back(MovedKey{record.key,
+                            KeyHolder{record.holder, record.holder_boot},
+                            Millis{record.remaining_ms}});
+  }
+  home_ = AdoptKeys(std::move(home_), keys, home_limits(), now);
+  ports_.send(from, KeyTransferReply{message.query});
+}
+
+void KeyService::Handle(const Endpoint& /*from*/,
+                        const KeyTransferReply& message, TimePoint /*now*/) {
+  transfers_.erase(message.query);
+}
+
+void KeyService::OnReadyChanged(const std::vector<Endpoint>& before,
+                                const std::vector<Endpoint>& after,
+                                TimePoint now) {
+  StartTransfers(PlanKeyTransfers(home_, before, after, now), now);
+}
+
+void KeyService::StartTransfers(
+    const std::map<Endpoint, std::vector<MovedKey>>& plan, TimePoint now) {
+  for (const auto& [receiver, keys] : plan) {
+    if (receiver == identity_.data) continue;
+    for (size_t first = 0; first < keys.size();
+         first += kMaxTransferredRecords) {
+      const size_t last =
+          std::min<size_t>(keys.size(), first + kMaxTransferredRecords);
+      Transfer transfer;
+      transfer.to = receiver;
+      transfer.message.query = next_query_++;
+      transfer.message.service = identity_.service;
+      transfer.next_send = now;
+      for (size_t index = first; index < last; ++index) {
+        const MovedKey& moved = keys[index];
+        transfer.message.records.push_back(
+            KeyRecord{moved.key, moved.holder.agent, moved.holder.boot,
+                      static_cast<uint32_t>(moved.remaining.value)});
+      }
+      transfers_.emplace(transfer.message.query, std::move(transfer));
+    }
+  }
+}
+
+void KeyService::Tick(TimePoint now) {
+  std::vector<CallerRequestId> open;
+  open.reserve(attempts_.size());
+  for (const auto& entry : attempts_) open.push_back(entry.first);
+  for (const CallerRequestId& id : open) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    Apply(id,
+          OnKeyAttemptTick(std::move(found->second.attempt),
+                           situation_.context, now),
+          now);
+  }
+  AnswerWaiters(now);
+  for (auto entry = transfers_.begin(); entry != transfers_.end();) {
+    Transfer& transfer = entry->second;
+    if (now >= transfer.next_send) {
+      if (transfer.sends >= kMaxTransferSends) {
+        entry = transfers_.erase(entry);
+        continue;
+      }
+      ++transfer.sends;
+      transfer.next_send = now + kTransferInterval;
+      ports_.send(transfer.to, transfer.message);
+    }
+    ++entry;
+  }
+}
+
+void KeyService::Apply(const CallerRequestId& id, KeyAttemptStep step,
+                       TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  found->second.attempt = std::move(step.attempt);
+  for (const KeyAttemptAction& action : step.actions) {
+    // An earlier action may have ended the attempt.
+    if (!attempts_.contains(id)) return;
+    std::visit([&](const auto& content) { Perform(id, content, now); }, action);
+  }
+}
+
+void KeyService::Perform(const CallerRequestId& id, const SendKeyQuery& action,
+                         TimePoint /*now*/) {
+  const OpenAttempt& open = attempts_[id];
+  ports_.send(action.to.agent,
+              KeyQuery{open.query, identity_.service, open.attempt.start.key,
+                       action.to.boot_tag});
+}
+
+void KeyService::Perform(const CallerRequestId& id,
+                         const SendKeyReserve& action, TimePoint now) {
+  OpenAttempt& open = attempts_[id];
+  const KeyHolder self{identity_.data, identity_.boot};
+  const KeyHash key = open.attempt.start.key;
+  if (action.home == identity_.data) {
+    const ReserveStep step = ReserveHere(key, self, action.superseded, now);
+    Apply(id,
+          OnReserveAnswer(std::move(open.attempt), action.home, step.state,
+                          step.holder, BootTag(step.holder.boot),
+                          situation_.context, now),
+          now);
+    return;
+  }
+  KeyReserve message{open.query, identity_.service, key,
+                     self.agent, self.boot,         {}, 0};
+  if (action.superseded.has_value()) {
+    message.superseded = action.superseded->agent;
+    message.superseded_boot = action.superseded->boot;
+  }
+  ports_.send(action.home, message);
+}
+
+void KeyService::Perform(const CallerRequestId& id,
+                         const HandOverKey& /*action*/, TimePoint /*now*/) {
+  const OpenAttempt open = std::move(attempts_[id]);
+  attempts_by_query_.erase(open.query);
+  attempts_by_key_.erase(open.attempt.start.key);
+  attempts_.erase(id);
+  HandOverStep step =
+      HandOverRequest(std::move(ledger_), open.attempt.start.key);
+  ledger_ = std::move(step.ledger);
+  if (step.may_run) {
+    ports_.hand_over(id);
+    return;
+  }
+  ports_.refuse(id, Verdict::kMayHaveRun,
+                MakeReason(situation_.context, "cancelled_by_later_attempt",
+                           ""));
+}
+
+void KeyService::Perform(const CallerRequestId& id,
+                         const RelayStoredAnswer& /*action*/, TimePoint now) {
+  const uint16_t status = relayed_status_;
+  const StoredAnswer answer = relayed_answer_;
+  Abandon(id, now);
+  ports_.relay(id, status, answer);
+}
+
+void KeyService::Perform(const CallerRequestId& id, const RefuseKey& action,
+                         TimePoint now) {
+  const OpenAttempt open = std::move(attempts_[id]);
+  const KeyAttemptStart& start = open.attempt.start;
+  attempts_by_query_.erase(open.query);
+  attempts_by_key_.erase(start.key);
+  attempts_.erase(id);
+  const bool is_proof = Withdraw(start.key, start.attempt, now);
+  const bool is_not_run = action.verdict == Verdict::kNotRun && is_proof;
+  ports_.refuse(id, is_not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                action.reason);
+}
+
+LedgerLimits KeyService::ledger_limits() const {
+  const IdempotencyPolicy& policy = situation_.context.document.idempotency;
+  LedgerLimits limits;
+  limits.retention = policy.retention;
+  limits.max_keys = policy.max_keys;
+  return limits;
+}
+
+KeyHomeLimits KeyService::home_limits() const {
+  const IdempotencyPolicy& policy = situation_.context.document.idempotency;
+  return KeyHomeLimits{policy.retention, policy.max_keys};
+}
+
+}  // namespace medlarwinch
