Add the process of the agent

RunAgent starts the control plane, the account writer, the administration server, the data socket and a CAF actor that drives timers, readiness and drain. POST /drain at the administration address is the upstream's own way to ask for its drain.

--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/agent_actor.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <caf/actor.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <memory>
+
+#include "medlarwinch/daemon/agent_engine.h"
+
+namespace medlarwinch {
+
+/// Hands the newest view to the agent's actor.
+struct AgentViewMessage {
+  std::shared_ptr<const ControlView> view;
+};
+
+/// Starts the actor that drives an agent's timers, its readiness and its drain:
+/// it ticks the engine, passes views and termination signals to it, and marks
+/// it ready once the upstream accepts connections. `engine` must outlive the
+/// actor.
+caf::actor SpawnAgentActor(caf::actor_system& system, AgentEngine* engine);
+
+}  // namespace medlarwinch
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(medlarwinch::AgentViewMessage)
--- a/packages/daemon/include/medlarwinch/daemon/agent_engine.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -56,9 +56,15 @@
   /// Takes the newest view of the control plane.
   void OnView(const ControlView& view);
 
+  /// Tries to connect to the upstream; a success marks the agent as ready.
+  void ProbeUpstream();
+
   /// Marks the upstream as able to take requests; slow start begins.
   void SetReady();
 
+  /// True from SetReady() on.
+  bool IsReady() const;
+
   /// Asks for a drain.
   void DrainBySignal();
   void DrainByUpstream();
--- a/packages/daemon/include/medlarwinch/daemon/upstream_client.h
+++ b/packages/daemon/include/medlarwinch/daemon/upstream_client.h
@@ -68,6 +68,10 @@
   /// Starts an exchange and returns its number, which is never 0.
   uint64_t Start(UpstreamRequest request, UpstreamEvents events);
 
+  /// Reports on the thread of the io_context whether the upstream accepts a
+  /// connection within a second.
+  void Probe(std::function<void(bool accepts)> done);
+
   /// Goes on reading after on_data returned false.
   void Resume(uint64_t exchange);
 
--- /dev/null
+++ b/packages/daemon/src/agent.cc
@@ -0,0 +1,206 @@
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <caf/all.hpp>
+#include <chrono>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "medlarwinch/daemon/account_writer.h"
+#include "medlarwinch/daemon/agent_actor.h"
+#include "medlarwinch/daemon/agent_engine.h"
+#include "medlarwinch/daemon/control_plane.h"
+#include "medlarwinch/daemon/roles.h"
+#include "medlarwinch/transport/http_server.h"
+#include "medlarwinch/transport/log.h"
+#include "medlarwinch/transport/system_clock.h"
+#include "medlarwinch/transport/udp_socket.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr int kDataThreads = 2;
+constexpr std::chrono::milliseconds kPoll{20};
+// The announcement of the phase `left` and its repetitions go out within this
+// time.
+constexpr std::chrono::milliseconds kAnnounceLeft{300};
+
+int FailStart(const Error& error) {
+  Log(LogLevel::kError, "agent_start_failed",
+      {{"code", ErrorCodeName(error.code)}, {"error", error.message}});
+  return 1;
+}
+
+HttpResponse ServeAdmin(const HttpRequest& request, const Metrics& metrics,
+                        const ControlPlane& control, AgentEngine& engine) {
+  const std::string path = ParseTarget(request.target).path;
+  if (request.method == "GET" && path == "/metrics") {
+    return HttpResponse{200, "text/plain; version=0.0.4", metrics.Render()};
+  }
+  if (request.method == "GET" && path == "/status") {
+    return HttpResponse{200, "application/json",
+                        engine.StatusJson(control.StatusJson())};
+  }
+  if (request.method == "POST" && path == "/drain") {
+    engine.DrainByUpstream();
+    return HttpResponse{202, "text/plain", "draining\n"};
+  }
+  return HttpResponse{404, "text/plain",
+                      "known: GET /metrics, GET /status, POST /drain\n"};
+}
+
+// Runs the io_context of the upstream's connections on a thread of its own.
+class IoThread {
+ public:
+  IoThread()
+      : guard_(boost::asio::make_work_guard(context_)),
+        thread_([this] { context_.run(); }) {}
+  ~IoThread() { Stop(); }
+  IoThread(const IoThread&) = delete;
+  IoThread& operator=(const IoThread&) = delete;
+
+  boost::asio::io_context& context() { return context_; }
+
+  void Stop() {
+    context_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_;
+  std::thread thread_;
+};
+
+void StopActor(caf::actor_system& system, const caf::actor& actor) {
+  caf::scoped_actor self(system);
+  self->send_exit(actor, caf::exit_reason::user_shutdown);
+  self->wait_for(actor);
+}
+
+AgentEngineOptions EngineOptions(const Settings& settings, int64_t boot) {
+  AgentEngineOptions options;
+  options.identity =
+      AgentIdentity{settings.agent->service, settings.data, boot};
+  options.upstream = settings.agent->upstream;
+  options.slots = settings.agent->slots;
+  options.fleet_key = settings.fleet_key;
+  options.seed = std::random_device{}();
+  return options;
+}
+
+// The parts of a running agent, in the order in which they are made.
+class AgentProcess {
+ public:
+  AgentProcess(caf::actor_system& system, const Settings& settings)
+      : system_(system),
+        settings_(settings),
+        account_(system, settings, metrics_) {}
+  ~AgentProcess() {
+    // The engine is called by all of these, and it calls the control plane.
+    admin_.reset();
+    if (actor_) StopActor(system_, actor_);
+    if (socket_ != nullptr) socket_->Stop();
+    io_.Stop();
+    control_.reset();
+  }
+  AgentProcess(const AgentProcess&) = delete;
+  AgentProcess& operator=(const AgentProcess&) = delete;
+
+  Result<Ok> Start() {
+    Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(settings_.data);
+    if (!IsOk(socket)) return ErrorOf(socket);
+    socket_ = TakeValue(std::move(socket));
+    const Result<Ok> controlled = StartControl();
+    if (!IsOk(controlled)) return controlled;
+    Result<std::unique_ptr<HttpServer>> admin =
+        HttpServer::Listen(settings_.admin, [this](const HttpRequest& request) {
+          return ServeAdmin(request, metrics_, *control_, *engine_);
+        });
+    if (!IsOk(admin)) return ErrorOf(admin);
+    admin_ = TakeValue(std::move(admin));
+    socket_->Start(
+        [this](const Endpoint& from, ByteView datagram) {
+          engine_->OnDatagram(from, datagram);
+        },
+        kDataThreads);
+    return Ok{};
+  }
+
+  void ServeUntilDrained() {
+    while (!engine_->HasLeft()) std::this_thread::sleep_for(kPoll);
+    std::this_thread::sleep_for(kAnnounceLeft);
+  }
+
+ private:
+  // The boot time of the identifiers must be the one that the member entry
+  // announces, so the engine is made with what the control plane chose.
+  Result<Ok> StartControl() {
+    ControlPlaneHooks hooks;
+    hooks.account = [this](AccountEntry entry) {
+      account_.Record(std::move(entry));
+    };
+    hooks.on_view = [this](const std::shared_ptr<const ControlView>& view) {
+      const std::lock_guard<std::mutex> lock(actor_mutex_);
+      if (actor_) caf::anon_send(actor_, AgentViewMessage{view});
+    };
+    hooks.load = [this] {
+      const std::lock_guard<std::mutex> lock(actor_mutex_);
+      return engine_ == nullptr ? UpstreamLoad{} : engine_->TakeLoad();
+    };
+    Result<std::unique_ptr<ControlPlane>> control = ControlPlane::Start(
+        system_, settings_, MemberKind::kAgent, hooks, metrics_);
+    if (!IsOk(control)) return ErrorOf(control);
+    control_ = TakeValue(std::move(control));
+    const std::shared_ptr<const ControlView> view = control_->view();
+    std::unique_ptr<AgentEngine> engine = std::make_unique<AgentEngine>(
+        EngineOptions(settings_, view->self.version.boot),
+        AgentEnginePorts{
+            [this](const Endpoint& to, ByteView datagram) {
+              socket_->Send(to, datagram);
+            },
+            [this](MemberPhase phase) { control_->SetPhase(phase); },
+            hooks.account},
+        io_.context(), metrics_);
+    engine->OnView(*view);
+    const std::lock_guard<std::mutex> lock(actor_mutex_);
+    engine_ = std::move(engine);
+    actor_ = SpawnAgentActor(system_, engine_.get());
+    return Ok{};
+  }
+
+  caf::actor_system& system_;
+  const Settings& settings_;
+  Metrics metrics_;
+  AccountWriter account_;
+  IoThread io_;
+  std::unique_ptr<UdpSocket> socket_;
+  std::unique_ptr<ControlPlane> control_;
+  std::unique_ptr<AgentEngine> engine_;
+  std::mutex actor_mutex_;
+  caf::actor actor_;
+  std::unique_ptr<HttpServer> admin_;
+};
+
+int Serve(caf::actor_system& system, const Settings& settings) {
+  AgentProcess process(system, settings);
+  const Result<Ok> started = process.Start();
+  if (!IsOk(started)) return FailStart(ErrorOf(started));
+  process.ServeUntilDrained();
+  return 0;
+}
+
+}  // namespace
+
+int RunAgent(const Settings& settings) {
+  InitLog(ParseLogLevel(settings.log_level), "agent/" + settings.name);
+  caf::actor_system_config config;
+  config.set("scheduler.max-threads", size_t{2});
+  caf::actor_system system(config);
+  const int code = Serve(system, settings);
+  Log(LogLevel::kInfo, "agent_stopped", {{"code", static_cast<int64_t>(code)}});
+  return code;
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/agent_engine.cc
+++ b/packages/daemon/src/agent_engine.cc
@@ -38,27 +38,28 @@
       decisions_(options.identity.service,
                  [this](AccountEntry entry) { Emit(std::move(entry)); }),
       upstream_(context, options.upstream),
-      executor_(
-          options.identity, situation_, upstream_,
-          RequestExecutorPorts{
-              [this](const Endpoint& to, const DataMessage& message) {
-                ports_.send(to, EncodeDataMessage(seal_key_, message));
-              },
-              [this](const std::function<void()>& function) {
-                const std::lock_guard<std::mutex> lock(mutex_);
-                function();
-              },
-              MonotonicNow,
-              [this](const char* action, const std::string& subject,
-                     const Reason& reason) { Decide(action, subject, reason); }},
-          metrics),
-      transport_(options.identity, options.seed,
-                 ThinTransportPorts{
-                     ports_.send, [this] { return situation_.keys; },
-                     [this](const ForwardedPacket& packet) {
-                       return DecideFlow(packet);
-                     }},
-                 executor_, metrics) {
+      executor_(options.identity, situation_, upstream_,
+                RequestExecutorPorts{
+                    [this](const Endpoint& to, const DataMessage& message) {
+                      ports_.send(to, EncodeDataMessage(seal_key_, message));
+                    },
+                    [this](const std::function<void()>& function) {
+                      const std::lock_guard<std::mutex> lock(mutex_);
+                      function();
+                    },
+                    MonotonicNow,
+                    [this](const char* action, const std::string& subject,
+                           const Reason& reason) {
+                      Decide(action, subject, reason);
+                    }},
+                metrics),
+      transport_(
+          options.identity, options.seed,
+          ThinTransportPorts{ports_.send, [this] { return situation_.keys; },
+                             [this](const ForwardedPacket& packet) {
+                               return DecideFlow(packet);
+                             }},
+          executor_, metrics) {
   situation_.context.document.service = options.identity.service;
   situation_.keys =
       std::make_shared<const KeySet>(options.fleet_key, KeyRing{});
@@ -149,12 +150,25 @@
   executor_.keys().OnReadyChanged(before, situation_.ready, MonotonicNow());
 }
 
+void AgentEngine::ProbeUpstream() {
+  upstream_.Probe([this](bool accepts) {
+    if (accepts) SetReady();
+  });
+}
+
+bool AgentEngine::IsReady() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return phase_ != MemberPhase::kStarting;
+}
+
 void AgentEngine::SetReady() {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (phase_ != MemberPhase::kStarting) return;
   phase_ = MemberPhase::kReady;
   warm_since_ = MonotonicNow();
   ports_.set_phase(phase_);
+  Log(LogLevel::kInfo, "agent_ready",
+      {{"upstream", ToString(options_.upstream)}});
 }
 
 void AgentEngine::DrainBySignal() {
@@ -273,7 +287,8 @@
 }
 
 void AgentEngine::SetGauges() {
-  metrics_.Set("medlarwinch_flows", {}, static_cast<double>(transport_.flows()));
+  metrics_.Set("medlarwinch_flows", {},
+               static_cast<double>(transport_.flows()));
   metrics_.Set("medlarwinch_requests_in_progress", {},
                static_cast<double>(executor_.in_progress()));
   metrics_.Set("medlarwinch_ledger_keys", {},
--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -123,23 +123,21 @@
   std::vector<std::pair<CallerRequestId, Waiter>> ready;
   for (const auto& [id, waiter] : waiters_) {
     const auto found = ledger_.entries.find(waiter.key);
-    const bool is_open =
-        found != ledger_.entries.end() &&
-        (found->second.state == LedgerState::kReserving ||
-         found->second.state == LedgerState::kRunning);
+    const bool is_open = found != ledger_.entries.end() &&
+                         (found->second.state == LedgerState::kReserving ||
+                          found->second.state == LedgerState::kRunning);
     if (is_open && now < waiter.deadline) continue;
     ready.emplace_back(id, waiter);
   }
   for (const auto& [id, waiter] : ready) {
     waiters_.erase(id);
     const auto found = ledger_.entries.find(waiter.key);
-    const bool is_open =
-        found == ledger_.entries.end() ||
-        found->second.state == LedgerState::kReserving ||
-        found->second.state == LedgerState::kRunning;
+    const bool is_open = found == ledger_.entries.end() ||
+                         found->second.state == LedgerState::kReserving ||
+                         found->second.state == LedgerState::kRunning;
     // The attempt that was waited for did not run, but a later one may.
-    const bool is_withdrawn = !is_open &&
-                              found->second.state == LedgerState::kWithdrawn;
+    const bool is_withdrawn =
+        !is_open && found->second.state == LedgerState::kWithdrawn;
     if (is_open || is_withdrawn) {
       ports_.refuse(id, Verdict::kMayHaveRun,
                     MakeReason(situation_.context, "waited_for_other_attempt",
@@ -169,10 +167,9 @@
                        std::move(answer), ledger_limits(), now);
 }
 
-bool KeyService::Withdraw(const KeyHash& key, uint32_t attempt,
-                          TimePoint now) {
-  WithdrawStep step = WithdrawRequest(std::move(ledger_), key, attempt,
-                                      ledger_limits(), now);
+bool KeyService::Withdraw(const KeyHash& key, uint32_t attempt, TimePoint now) {
+  WithdrawStep step =
+      WithdrawRequest(std::move(ledger_), key, attempt, ledger_limits(), now);
   ledger_ = std::move(step.ledger);
   return step.is_proof;
 }
@@ -207,8 +204,8 @@
 ReserveStep KeyService::ReserveHere(const KeyHash& key, const KeyHolder& holder,
                                     const std::optional<KeyHolder>& superseded,
                                     TimePoint now) {
-  ReserveStep step = ReserveKey(std::move(home_), key, holder, superseded,
-                                home_limits(), now);
+  ReserveStep step =
+      ReserveKey(std::move(home_), key, holder, superseded, home_limits(), now);
   home_ = std::move(step.home);
   step.home = KeyHome{};
   if (situation_.draining && step.state == ReserveState::kGranted) {
@@ -246,8 +243,8 @@
   reply.key = message.key;
   reply.state = KeyState::kOtherBoot;
   if (message.boot_tag == BootTag(identity_.boot)) {
-    QueryStep step = QueryRequest(std::move(ledger_), message.key,
-                                  ledger_limits(), now);
+    QueryStep step =
+        QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
     ledger_ = std::move(step.ledger);
     reply.state = step.state;
     reply.status = step.status;
@@ -343,8 +340,8 @@
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) continue;
     Apply(id,
-          OnKeyAttemptTick(std::move(found->second.attempt),
-                           situation_.context, now),
+          OnKeyAttemptTick(std::move(found->second.attempt), situation_.context,
+                           now),
           now);
   }
   AnswerWaiters(now);
@@ -397,8 +394,8 @@
           now);
     return;
   }
-  KeyReserve message{open.query, identity_.service, key,
-                     self.agent, self.boot,         {}, 0};
+  KeyReserve message{
+      open.query, identity_.service, key, self.agent, self.boot, {}, 0};
   if (action.superseded.has_value()) {
     message.superseded = action.superseded->agent;
     message.superseded_boot = action.superseded->boot;
@@ -419,9 +416,9 @@
     ports_.hand_over(id);
     return;
   }
-  ports_.refuse(id, Verdict::kMayHaveRun,
-                MakeReason(situation_.context, "cancelled_by_later_attempt",
-                           ""));
+  ports_.refuse(
+      id, Verdict::kMayHaveRun,
+      MakeReason(situation_.context, "cancelled_by_later_attempt", ""));
 }
 
 void KeyService::Perform(const CallerRequestId& id,
--- a/packages/daemon/src/request_executor.cc
+++ b/packages/daemon/src/request_executor.cc
@@ -28,9 +28,9 @@
 // Visible characters only: a space or a line end would change the request that
 // the upstream reads.
 bool IsVisible(const std::string& text) {
-  return std::all_of(
-      text.begin(), text.end(),
-      [](unsigned char character) { return character > 32 && character < 127; });
+  return std::all_of(text.begin(), text.end(), [](unsigned char character) {
+    return character > 32 && character < 127;
+  });
 }
 
 bool IsWellFormed(const RequestFrame& request) {
@@ -56,18 +56,16 @@
       upstream_(upstream),
       ports_(std::move(ports)),
       metrics_(metrics),
-      keys_(identity, situation,
-            KeyServicePorts{
-                ports_.send,
-                [this](const CallerRequestId& id) { HandOver(id); },
-                [this](const CallerRequestId& id, uint16_t status,
-                       const StoredAnswer& answer) {
-                  Relay(id, status, answer);
-                },
-                [this](const CallerRequestId& id, Verdict verdict,
-                       const Reason& reason) {
-                  RefuseKeyed(id, verdict, reason);
-                }}) {}
+      keys_(
+          identity, situation,
+          KeyServicePorts{
+              ports_.send, [this](const CallerRequestId& id) { HandOver(id); },
+              [this](const CallerRequestId& id, uint16_t status,
+                     const StoredAnswer& answer) { Relay(id, status, answer); },
+              [this](const CallerRequestId& id, Verdict verdict,
+                     const Reason& reason) {
+                RefuseKeyed(id, verdict, reason);
+              }}) {}
 
 void RequestExecutor::OnRequest(const CallerRequestId& id,
                                 RequestFrame request) {
@@ -77,9 +75,9 @@
   active.frame.attempt = std::max<uint32_t>(1, active.frame.attempt);
   active.started = now;
   const Millis timeout = situation_.context.document.requests.timeout;
-  active.deadline = now + (active.frame.deadline_ms > 0
-                               ? Millis{active.frame.deadline_ms}
-                               : timeout);
+  active.deadline =
+      now + (active.frame.deadline_ms > 0 ? Millis{active.frame.deadline_ms}
+                                          : timeout);
   AdmissionStep admission = Admit(active, now);
   if (active.frame.repeatable) {
     if (!admission.refusal.has_value()) {
@@ -94,11 +92,11 @@
   // Without a key there is nothing to look up, and what an attempt before this
   // one did is unknown.
   const bool has_key = !active.frame.idempotency_key.empty();
-  if (admission.refusal.has_value() && (active.frame.attempt <= 1 || !has_key)) {
+  if (admission.refusal.has_value() &&
+      (active.frame.attempt <= 1 || !has_key)) {
     ports_.decide("shed_request", SubjectOf(id), *admission.refusal);
     Finish(id, admission.status,
-           active.frame.attempt <= 1 ? Verdict::kNotRun
-                                     : Verdict::kMayHaveRun);
+           active.frame.attempt <= 1 ? Verdict::kNotRun : Verdict::kMayHaveRun);
     return;
   }
   active.key =
@@ -123,8 +121,8 @@
   admission.slots = situation_.slots;
   admission.requests_in_flight = unanswered_;
   admission.deadline = request.deadline;
-  AdmissionStep step = AdmitRequest(std::move(admission_), admission,
-                                    situation_.context, now);
+  AdmissionStep step =
+      AdmitRequest(std::move(admission_), admission, situation_.context, now);
   admission_ = std::move(step.state);
   if (step.refusal.has_value() || request.frame.attempt <= 1) return step;
   const RetryStep retry = TakeRetry(retries_, situation_.context, now);
@@ -261,8 +259,8 @@
   const bool ran = verdict == Verdict::kRan;
   StoredAnswer answer;
   if (ran && request.is_storable) {
-    answer = std::make_shared<const std::vector<uint8_t>>(
-        std::move(request.answer));
+    answer =
+        std::make_shared<const std::vector<uint8_t>>(std::move(request.answer));
   }
   keys_.End(request.key, ran ? LedgerState::kRan : LedgerState::kMayHaveRun,
             request.status, std::move(answer), now);
@@ -292,9 +290,9 @@
   const ActiveRequest& active = found->second;
   const TimePoint now = ports_.now();
   if (active.exchange != 0 && !active.head_arrived) --unanswered_;
-  metrics_.Add("medlarwinch_requests_total",
-               {{"tenant", active.frame.tenant},
-                {"verdict", VerdictName(verdict)}});
+  metrics_.Add(
+      "medlarwinch_requests_total",
+      {{"tenant", active.frame.tenant}, {"verdict", VerdictName(verdict)}});
   metrics_.Observe("medlarwinch_request_latency_ms",
                    {{"tenant", active.frame.tenant}},
                    static_cast<double>((now - active.started).value));
@@ -349,7 +347,8 @@
   for (const auto& [id, active] : requests_) {
     const bool is_bounded =
         active.frame.deadline_ms > 0 && active.exchange != 0;
-    if (is_bounded && now > active.deadline + kDeadlineSlack) late.push_back(id);
+    if (is_bounded && now > active.deadline + kDeadlineSlack)
+      late.push_back(id);
   }
   for (const CallerRequestId& id : late) {
     ActiveRequest& active = requests_[id];
--- a/packages/daemon/src/thin_transport.cc
+++ b/packages/daemon/src/thin_transport.cc
@@ -66,7 +66,13 @@
     return;
   }
   if (!header.is_long) {
-    // A short header has nothing but the identifier to match a flow by.
+    // An epoch that is not known here may be a new one that this agent has not
+    // read yet; a Reset would break the flow, and silence makes the caller send
+    // again.
+    if (ports_.keys()->EpochKey(header.destination[0]) == nullptr) {
+      CountMalformed("unknown_epoch");
+      return;
+    }
     CountMalformed("identifier");
     SendReset(packet, header, ResetReason::kUnknownFlow);
     return;
@@ -78,8 +84,15 @@
                                        const PacketHeader& header,
                                        const FlowIdentifier& identifier,
                                        Frame frame, TimePoint now) {
-  if (identifier.agent != identity_.data ||
-      identifier.boot_tag != boot_tag_) {
+  if (identifier.agent != identity_.data) {
+    // The balancer did not know the epoch of the identifier yet.
+    ForwardedPacket forwarded = packet;
+    forwarded.candidates.clear();
+    ports_.send(identifier.agent,
+                EncodeDataMessage(ports_.keys()->seal_key(), forwarded));
+    return;
+  }
+  if (identifier.boot_tag != boot_tag_) {
     SendReset(packet, header, ResetReason::kOtherBoot);
     return;
   }
@@ -335,10 +348,10 @@
 void ThinTransport::SendFrame(uint32_t flow_number, const Flow& flow,
                               const Frame& frame) {
   const std::shared_ptr<const KeySet> keys = ports_.keys();
-  const FlowIdentifierBytes identifier = IssueFlowIdentifier(
-      *keys, identity_.service,
-      FlowIdentifier{keys->current_epoch(), identity_.data, boot_tag_,
-                     flow_number});
+  const FlowIdentifierBytes identifier =
+      IssueFlowIdentifier(*keys, identity_.service,
+                          FlowIdentifier{keys->current_epoch(), identity_.data,
+                                         boot_tag_, flow_number});
   FabricPacket packet;
   packet.service_address = flow.key.service_address;
   packet.caller = flow.key.caller;
--- a/packages/daemon/src/upstream_client.cc
+++ b/packages/daemon/src/upstream_client.cc
@@ -89,7 +89,8 @@
 
 // One request and its response. All functions run on the thread of the
 // io_context; the handlers keep the exchange alive.
-class UpstreamClient::State::Exchange : public std::enable_shared_from_this<Exchange> {
+class UpstreamClient::State::Exchange
+    : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(std::shared_ptr<State> state, uint64_t number,
            UpstreamRequest request, UpstreamEvents events)
@@ -125,11 +126,10 @@
   void Connect() {
     reused_ = false;
     connection_ = std::make_unique<Connection>(state_->context);
-    SetDeadline(std::min(request_.head_deadline,
-                         MonotonicNow() + kConnectTimeout));
+    SetDeadline(
+        std::min(request_.head_deadline, MonotonicNow() + kConnectTimeout));
     connection_->stream.async_connect(
-        state_->upstream,
-        [self = shared_from_this()](const error_code& error) {
+        state_->upstream, [self = shared_from_this()](const error_code& error) {
           if (self->ended_) return;
           if (error) {
             self->End(UpstreamEnd::kNotHandedOver);
@@ -152,7 +152,8 @@
     message_.method_string(request_.method);
     message_.target(request_.target);
     message_.set(http::field::host, state_->host);
-    for (const auto& [name, value] : request_.headers) message_.set(name, value);
+    for (const auto& [name, value] : request_.headers)
+      message_.set(name, value);
     message_.set("x-request-deadline-ms", std::to_string(remaining.value));
     message_.body().assign(request_.body.begin(), request_.body.end());
     message_.prepare_payload();
@@ -188,8 +189,7 @@
   void OnHead() {
     head_read_ = true;
     const int status = static_cast<int>(parser_->get().result_int());
-    const bool not_run =
-        status == 503 && parser_->get()["x-not-run"] == "1";
+    const bool not_run = status == 503 && parser_->get()["x-not-run"] == "1";
     events_.on_head(status, not_run);
     if (!request_.deadline_covers_body) connection_->stream.expires_never();
     if (!ended_) ReadBody();
@@ -300,6 +300,19 @@
   return number;
 }
 
+void UpstreamClient::Probe(std::function<void(bool accepts)> done) {
+  const std::shared_ptr<beast::tcp_stream> stream =
+      std::make_shared<beast::tcp_stream>(state_->context);
+  asio::post(state_->context, [state = state_, stream, done = std::move(done)] {
+    stream->expires_after(std::chrono::milliseconds(kConnectTimeout.value));
+    stream->async_connect(state->upstream,
+                          [stream, done](const error_code& error) {
+                            stream->close();
+                            done(!error);
+                          });
+  });
+}
+
 void UpstreamClient::Resume(uint64_t exchange) {
   asio::post(state_->context, [state = state_, exchange] {
     const auto found = state->exchanges.find(exchange);
