--- a/packages/daemon/src/upstream_client.cc
+++ b/packages/daemon/src/upstream_client.cc
@@ -300,6 +300,19 @@
   return number;
 }
 
+void UpstreamClient::Probe(std::function<void(bool accepts)> done) {
+  const std::shared_ptr<beast::tcp_stream> stream =
+      std::make_shared<beast::tcp_stream>(state_->context);
+  asio::post(state_->context, [state = state_, stream, done = std::move(done)] {
+    stream->expires_after(std::chrono::milliseconds(kConnectTimeout.value));
+    stream->async_connect(state->upstream,
+                          [stream, done](const error_code& error) {
+                            stream->close();
+                            done(!error);
+                          });
+  });
+}
+
 void UpstreamClient::Resume(uint64_t exchange) {
   asio::post(state_->context, [state = state_, exchange] {
     const auto found = state->exchanges.find(exchange);
