Find the owners of flows across one change of a table

Cause: a property test found flows without identifiers whose owner was not among the candidates: draining upstreams took the places of the next accepting candidate, and an upstream withdrawn for its health was cut off at the end of a full list. Change: owners are listed in the order next in rank, previous table, draining; one place is kept for a lost owner. The header states when an owner is found. Tables share unchanged indexes, and agents are grouped by service once for each rebuild instead of once for each service. Data path tests use free ports, since two runs of the tests on one machine collided on a fixed one.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -20,6 +20,7 @@
   endif()
   add_executable(${name}_tests ${sources}
                                ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+  target_include_directories(${name}_tests PRIVATE ${PROJECT_SOURCE_DIR}/cmake)
   target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK)
   target_link_libraries(${name}_tests PRIVATE Boost::unit_test_framework rapidcheck
                                               ${ARGN})
--- a/packages/coordination/include/medlarwinch/coordination/candidate_index.h
+++ b/packages/coordination/include/medlarwinch/coordination/candidate_index.h
@@ -63,8 +63,14 @@
 
   /// Returns up to `accepting` (at most kMaxAcceptingCandidates) upstreams for
   /// a new flow with `key`, followed by those that may own an established one:
-  /// the first `accepting` + 1 of the owning ranking and the first `accepting`
-  /// of the previous ranking. Does not allocate.
+  /// the next of the accepting ranking, the first `accepting` of the previous
+  /// one and the first `accepting` + 1 of the owning one, lost ones last. Does
+  /// not allocate.
+  ///
+  /// The owner of a flow that was opened by a table which differs in one
+  /// upstream is in the list when (a) it still accepts, or (b) it ceased to and
+  /// the previous ranking is that table's, or (c) it drains and no other
+  /// upstream does.
   CandidateList Choose(uint64_t key, size_t accepting) const;
 
  private:
--- a/packages/coordination/include/medlarwinch/coordination/routing_table.h
+++ b/packages/coordination/include/medlarwinch/coordination/routing_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -57,7 +58,9 @@
   /// Data addresses of the upstreams that take new flows although they look
   /// lost.
   std::set<Endpoint> doubtful;
-  CandidateIndex index;
+  /// Of `upstreams`; never null in tables that BuildRoutingTables() made.
+  /// Shared by successive tables with the same upstreams.
+  std::shared_ptr<const CandidateIndex> index;
 };
 
 /// A service address in the document of a service.
@@ -105,8 +108,7 @@
 /// an operator looks for.
 struct TableChange {
   /// "accept_upstream", "withdraw_upstream", "drain_upstream",
-  /// "keep_doubtful_upstream", "refuse_contested_address", "add_service" or
-  /// "remove_service".
+  /// "keep_doubtful_upstream" or "refuse_contested_address".
   std::string action;
   std::string service;
   std::string subject;
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/table_changes.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <vector>
+
+#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/upstream_state.h"
+
+namespace medlarwinch {
+
+/// Appends one change for each upstream that takes new flows, drains, is kept
+/// as doubtful or is withdrawn in `states` but not in `last` (null when the
+/// service had no table).
+void AppendTableChanges(const ServiceInput& service,
+                        const UpstreamStates& states, const ServiceTable* last,
+                        std::vector<TableChange>& changes);
+
+}  // namespace medlarwinch
--- a/packages/coordination/src/candidate_index.cc
+++ b/packages/coordination/src/candidate_index.cc
@@ -92,10 +92,10 @@
   return -1 / std::log(uniform);
 }
 
-void Append(CandidateList& list, const Endpoint& agent) {
+// Appends an agent unless it is there already or the list has `limit` agents.
+void Append(CandidateList& list, const Endpoint& agent, size_t limit) {
   const auto end = list.agents.begin() + static_cast<ptrdiff_t>(list.size);
-  if (list.size == kMaxRouteCandidates ||
-      std::find(list.agents.begin(), end, agent) != end) {
+  if (list.size >= limit || std::find(list.agents.begin(), end, agent) != end) {
     return;
   }
   list.agents[list.size] = agent;
@@ -152,22 +152,30 @@
       if (!is_kept) break;
     }
   }
+  bool has_lost = false;
+  for (size_t rank = 0; rank < previous.size; ++rank) {
+    has_lost = has_lost || is_lost_[previous.entries[rank].position];
+  }
   CandidateList list;
   for (size_t rank = 0; rank < std::min(count, new_flows.size); ++rank) {
-    Append(list, agents_[new_flows.entries[rank].position]);
+    Append(list, agents_[new_flows.entries[rank].position],
+           kMaxAcceptingCandidates);
   }
   list.accepting = list.size;
   for (const bool lost : {false, true}) {
+    // One place is kept for an owner that was withdrawn for its health.
+    const size_t limit = kMaxRouteCandidates - (has_lost && !lost ? 1 : 0);
     const auto append_owner = [&](const Ranking& ranking, size_t rank) {
       if (rank >= ranking.size) return;
       const size_t position = ranking.entries[rank].position;
-      if (is_lost_[position] == lost) Append(list, agents_[position]);
+      if (is_lost_[position] == lost) Append(list, agents_[position], limit);
     };
-    for (size_t rank = 0; rank <= count; ++rank) {
-      append_owner(owners, rank);
-      append_owner(previous, rank);
-    }
+    // One change of the table displaces a candidate by at most one rank, so the
+    // next one in rank comes first; an owner that ceased to accept stands in
+    // the previous ranking, and in the owning one if it drains.
     append_owner(new_flows, count);
+    for (size_t rank = 0; rank < count; ++rank) append_owner(previous, rank);
+    for (size_t rank = 0; rank <= count; ++rank) append_owner(owners, rank);
   }
   return list;
 }
--- a/packages/coordination/src/routing_decision.cc
+++ b/packages/coordination/src/routing_decision.cc
@@ -71,7 +71,7 @@
   }
   const ServiceTable& table = tables.services[service];
   const uint64_t key = FlowKey(table, caller, caller_identifier);
-  const CandidateList candidates = table.index.Choose(key, table.candidates);
+  const CandidateList candidates = table.index->Choose(key, table.candidates);
   if (candidates.size == 0) return DropPacket{DropReason::kNoUpstream};
   return RouteToCandidates{candidates};
 }
--- a/packages/coordination/src/routing_table.cc
+++ b/packages/coordination/src/routing_table.cc
@@ -6,141 +6,12 @@
 #include "medlarwinch/coordination/address_owners.h"
 #include "medlarwinch/coordination/rendezvous.h"
 #include "medlarwinch/coordination/slow_start.h"
+#include "medlarwinch/coordination/table_changes.h"
+#include "medlarwinch/coordination/upstream_state.h"
 
 namespace medlarwinch {
 namespace {
 
-// What a member's entry and the document say about one upstream.
-struct UpstreamState {
-  TableUpstream upstream;
-  bool is_doubtful = false;
-  Reason reason;
-};
-
-using UpstreamStates = std::map<Endpoint, UpstreamState>;
-
-struct ServiceInput {
-  const RoutingInput& input;
-  const ServiceDocument& document;
-  uint64_t version = 0;
-  ServiceIndex index = 0;
-  TimePoint now{0};
-};
-
-Reason MakeReason(const ServiceInput& service, std::string rule,
-                  std::string path) {
-  Reason reason;
-  reason.rule = std::move(rule);
-  reason.document = service.document.service;
-  reason.document_version = service.version;
-  reason.path = std::move(path);
-  return reason;
-}
-
-bool IsDrainedByDocument(const ServiceDocument& document,
-                         const MemberEntry& member) {
-  const std::vector<Endpoint>& drained = document.drain.upstreams;
-  return std::find(drained.begin(), drained.end(), member.upstream) !=
-         drained.end();
-}
-
-// Time since the member became ready; nothing when it is not known.
-std::optional<Millis> TimeSinceReady(const ServiceInput& service,
-                                     const MemberEntry& member) {
-  const auto found = service.input.ready_since.find(member.id);
-  if (found == service.input.ready_since.end()) return std::nullopt;
-  return service.now - found->second;
-}
-
-void Accept(const ServiceInput& service, const MemberEntry& member,
-            UpstreamState& state) {
-  const Millis since_ready = TimeSinceReady(service, member)
-                                 .value_or(service.document.slow_start.window);
-  state.upstream.weights.accepting =
-      member.slots * SlowStartShare(since_ready, service.document.slow_start);
-  state.upstream.weights.owning = member.slots;
-}
-
-UpstreamState Classify(const ServiceInput& service, const MemberEntry& member) {
-  const MemberPhase phase = member.version.phase;
-  UpstreamState state;
-  state.upstream.agent = member.data;
-  if (service.input.doubtful.contains(member.id) &&
-      (phase == MemberPhase::kReady || phase == MemberPhase::kFailed) &&
-      !IsDrainedByDocument(service.document, member)) {
-    Accept(service, member, state);
-    state.is_doubtful = true;
-    state.reason = MakeReason(service, "withdrawal_refused",
-                              "health.max_withdrawn_percent");
-    return state;
-  }
-  state.upstream.is_lost = phase == MemberPhase::kFailed;
-  if (phase == MemberPhase::kDraining) {
-    state.upstream.weights.owning = member.slots;
-    state.reason = MakeReason(service, "member_draining", "");
-    return state;
-  }
-  if (phase != MemberPhase::kReady) {
-    state.reason = MakeReason(
-        service, std::string("member_") + MemberPhaseName(phase), "");
-    return state;
-  }
-  if (IsDrainedByDocument(service.document, member)) {
-    state.upstream.weights.owning = member.slots;
-    state.reason = MakeReason(service, "document_drain", "drain.upstreams");
-    return state;
-  }
-  Accept(service, member, state);
-  state.reason = MakeReason(service, "member_ready", "");
-  return state;
-}
-
-bool TakesNewFlows(const UpstreamState& state) {
-  return state.upstream.weights.accepting > 0;
-}
-
-// Returns the agents of the service whose data address is theirs. Of several
-// members with one address the newest one counts.
-std::map<Endpoint, const MemberEntry*> FindAgents(const ServiceInput& service,
-                                                  const EndpointMap& owners) {
-  std::map<Endpoint, const MemberEntry*> agents;
-  for (const auto& [id, member] : service.input.members) {
-    if (member.kind != MemberKind::kAgent ||
-        member.service != service.document.service) {
-      continue;
-    }
-    const auto owner = owners.find(member.data);
-    if (owner == owners.end() || owner->second != service.index) continue;
-    const auto [entry, is_added] = agents.emplace(member.data, &member);
-    if (!is_added && IsNewerAtAddress(member, *entry->second)) {
-      entry->second = &member;
-    }
-  }
-  return agents;
-}
-
-// Withdrawals for health never leave a service without an upstream: when no
-// other one takes new flows, those that look failed stay in use.
-void KeepLastUpstreams(const ServiceInput& service,
-                       const std::map<Endpoint, const MemberEntry*>& agents,
-                       UpstreamStates& states) {
-  for (const auto& [address, state] : states) {
-    if (TakesNewFlows(state)) return;
-  }
-  for (const auto& [address, member] : agents) {
-    if (member->version.phase != MemberPhase::kFailed ||
-        IsDrainedByDocument(service.document, *member)) {
-      continue;
-    }
-    UpstreamState& state = states[address];
-    Accept(service, *member, state);
-    state.upstream.is_lost = false;
-    state.is_doubtful = true;
-    state.reason = MakeReason(service, "last_upstreams_kept",
-                              "health.max_withdrawn_percent");
-  }
-}
-
 const ServiceTable* FindTable(const RoutingTables& tables,
                               const std::string& service) {
   const auto found =
@@ -200,7 +71,7 @@
     // An agent that left, or whose address another service uses now, has no
     // entry or one that says so.
     const auto found = states.find(upstream.agent);
-    if (found == states.end() || found->second.reason.rule == "member_left") {
+    if (found == states.end() || found->second.has_left) {
       continue;
     }
     found->second.upstream.weights.previous =
@@ -231,51 +102,12 @@
     if (state.is_doubtful) table.doubtful.insert(address);
   }
   const bool is_same = last != nullptr && last->upstreams == table.upstreams;
-  table.index = is_same ? last->index : CandidateIndex(table.upstreams);
+  table.index = is_same
+                    ? last->index
+                    : std::make_shared<const CandidateIndex>(table.upstreams);
   return table;
 }
 
-std::string ActionOf(const UpstreamState& state) {
-  if (state.is_doubtful) return "keep_doubtful_upstream";
-  if (TakesNewFlows(state)) return "accept_upstream";
-  return state.upstream.weights.owning > 0 ? "drain_upstream"
-                                           : "withdraw_upstream";
-}
-
-void AppendChanges(const ServiceInput& service, const UpstreamStates& states,
-                   const ServiceTable* last,
-                   std::vector<TableChange>& changes) {
-  const ServiceTable none;
-  const ServiceTable& before = last != nullptr ? *last : none;
-  std::map<Endpoint, std::string> actions;
-  for (const TableUpstream& upstream : before.upstreams) {
-    UpstreamState state;
-    state.upstream = upstream;
-    state.is_doubtful = before.doubtful.contains(upstream.agent);
-    actions[upstream.agent] = ActionOf(state);
-  }
-  for (const auto& [address, state] : states) {
-    const std::string action = ActionOf(state);
-    const auto found = actions.find(address);
-    const std::string old =
-        found != actions.end() ? found->second : "withdraw_upstream";
-    if (found != actions.end()) actions.erase(found);
-    if (action == old) continue;
-    TableChange change{action, service.document.service, ToString(address),
-                       state.reason};
-    change.reason.facts["before"] = old;
-    changes.push_back(std::move(change));
-  }
-  for (const auto& [address, old] : actions) {
-    if (old == "withdraw_upstream") continue;
-    TableChange change{"withdraw_upstream", service.document.service,
-                       ToString(address),
-                       MakeReason(service, "no_member_at_address", "")};
-    change.reason.facts["before"] = old;
-    changes.push_back(std::move(change));
-  }
-}
-
 // The earlier of two times, of which a negative one stands for never.
 TimePoint Earlier(TimePoint a, TimePoint b) {
   if (a.value < 0) return b;
@@ -296,17 +128,15 @@
                    RoutingUpdate& update) {
   const std::map<Endpoint, const MemberEntry*> agents =
       FindAgents(service, update.tables.service_by_agent);
-  UpstreamStates states;
+  UpstreamStates states = DecideUpstreams(service, agents);
   for (const auto& [address, member] : agents) {
-    states.emplace(address, Classify(service, *member));
     if (TakesNewFlows(states.at(address))) {
       update.next_change =
           Earlier(update.next_change, NextSlowStartStep(service, *member));
     }
   }
-  KeepLastUpstreams(service, agents, states);
   const ServiceTable* last_table = FindTable(last, service.document.service);
-  AppendChanges(service, states, last_table, update.changes);
+  AppendTableChanges(service, states, last_table, update.changes);
   ServiceTable table = MakeTable(service, states, last_table);
   if (table.previous_until > service.now) {
     update.next_change = Earlier(update.next_change, table.previous_until);
@@ -337,9 +167,10 @@
   update.tables.service_by_address = std::move(addresses.holders);
   update.tables.refused_claims = std::move(addresses.refused_claims);
   AppendClaimChanges(last, update);
+  const AgentsByService agents = GroupAgents(input);
   for (size_t index = 0; index < input.documents.size(); ++index) {
     const RoutedDocument& routed = input.documents[index];
-    UpdateService(ServiceInput{input, *routed.document, routed.version,
+    UpdateService(ServiceInput{input, agents, *routed.document, routed.version,
                                static_cast<ServiceIndex>(index), now},
                   last, update);
   }
--- a/packages/daemon/include/medlarwinch/daemon/data_path.h
+++ b/packages/daemon/include/medlarwinch/daemon/data_path.h
@@ -25,7 +25,8 @@
 
 /// What the reading threads use until a newer one is published.
 struct RoutingSnapshot {
-  RoutingTables tables;
+  /// Never null.
+  std::shared_ptr<const RoutingTables> tables;
   std::shared_ptr<const KeySet> keys;
   /// In the order of `tables.services`.
   std::vector<std::shared_ptr<ServiceCounters>> counters;
@@ -36,7 +37,8 @@
 /// take a lock only after a newer one was published.
 class DataPath {
  public:
-  /// Binds `local`. Fails with kUnavailable, naming the address.
+  /// Binds `local`; port 0 picks a free one. Fails with kUnavailable, naming
+  /// the address.
   static Result<std::unique_ptr<DataPath>> Start(const Endpoint& local,
                                                  int threads);
 
@@ -44,8 +46,11 @@
   DataPath(const DataPath&) = delete;
   DataPath& operator=(const DataPath&) = delete;
 
-  /// Replaces the tables and keys that are in force. `keys` is not null.
-  void Publish(RoutingTables tables, std::shared_ptr<const KeySet> keys);
+  const Endpoint& local() const { return socket_->local(); }
+
+  /// Replaces the tables and keys that are in force; neither is null.
+  void Publish(std::shared_ptr<const RoutingTables> tables,
+               std::shared_ptr<const KeySet> keys);
 
   /// Adds what was counted since the last call to `metrics`. Called by one
   /// thread at a time.
--- a/packages/daemon/src/data_path.cc
+++ b/packages/daemon/src/data_path.cc
@@ -91,13 +91,13 @@
 
 DataPath::~DataPath() = default;
 
-void DataPath::Publish(RoutingTables tables,
+void DataPath::Publish(std::shared_ptr<const RoutingTables> tables,
                        std::shared_ptr<const KeySet> keys) {
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->tables = std::move(tables);
   snapshot->keys = std::move(keys);
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (const ServiceTable& table : snapshot->tables.services) {
+  for (const ServiceTable& table : snapshot->tables->services) {
     snapshot->counters.push_back(CountersOf(table.service));
   }
   snapshot_ = std::move(snapshot);
@@ -134,14 +134,14 @@
   FabricPacket packet = TakeValue(std::move(decoded));
   const RoutingSnapshot& snapshot = CurrentSnapshot();
   const RoutedPacket routed =
-      RouteFabricPacket(snapshot.tables, *snapshot.keys, packet.service_address,
-                        packet.caller, packet.payload);
+      RouteFabricPacket(*snapshot.tables, *snapshot.keys,
+                        packet.service_address, packet.caller, packet.payload);
   const bool has_service = routed.service < snapshot.counters.size();
   CountPacket(routed, has_service ? *snapshot.counters[routed.service]
                                   : unknown_service_);
   if (std::holds_alternative<DropPacket>(routed.decision)) return;
   const AddressedDatagram datagram_out = MakeForwardedDatagram(
-      snapshot.tables, *snapshot.keys, routed, from, std::move(packet));
+      *snapshot.tables, *snapshot.keys, routed, from, std::move(packet));
   if (!socket_->Send(datagram_out.agent, datagram_out.bytes)) {
     Increment(send_failures_);
   }
--- a/packages/daemon/src/routing_actor.cc
+++ b/packages/daemon/src/routing_actor.cc
@@ -21,7 +21,8 @@
 struct RoutingState {
   RoutingActorContext context;
   std::shared_ptr<const ControlView> view;
-  RoutingTables tables;
+  std::shared_ptr<const RoutingTables> tables =
+      std::make_shared<RoutingTables>();
   bool has_new_view = false;
   TimePoint last_rebuild{0};
   TimePoint last_flush{0};
@@ -58,7 +59,7 @@
 
 void SetGauges(const RoutingState& state) {
   Metrics& metrics = *state.context.metrics;
-  for (const ServiceTable& table : state.tables.services) {
+  for (const ServiceTable& table : state.tables->services) {
     double accepting = 0;
     for (const TableUpstream& upstream : table.upstreams) {
       if (upstream.weights.accepting > 0) ++accepting;
@@ -74,11 +75,11 @@
   const ControlView& view = *state.view;
   const RoutingInput input{view.members, view.doubtful, view.ready_since,
                            RoutedDocuments(view), view.means};
-  RoutingUpdate update = BuildRoutingTables(input, state.tables, now);
+  RoutingUpdate update = BuildRoutingTables(input, *state.tables, now);
   for (const TableChange& change : update.changes) {
     ReportChange(state.context, change);
   }
-  state.tables = std::move(update.tables);
+  state.tables = std::make_shared<RoutingTables>(std::move(update.tables));
   state.next_change = update.next_change;
   state.last_rebuild = now;
   state.has_new_view = false;
--- a/packages/daemon/tests/data_path_test.cc
+++ b/packages/daemon/tests/data_path_test.cc
@@ -61,12 +61,15 @@
     const RoutingInput input{
         members, doubtful, ready_since, {RoutedDocument{3, &document}}, means};
     path->Publish(
-        BuildRoutingTables(input, RoutingTables{}, TimePoint{0}).tables, keys);
+        std::make_shared<RoutingTables>(
+            BuildRoutingTables(input, RoutingTables{}, TimePoint{0}).tables),
+        keys);
   }
 
   void SendFromFabric(const Bytes& payload) {
-    fabric.socket().Send(path_address, EncodeFabricPacket(FabricPacket{
-                                           kServiceAddress, kCaller, payload}));
+    fabric.socket().Send(
+        path->local(),
+        EncodeFabricPacket(FabricPacket{kServiceAddress, kCaller, payload}));
   }
 
   ForwardedPacket TakeForwarded() {
@@ -85,8 +88,8 @@
       std::make_shared<KeySet>(FleetKey{1}, KeyRing{});
   Mailbox upstream;
   Mailbox fabric;
-  const Endpoint path_address{kLoopback, 17'391};
-  std::unique_ptr<DataPath> path = TakeValue(DataPath::Start(path_address, 2));
+  std::unique_ptr<DataPath> path =
+      TakeValue(DataPath::Start(Endpoint{kLoopback, 0}, 2));
 };
 
 BOOST_FIXTURE_TEST_SUITE(DataPathOnLoopback, DataPathWithOneUpstream)
@@ -127,7 +130,7 @@
 
 // Guards against counts that are added again with each flush.
 BOOST_AUTO_TEST_CASE(DroppedPackets_FlushedTwice_AreCountedOnce) {
-  fabric.socket().Send(path_address, Bytes(5, 1));
+  fabric.socket().Send(path->local(), Bytes(5, 1));
   SendFromFabric(Bytes{0x40, 1});
   Bytes open;
   AppendLongHeader(kThinProtocolVersion, Bytes(20, 9), Bytes(8, 1), open);
