--- a/packages/coordination/include/medlarwinch/coordination/slow_start.h
+++ b/packages/coordination/include/medlarwinch/coordination/slow_start.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <cstdint>
-
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/service_document.h"
 
@@ -11,10 +9,9 @@
 /// a slow start, which bounds how often tables are rebuilt.
 inline constexpr int kSlowStartSteps = 20;
 
-/// Returns the share of its slots, in (0, 1], with which an upstream takes new
-/// flows `since_ready` after it became ready: `initial_percent` at first and a
-/// linear rise to 1 at the end of the window, in kSlowStartSteps steps. A
-/// negative time counts as 0, and a window of 0 as no slow start.
-double SlowStartShare(Millis since_ready, const SlowStartPolicy& policy);
+/// Returns the share of its slots, in (0, 1], with which an upstream stands in
+/// the routing tables `since_ready` after it became ready: SlowStartShare(),
+/// rounded down to kSlowStartSteps steps but never to 0.
+double SlowStartTableShare(const SlowStartPolicy& policy, Millis since_ready);
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/upstream_state.cc
+++ b/packages/coordination/src/upstream_state.cc
@@ -20,7 +20,8 @@
   const Millis since_ready = TimeSinceReady(service, member)
                                  .value_or(service.document.slow_start.window);
   state.upstream.weights.accepting =
-      member.slots * SlowStartShare(since_ready, service.document.slow_start);
+      member.slots *
+      SlowStartTableShare(service.document.slow_start, since_ready);
   state.upstream.weights.owning = member.slots;
 }
 
--- a/packages/coordination/tests/routing_table_test.cc
+++ b/packages/coordination/tests/routing_table_test.cc
@@ -205,12 +205,14 @@
 
 BOOST_AUTO_TEST_CASE(ElapsedTimes_ShareComputed_RisesFromInitialToOne) {
   const SlowStartPolicy policy;
-  BOOST_TEST(SlowStartShare(Millis{-5}, policy) == 0.2);
-  BOOST_TEST(SlowStartShare(Millis{0}, policy) == 0.2);
-  BOOST_TEST(SlowStartShare(Millis{5'000}, policy) == 0.6);
-  BOOST_TEST(SlowStartShare(Millis{10'000}, policy) == 1);
-  BOOST_TEST(SlowStartShare(Millis{0}, SlowStartPolicy{Millis{0}, 0}) == 1);
-  BOOST_TEST(SlowStartShare(Millis{0}, SlowStartPolicy{Millis{100}, 0}) > 0);
+  BOOST_TEST(SlowStartTableShare(policy, Millis{-5}) == 0.2);
+  BOOST_TEST(SlowStartTableShare(policy, Millis{0}) == 0.2);
+  BOOST_TEST(SlowStartTableShare(policy, Millis{5'000}) == 0.6);
+  BOOST_TEST(SlowStartTableShare(policy, Millis{10'000}) == 1);
+  BOOST_TEST(SlowStartTableShare(SlowStartPolicy{Millis{0}, 0}, Millis{0}) ==
+             1);
+  BOOST_TEST(SlowStartTableShare(SlowStartPolicy{Millis{100}, 0}, Millis{0}) >
+             0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
