Add the load tool and the checks of a run's logs

The load tool holds flows of five classes, checks every answer and logs each event. The tests of sockets used fixed ports of 127.0.0.1 and failed while another working copy ran the same tests; each process now has an address of its own.

--- /dev/null
+++ b/standins/include/medlarwinch/standins/load_caller.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/standins/answer_checker.h"
+#include "medlarwinch/standins/caller_settings.h"
+#include "medlarwinch/standins/line_log.h"
+#include "medlarwinch/standins/task_timer.h"
+#include "medlarwinch/transport/flow_client.h"
+
+namespace medlarwinch {
+
+/// Holds many flows of several classes open, sends requests on them, checks
+/// every answer and logs what happened, one line for each event:
+/// flow_opened, flow_go_away, flow_broken, flow_shed, flow_open_timeout,
+/// request, head (first line of an answer), wrong_answer, feed_gap, verdict,
+/// flow_closed, stopping, counters.
+class LoadCaller {
+ public:
+  /// Opens the event log and the flows. Fails with kUnavailable.
+  static Result<std::unique_ptr<LoadCaller>> Start(
+      const CallerSettings& settings);
+
+  ~LoadCaller();
+  LoadCaller(const LoadCaller&) = delete;
+  LoadCaller& operator=(const LoadCaller&) = delete;
+
+  /// Sends no more requests, ends the feeds, and waits up to `wait` for the
+  /// requests in progress.
+  void Stop(std::chrono::milliseconds wait);
+
+ private:
+  enum class FlowClass { kFeed, kUpload, kDownload, kEcho, kStubborn };
+
+  // One flow of the tool.
+  struct LoadFlow {
+    std::string name;
+    FlowClass flow_class = FlowClass::kEcho;
+    FlowHandle handle = 0;
+    uint64_t requests = 0;
+    uint64_t generation = 0;
+    // The feed in progress.
+    FlowRequestHandle feed = 0;
+    // Second flow of a stubborn pair.
+    FlowHandle twin = 0;
+  };
+
+  // One request and the state of its answer.
+  struct LoadRequest {
+    std::shared_ptr<LoadFlow> flow;
+    std::string flow_name;
+    std::string token;
+    std::string key;
+    // 2 for the second request of a stubborn pair.
+    int copy = 1;
+    FlowHandle handle = 0;
+    std::unique_ptr<AnswerChecker> checker;
+    bool is_head_logged = false;
+    bool is_fault_logged = false;
+    TimePoint last_part{-1};
+    // Set when the tool itself ends the request.
+    std::atomic<bool> is_cancelled{false};
+  };
+
+  explicit LoadCaller(const CallerSettings& settings);
+
+  void AddFlows(FlowClass flow_class, int64_t count);
+  void OpenFlow(const std::shared_ptr<LoadFlow>& flow);
+  FlowHandle OpenHandle(const std::shared_ptr<LoadFlow>& flow,
+                        const std::string& name);
+  void OnFlowEvent(const std::shared_ptr<LoadFlow>& flow,
+                   const std::string& name, FlowHandle handle, FlowEvent event);
+  void SendNext(const std::shared_ptr<LoadFlow>& flow);
+  void SendFeed(const std::shared_ptr<LoadFlow>& flow);
+  void SendUpload(const std::shared_ptr<LoadFlow>& flow);
+  void SendDownload(const std::shared_ptr<LoadFlow>& flow);
+  void SendEcho(const std::shared_ptr<LoadFlow>& flow);
+  FlowRequestHandle Send(const std::shared_ptr<LoadRequest>& request,
+                         FlowRequest message);
+  std::shared_ptr<LoadRequest> NewRequest(
+      const std::shared_ptr<LoadFlow>& flow);
+  void OnPart(LoadRequest& request, uint64_t offset, ByteView data);
+  void OnEnd(const std::shared_ptr<LoadRequest>& request,
+             const FlowRequestOutcome& outcome);
+  void LogVerdict(const LoadRequest& request,
+                  const FlowRequestOutcome& outcome);
+  void ScheduleNext(const std::shared_ptr<LoadFlow>& flow);
+  void EndFeed(const std::shared_ptr<LoadFlow>& flow);
+  void LogCounters();
+  std::string AgentOf(FlowHandle handle) const;
+  int64_t RandomBelow(int64_t bound);
+
+  CallerSettings settings_;
+  std::unique_ptr<LineLog> log_;
+  std::mutex random_mutex_;
+  std::mt19937_64 random_;
+  std::atomic<uint64_t> next_number_{0};
+  std::atomic<int64_t> in_progress_{0};
+  std::atomic<bool> stopping_{false};
+  std::mutex flows_mutex_;
+  std::vector<std::shared_ptr<LoadFlow>> flows_;
+  // Requests in progress by the flow's feed, so that EndFeed() can mark them.
+  std::map<FlowRequestHandle, std::shared_ptr<LoadRequest>> feeds_;
+  std::unique_ptr<FlowClient> client_;
+  TaskTimer timer_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/invariant_checks.cc
@@ -0,0 +1,440 @@
+#include "medlarwinch/standins/invariant_checks.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+constexpr size_t kMaxExamples = 10;
+constexpr int64_t kStatusOk = 200;
+
+// True when a flow or request ended without the caller asking for it and
+// without its whole answer.
+bool IsCut(const EventRecord& verdict) {
+  if (verdict.Field("ended_by") != "answer") return false;
+  if (verdict.Field("verdict") == "not_run") return false;
+  // Feeds have no end of their own.
+  if (verdict.Field("class") == "feed") {
+    return verdict.Number("bytes") > 0 || verdict.Field("verdict") != "ran";
+  }
+  return verdict.Field("complete") != "1";
+}
+
+std::string Describe(const EventRecord& record) {
+  std::string text = std::to_string(record.time) + " " + record.event;
+  for (const char* name : {"flow", "upstream", "agent", "class", "token", "key",
+                           "verdict", "status", "fault", "bytes", "ms"}) {
+    const std::string& value = record.Field(name);
+    if (!value.empty()) text += " " + std::string(name) + "=" + value;
+  }
+  return text;
+}
+
+// Key of a flow at one of its openings, so that a flow that breaks twice counts
+// twice and one that is noticed in two ways counts once.
+std::string OpeningKey(const RunHistory& history, const std::string& flow,
+                       int64_t time) {
+  int64_t opened = 0;
+  for (const FlowOpening& opening : history.openings()) {
+    if (opening.flow == flow && opening.from <= time) opened = opening.from;
+  }
+  return flow + "@" + std::to_string(opened);
+}
+
+struct FlowLosses {
+  std::map<std::string, std::string> unexcused;
+  std::set<std::string> with_upstream;
+};
+
+FlowLosses FindLosses(const RunLogs& logs, const RunHistory& history) {
+  FlowLosses losses;
+  for (const EventRecord& record : logs.callers) {
+    const bool is_broken = record.event == "flow_broken";
+    const bool is_cut = record.event == "verdict" && IsCut(record);
+    if (!is_broken && !is_cut) continue;
+    const std::string& flow = record.Field("flow");
+    const int64_t from =
+        is_cut ? record.time - std::max<int64_t>(0, record.Number("ms"))
+               : record.time;
+    const std::string key = OpeningKey(history, flow, from);
+    if (history.WasOnLostUpstream(flow, from, record.time)) {
+      losses.with_upstream.insert(key);
+    } else {
+      losses.unexcused.emplace(key, Describe(record));
+    }
+  }
+  // A loss that is noticed first at the flow and then at its request is one.
+  for (const std::string& key : losses.with_upstream) {
+    losses.unexcused.erase(key);
+  }
+  return losses;
+}
+
+std::string KeyOfRun(const EventRecord& run) {
+  const std::string& key = run.Field("key");
+  if (!key.empty()) return key;
+  // The body names the key too, for agents that do not pass it on.
+  const std::string& body = run.Field("body");
+  const std::string mark = ";key=";
+  const size_t position = body.find(mark);
+  return position == std::string::npos ? ""
+                                       : body.substr(position + mark.size());
+}
+
+// "token/copy" of a request.
+std::string RequestName(const EventRecord& record) {
+  const std::string& copy = record.Field("copy");
+  return record.Field("token") + "/" + (copy.empty() ? "1" : copy);
+}
+
+double Percentile(const std::vector<int64_t>& sorted, double share) {
+  if (sorted.empty()) return 0;
+  const double rank = std::ceil(share * static_cast<double>(sorted.size()));
+  const size_t index = static_cast<size_t>(std::max(1.0, rank)) - 1;
+  return static_cast<double>(sorted[std::min(index, sorted.size() - 1)]);
+}
+
+// Life of one balancer process.
+struct BalancerLife {
+  std::string name;
+  int64_t from = 0;
+  int64_t until = INT64_MAX;
+  // Versions in the order in which they were seen, by service.
+  std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> seen;
+};
+
+std::vector<BalancerLife> BalancerLives(const RunLogs& logs) {
+  std::vector<BalancerLife> lives;
+  std::map<std::string, size_t> current;
+  for (const EventRecord& step : logs.steps) {
+    const std::string& name = step.Field("balancer");
+    if (step.event == "balancer_started") {
+      current[name] = lives.size();
+      lives.push_back(BalancerLife{name, step.time, INT64_MAX, {}});
+      continue;
+    }
+    const auto found = current.find(name);
+    if (found == current.end()) continue;
+    BalancerLife& life = lives[found->second];
+    if (step.event == "balancer_gone") life.until = step.time;
+    if (step.event == "config_seen") {
+      life.seen[step.Field("service")].emplace_back(step.time,
+                                                    step.Number("version"));
+    }
+  }
+  return lives;
+}
+
+// Time from `applied` until the balancer had the version; negative when it
+// never had.
+int64_t DelayUntilSeen(const BalancerLife& life, const EventRecord& applied) {
+  const auto found = life.seen.find(applied.Field("service"));
+  if (found == life.seen.end()) return -1;
+  for (const auto& [time, version] : found->second) {
+    if (version >= applied.Number("version")) {
+      return std::max<int64_t>(0, time - applied.time);
+    }
+  }
+  return -1;
+}
+
+// True when the balancer ran from before the change until the limit had passed.
+bool MustHave(const BalancerLife& life, const EventRecord& applied,
+              int64_t limit_ms) {
+  return life.from <= applied.time && life.until > applied.time + limit_ms;
+}
+
+void AddVerdictCounts(const RunLogs& logs, RunSummary& summary) {
+  std::map<std::string, double>& metrics = summary.metrics;
+  for (const char* name :
+       {"verdict_ran", "verdict_not_run", "verdict_may_have_run",
+        "ended_by_caller", "ended_by_deadline", "feed_gaps", "requests",
+        "flows_opened", "flows_shed", "open_timeouts", "flows_moved"}) {
+    metrics[name] = 0;
+  }
+  const std::map<std::string, std::string> counted{
+      {"request", "requests"},
+      {"feed_gap", "feed_gaps"},
+      {"flow_opened", "flows_opened"},
+      {"flow_shed", "flows_shed"},
+      {"flow_open_timeout", "open_timeouts"},
+      {"flow_go_away", "flows_moved"}};
+  for (const EventRecord& record : logs.callers) {
+    const auto found = counted.find(record.event);
+    if (found != counted.end()) ++metrics[found->second];
+    if (record.event != "verdict") continue;
+    if (record.Field("ended_by") != "answer") {
+      ++metrics["ended_by_" + record.Field("ended_by")];
+      continue;
+    }
+    ++metrics["verdict_" + record.Field("verdict")];
+  }
+}
+
+// When the tools began to stop, which is when the load was last whole.
+int64_t EndOfLoad(const RunLogs& logs) {
+  int64_t end = INT64_MAX;
+  int64_t last = 0;
+  for (const EventRecord& record : logs.callers) {
+    last = std::max(last, record.time);
+    if (record.event == "stopping") end = std::min(end, record.time);
+  }
+  return end == INT64_MAX ? last : end;
+}
+
+}  // namespace
+
+void CheckResult::Add(std::string text) {
+  ++violations;
+  if (examples.size() < kMaxExamples) examples.push_back(std::move(text));
+}
+
+CheckResult CheckEstablishedFlows(const RunLogs& logs,
+                                  const RunHistory& history) {
+  CheckResult result{"established flows survive", 0, {}};
+  for (const auto& [key, text] : FindLosses(logs, history).unexcused) {
+    result.Add(text);
+  }
+  return result;
+}
+
+uint64_t CountFlowsLostWithUpstream(const RunLogs& logs,
+                                    const RunHistory& history) {
+  return FindLosses(logs, history).with_upstream.size();
+}
+
+CheckResult CheckServiceIsolation(const RunLogs& logs) {
+  CheckResult result{"services are isolated", 0, {}};
+  std::map<std::string, std::string> service_of_token;
+  for (const EventRecord& record : logs.callers) {
+    const std::string& token = record.Field("token");
+    if (record.event == "request") {
+      service_of_token[token] = record.Field("service");
+    }
+    const bool is_foreign =
+        (record.event == "head" &&
+         record.Field("answered_by") != record.Field("service")) ||
+        (record.event == "answer_fault" && record.Field("fault") == "service");
+    if (is_foreign) result.Add(Describe(record));
+  }
+  for (const EventRecord& record : logs.upstreams) {
+    if (record.event != "start") continue;
+    const auto found = service_of_token.find(record.Field("token"));
+    if (found == service_of_token.end()) continue;
+    if (found->second != record.Field("service")) result.Add(Describe(record));
+  }
+  const auto misdelivered = logs.fabric.find("misdelivered");
+  if (misdelivered != logs.fabric.end() && misdelivered->second > 0) {
+    for (uint64_t index = 0; index < misdelivered->second; ++index) {
+      result.Add("the fabric saw an answer in the name of another service");
+    }
+  }
+  return result;
+}
+
+CheckResult CheckAnswers(const RunLogs& logs) {
+  CheckResult result{"answers are whole and one's own", 0, {}};
+  for (const EventRecord& record : logs.callers) {
+    if (record.event != "verdict") continue;
+    const std::string& fault = record.Field("fault");
+    const bool is_ok = record.Number("status") == kStatusOk;
+    const bool is_feed = record.Field("class") == "feed";
+    // The agent's and the upstream's error answers have a text of their own.
+    const bool is_crossed =
+        fault == "token" || fault == "service" || fault == "gap";
+    if (is_crossed || (!fault.empty() && (is_ok || is_feed))) {
+      result.Add(Describe(record));
+      continue;
+    }
+    const bool claims_whole = !is_feed && is_ok &&
+                              record.Field("complete") == "1" &&
+                              record.Field("verdict") == "ran";
+    if (claims_whole && record.Field("whole") != "1") {
+      result.Add(Describe(record));
+    }
+  }
+  return result;
+}
+
+CheckResult CheckNotRunVerdicts(const RunLogs& logs) {
+  CheckResult result{"\"not run\" is true", 0, {}};
+  std::set<std::string> received;
+  for (const EventRecord& record : logs.upstreams) {
+    if (record.event == "start" || record.event == "run") {
+      received.insert(RequestName(record));
+    }
+  }
+  for (const EventRecord& record : logs.callers) {
+    if (record.event != "verdict") continue;
+    if (record.Field("verdict") != "not_run") continue;
+    if (received.contains(RequestName(record))) result.Add(Describe(record));
+  }
+  return result;
+}
+
+CheckResult CheckAtMostOnce(const RunLogs& logs) {
+  CheckResult result{"non-repeatable requests run at most once", 0, {}};
+  std::map<std::string, std::vector<const EventRecord*>> runs;
+  for (const EventRecord& record : logs.upstreams) {
+    if (record.event != "run") continue;
+    const std::string key = KeyOfRun(record);
+    if (!key.empty()) runs[key].push_back(&record);
+  }
+  for (const auto& [key, records] : runs) {
+    if (records.size() < 2) continue;
+    std::string text = "key " + key + ":";
+    for (const EventRecord* record : records) {
+      text += " " + record->Field("upstream") + " at " +
+              std::to_string(record->time);
+    }
+    result.Add(text);
+  }
+  return result;
+}
+
+CheckResult CheckLeavingUpstreams(const RunLogs& logs,
+                                  const RunHistory& history) {
+  CheckResult result{"no new work to a leaving upstream", 0, {}};
+  for (const EventRecord& record : logs.upstreams) {
+    if (record.event != "start") continue;
+    const UpstreamLife* life =
+        history.LifeAt(record.Field("upstream"), record.time);
+    if (life == nullptr || record.time <= life->last_new_work) continue;
+    result.Add(Describe(record) + " after its leave at " +
+               std::to_string(life->leaving));
+  }
+  return result;
+}
+
+CheckResult CheckGracefulStops(const RunLogs& logs, const RunHistory& history) {
+  CheckResult result{"planned stops interrupt no request", 0, {}};
+  for (const EventRecord& record : logs.callers) {
+    if (record.event != "verdict" || record.Field("class") == "feed") continue;
+    const bool is_cut = IsCut(record) ||
+                        record.Field("ended_by") == "deadline" ||
+                        record.Field("verdict") == "may_have_run";
+    if (!is_cut || record.Field("ended_by") == "caller") continue;
+    const int64_t from =
+        record.time - std::max<int64_t>(0, record.Number("ms"));
+    if (history.WasOnLostUpstream(record.Field("flow"), from, record.time)) {
+      continue;
+    }
+    result.Add(Describe(record));
+  }
+  return result;
+}
+
+CheckResult CheckConfiguration(const RunLogs& logs, int64_t limit_ms) {
+  CheckResult result{"configurations come into force and stay", 0, {}};
+  for (const BalancerLife& life : BalancerLives(logs)) {
+    for (const auto& [service, versions] : life.seen) {
+      int64_t highest = 0;
+      for (const auto& [time, version] : versions) {
+        if (version < highest) {
+          result.Add(life.name + " went back to version " +
+                     std::to_string(version) + " of " + service + " at " +
+                     std::to_string(time));
+        }
+        highest = std::max(highest, version);
+      }
+    }
+    for (const EventRecord& step : logs.steps) {
+      if (step.event != "config_applied") continue;
+      if (!MustHave(life, step, limit_ms)) continue;
+      const int64_t delay = DelayUntilSeen(life, step);
+      if (delay >= 0 && delay <= limit_ms) continue;
+      result.Add(life.name + " had version " + step.Field("version") + " of " +
+                 step.Field("service") + " after " + std::to_string(delay) +
+                 " ms");
+    }
+  }
+  return result;
+}
+
+std::vector<int64_t> ConfigurationDelays(const RunLogs& logs) {
+  std::vector<int64_t> delays;
+  for (const BalancerLife& life : BalancerLives(logs)) {
+    for (const EventRecord& step : logs.steps) {
+      if (step.event != "config_applied") continue;
+      const bool was_there = life.from <= step.time && life.until > step.time;
+      const int64_t delay = DelayUntilSeen(life, step);
+      if (was_there && delay >= 0) delays.push_back(delay);
+    }
+  }
+  std::sort(delays.begin(), delays.end());
+  return delays;
+}
+
+double Imbalance(const RunHistory& history, int64_t time) {
+  struct Load {
+    double flows = 0;
+    double slots = 0;
+  };
+  std::map<std::string, std::map<std::string, Load>> services;
+  for (const UpstreamLife& life : history.lives()) {
+    const bool takes_work = life.from <= time && life.killed > time &&
+                            life.leaving > time &&
+                            &life == history.LifeAt(life.upstream, time);
+    if (!takes_work) continue;
+    services[life.service][life.upstream].slots =
+        static_cast<double>(life.slots);
+  }
+  for (const FlowOpening& opening : history.openings()) {
+    if (opening.from > time || opening.until <= time) continue;
+    std::map<std::string, Load>& loads = services[opening.service];
+    const auto found = loads.find(opening.upstream);
+    if (found != loads.end()) ++found->second.flows;
+  }
+  double worst = 1;
+  for (const auto& [service, loads] : services) {
+    double flows = 0;
+    double slots = 0;
+    double highest = 0;
+    for (const auto& [upstream, load] : loads) {
+      flows += load.flows;
+      slots += load.slots;
+      highest = std::max(highest, load.flows / load.slots);
+    }
+    if (flows > 0) worst = std::max(worst, highest / (flows / slots));
+  }
+  return worst;
+}
+
+RunSummary Summarize(const RunLogs& logs, int64_t config_limit_ms) {
+  const RunHistory history(logs);
+  RunSummary summary;
+  summary.checks = {CheckEstablishedFlows(logs, history),
+                    CheckServiceIsolation(logs),
+                    CheckAnswers(logs),
+                    CheckNotRunVerdicts(logs),
+                    CheckAtMostOnce(logs),
+                    CheckLeavingUpstreams(logs, history),
+                    CheckGracefulStops(logs, history),
+                    CheckConfiguration(logs, config_limit_ms)};
+  const char* const names[] = {"broken_flows",  "misdelivered", "wrong_answers",
+                               "false_not_run", "double_runs",  "late_new_work",
+                               "cut_requests",  "config_faults"};
+  for (size_t index = 0; index < summary.checks.size(); ++index) {
+    summary.metrics[names[index]] =
+        static_cast<double>(summary.checks[index].violations);
+  }
+  AddVerdictCounts(logs, summary);
+  std::set<std::string> flows;
+  for (const FlowOpening& opening : history.openings()) {
+    flows.insert(opening.flow);
+  }
+  const std::vector<int64_t> delays = ConfigurationDelays(logs);
+  summary.metrics["flows"] = static_cast<double>(flows.size());
+  summary.metrics["lost_with_upstream"] =
+      static_cast<double>(CountFlowsLostWithUpstream(logs, history));
+  summary.metrics["imbalance"] = Imbalance(history, EndOfLoad(logs));
+  summary.metrics["config_in_force_p99_ms"] = Percentile(delays, 0.99);
+  summary.metrics["config_in_force_samples"] =
+      static_cast<double>(delays.size());
+  return summary;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/load_caller.cc
@@ -0,0 +1,446 @@
+#include "medlarwinch/standins/load_caller.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "medlarwinch/state/endpoint.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A caller ends a feed of its own accord this long after the agent said that it
+// leaves, and opens the feed again elsewhere.
+constexpr milliseconds kMoveFeedAfter{500};
+constexpr milliseconds kReopenFeedAfter{200};
+// The second of two flows with the same key follows within this time.
+constexpr int64_t kMaxTwinDelayMs = 120;
+// A feed that is silent this much longer than its interval has a gap.
+constexpr int64_t kFeedGapMs = 3'000;
+constexpr uint32_t kMaxAttempts = 3;
+
+Bytes ToBytes(const std::string& text) {
+  return Bytes(text.begin(), text.end());
+}
+
+const char* FlowEventName(FlowEvent event) {
+  switch (event) {
+    case FlowEvent::kOpened:
+      return "flow_opened";
+    case FlowEvent::kGoAway:
+      return "flow_go_away";
+    case FlowEvent::kBroken:
+      return "flow_broken";
+    case FlowEvent::kShed:
+      return "flow_shed";
+    case FlowEvent::kOpenTimedOut:
+      return "flow_open_timeout";
+  }
+  return "flow_unknown";
+}
+
+}  // namespace
+
+Result<std::unique_ptr<LoadCaller>> LoadCaller::Start(
+    const CallerSettings& settings) {
+  std::unique_ptr<LoadCaller> caller(new LoadCaller(settings));
+  Result<std::unique_ptr<LineLog>> log = LineLog::Open(settings.event_log);
+  if (!IsOk(log)) return ErrorOf(log);
+  caller->log_ = TakeValue(std::move(log));
+  FlowClientOptions options;
+  options.targets = settings.targets;
+  options.local = Endpoint{settings.local.ip, 0};
+  options.sockets = settings.sockets;
+  options.first_caller_ip = settings.first_caller.ip;
+  options.seed = settings.seed;
+  Result<std::unique_ptr<FlowClient>> client = FlowClient::Start(options);
+  if (!IsOk(client)) return ErrorOf(client);
+  caller->client_ = TakeValue(std::move(client));
+  caller->AddFlows(FlowClass::kFeed, settings.feeds);
+  caller->AddFlows(FlowClass::kUpload, settings.uploaders);
+  caller->AddFlows(FlowClass::kDownload, settings.downloaders);
+  caller->AddFlows(FlowClass::kEcho, settings.echoers);
+  caller->AddFlows(FlowClass::kStubborn, settings.stubborn);
+  return caller;
+}
+
+LoadCaller::LoadCaller(const CallerSettings& settings)
+    : settings_(settings), random_(settings.seed) {}
+
+LoadCaller::~LoadCaller() {
+  stopping_ = true;
+  timer_.Stop();
+  client_.reset();
+}
+
+void LoadCaller::AddFlows(FlowClass flow_class, int64_t count) {
+  const char* const names[] = {"feed", "upload", "download", "echo",
+                               "stubborn"};
+  for (int64_t index = 0; index < count; ++index) {
+    const std::shared_ptr<LoadFlow> flow = std::make_shared<LoadFlow>();
+    flow->flow_class = flow_class;
+    flow->name = settings_.service + "/" +
+                 names[static_cast<size_t>(flow_class)] + "-" +
+                 std::to_string(index);
+    flows_.push_back(flow);
+    timer_.RunAfter(milliseconds(index * settings_.ramp_ms / count),
+                    [this, flow] { OpenFlow(flow); });
+  }
+}
+
+void LoadCaller::OpenFlow(const std::shared_ptr<LoadFlow>& flow) {
+  if (stopping_) return;
+  ++flow->generation;
+  const std::string name = flow->name + "." + std::to_string(flow->generation);
+  flow->handle = OpenHandle(flow, name);
+  if (flow->flow_class == FlowClass::kStubborn) {
+    flow->twin = OpenHandle(flow, name + "t");
+  }
+  SendNext(flow);
+}
+
+FlowHandle LoadCaller::OpenHandle(const std::shared_ptr<LoadFlow>& flow,
+                                  const std::string& name) {
+  FlowOptions options;
+  options.service_address = settings_.service_address;
+  options.on_event = [this, flow, name](FlowHandle handle, FlowEvent event) {
+    OnFlowEvent(flow, name, handle, event);
+  };
+  return client_->OpenFlow(std::move(options));
+}
+
+void LoadCaller::OnFlowEvent(const std::shared_ptr<LoadFlow>& flow,
+                             const std::string& name, FlowHandle handle,
+                             FlowEvent event) {
+  log_->Write(FlowEventName(event), {{"service", settings_.service},
+                                     {"flow", name},
+                                     {"agent", AgentOf(handle)}});
+  if (event != FlowEvent::kGoAway) return;
+  if (flow->flow_class != FlowClass::kFeed) return;
+  timer_.RunAfter(kMoveFeedAfter, [this, flow] { EndFeed(flow); });
+}
+
+void LoadCaller::SendNext(const std::shared_ptr<LoadFlow>& flow) {
+  if (stopping_) return;
+  const bool is_used_up =
+      settings_.requests_per_flow > 0 && flow->flow_class != FlowClass::kFeed &&
+      flow->requests >= static_cast<uint64_t>(settings_.requests_per_flow);
+  if (is_used_up) {
+    flow->requests = 0;
+    log_->Write(
+        "flow_closed",
+        {{"service", settings_.service},
+         {"flow", flow->name + "." + std::to_string(flow->generation)}});
+    client_->CloseFlow(flow->handle);
+    if (flow->twin != 0) client_->CloseFlow(flow->twin);
+    OpenFlow(flow);
+    return;
+  }
+  ++flow->requests;
+  switch (flow->flow_class) {
+    case FlowClass::kFeed:
+      SendFeed(flow);
+      return;
+    case FlowClass::kUpload:
+    case FlowClass::kStubborn:
+      SendUpload(flow);
+      return;
+    case FlowClass::kDownload:
+      SendDownload(flow);
+      return;
+    case FlowClass::kEcho:
+      SendEcho(flow);
+      return;
+  }
+}
+
+void LoadCaller::SendFeed(const std::shared_ptr<LoadFlow>& flow) {
+  const std::shared_ptr<LoadRequest> request = NewRequest(flow);
+  request->checker = std::make_unique<AnswerChecker>(
+      AnswerKind::kFeed, settings_.service, request->token);
+  FlowRequest message;
+  message.path =
+      "/feed?interval_ms=" + std::to_string(settings_.feed_interval_ms) +
+      "&token=" + request->token;
+  // The tool reopens a feed itself, so that each break is seen.
+  message.max_attempts = 1;
+  const FlowRequestHandle handle = Send(request, std::move(message));
+  const std::lock_guard<std::mutex> lock(flows_mutex_);
+  flow->feed = handle;
+  feeds_[handle] = request;
+}
+
+void LoadCaller::SendUpload(const std::shared_ptr<LoadFlow>& flow) {
+  const std::shared_ptr<LoadRequest> request = NewRequest(flow);
+  request->key = "k-" + request->token;
+  request->checker = std::make_unique<AnswerChecker>(
+      AnswerKind::kReceipt, settings_.service, request->token);
+  FlowRequest message;
+  message.method = "POST";
+  message.path = settings_.upload_path + "?token=" + request->token;
+  if (settings_.upload_work_ms >= 0) {
+    message.path += "&work_ms=" + std::to_string(settings_.upload_work_ms);
+  }
+  message.repeatable = false;
+  message.idempotency_key = request->key;
+  message.body = ToBytes("moisture=" + std::to_string(RandomBelow(100)) +
+                         ";key=" + request->key);
+  message.max_attempts = kMaxAttempts;
+  message.deadline = Millis{settings_.request_deadline_ms};
+  FlowRequest twin_message = message;
+  // Tells the two requests of a key apart in the upstream's log.
+  twin_message.path += "&copy=2";
+  Send(request, std::move(message));
+  if (flow->flow_class != FlowClass::kStubborn) return;
+  const std::shared_ptr<LoadRequest> twin = NewRequest(flow);
+  twin->handle = flow->twin;
+  twin->flow_name += "t";
+  twin->key = request->key;
+  twin->copy = 2;
+  // The answer to a repeated key may be the stored one of the first request,
+  // so the token of the first one is expected.
+  twin->token = request->token;
+  twin->checker = std::make_unique<AnswerChecker>(
+      AnswerKind::kReceipt, settings_.service, twin->token);
+  timer_.RunAfter(milliseconds(RandomBelow(kMaxTwinDelayMs)),
+                  [this, twin, twin_message] { Send(twin, twin_message); });
+}
+
+void LoadCaller::SendDownload(const std::shared_ptr<LoadFlow>& flow) {
+  const std::shared_ptr<LoadRequest> request = NewRequest(flow);
+  request->checker = std::make_unique<AnswerChecker>(
+      AnswerKind::kLarge, settings_.service, request->token, "",
+      static_cast<uint64_t>(settings_.download_bytes));
+  FlowRequest message;
+  message.path = settings_.download_path +
+                 "?bytes=" + std::to_string(settings_.download_bytes) +
+                 "&token=" + request->token;
+  message.max_attempts = kMaxAttempts;
+  message.deadline = Millis{settings_.request_deadline_ms};
+  Send(request, std::move(message));
+}
+
+void LoadCaller::SendEcho(const std::shared_ptr<LoadFlow>& flow) {
+  const std::shared_ptr<LoadRequest> request = NewRequest(flow);
+  const std::string text = "echo " + request->token;
+  request->checker = std::make_unique<AnswerChecker>(
+      AnswerKind::kEcho, settings_.service, request->token, text);
+  FlowRequest message;
+  message.method = "POST";
+  message.path = "/echo?token=" + request->token;
+  message.body = ToBytes(text);
+  message.max_attempts = kMaxAttempts;
+  message.deadline = Millis{settings_.request_deadline_ms};
+  Send(request, std::move(message));
+}
+
+std::shared_ptr<LoadCaller::LoadRequest> LoadCaller::NewRequest(
+    const std::shared_ptr<LoadFlow>& flow) {
+  const std::shared_ptr<LoadRequest> request = std::make_shared<LoadRequest>();
+  request->flow = flow;
+  request->flow_name = flow->name + "." + std::to_string(flow->generation);
+  request->handle = flow->handle;
+  request->token = settings_.service + "-" + std::to_string(settings_.seed) +
+                   "-" + std::to_string(next_number_++);
+  return request;
+}
+
+FlowRequestHandle LoadCaller::Send(const std::shared_ptr<LoadRequest>& request,
+                                   FlowRequest message) {
+  if (stopping_) return 0;
+  message.tenant = settings_.tenant;
+  log_->Write("request", {{"service", settings_.service},
+                          {"flow", request->flow_name},
+                          {"token", request->token},
+                          {"key", request->key},
+                          {"repeatable", message.repeatable ? "1" : "0"}});
+  FlowRequestEvents events;
+  events.on_part = [this, request](uint64_t offset, ByteView data) {
+    OnPart(*request, offset, data);
+  };
+  events.on_end = [this, request](const FlowRequestOutcome& outcome) {
+    OnEnd(request, outcome);
+  };
+  ++in_progress_;
+  const FlowRequestHandle handle = client_->SendRequest(
+      request->handle, std::move(message), std::move(events));
+  if (handle == 0) {
+    --in_progress_;
+    log_->Write("refused_by_client", {{"service", settings_.service},
+                                      {"flow", request->flow_name},
+                                      {"token", request->token}});
+  }
+  return handle;
+}
+
+void LoadCaller::OnPart(LoadRequest& request, uint64_t offset, ByteView data) {
+  const TimePoint now = MonotonicNow();
+  const bool is_feed = request.flow->flow_class == FlowClass::kFeed;
+  if (is_feed && request.last_part.value >= 0) {
+    const Millis silence = now - request.last_part;
+    if (silence.value > settings_.feed_interval_ms + kFeedGapMs) {
+      log_->Write("feed_gap", {{"service", settings_.service},
+                               {"flow", request.flow_name},
+                               {"token", request.token},
+                               {"ms", std::to_string(silence.value)}});
+    }
+  }
+  request.last_part = now;
+  AnswerChecker& checker = *request.checker;
+  checker.OnPart(offset, data);
+  if (checker.head().has_value() && !request.is_head_logged) {
+    request.is_head_logged = true;
+    log_->Write("head", {{"service", settings_.service},
+                         {"flow", request.flow_name},
+                         {"token", request.token},
+                         {"answered_by", checker.head()->service},
+                         {"upstream", checker.head()->upstream},
+                         {"agent", AgentOf(request.handle)}});
+  }
+  const bool is_new_fault =
+      !checker.fault().empty() && !request.is_fault_logged;
+  if (!is_new_fault) return;
+  request.is_fault_logged = true;
+  // Errors that the agent itself answers have a body of its own; the verdict
+  // line tells by the status whether this fault counts.
+  log_->Write("answer_fault", {{"service", settings_.service},
+                               {"flow", request.flow_name},
+                               {"token", request.token},
+                               {"fault", checker.fault()}});
+}
+
+void LoadCaller::OnEnd(const std::shared_ptr<LoadRequest>& request,
+                       const FlowRequestOutcome& outcome) {
+  LogVerdict(*request, outcome);
+  --in_progress_;
+  if (stopping_) return;
+  const std::shared_ptr<LoadFlow>& flow = request->flow;
+  if (flow->flow_class == FlowClass::kFeed) {
+    {
+      const std::lock_guard<std::mutex> lock(flows_mutex_);
+      std::erase_if(feeds_,
+                    [&](const auto& entry) { return entry.second == request; });
+    }
+    timer_.RunAfter(kReopenFeedAfter, [this, flow] { SendNext(flow); });
+    return;
+  }
+  const bool is_twin = request->handle == flow->twin;
+  if (!is_twin) ScheduleNext(flow);
+}
+
+void LoadCaller::LogVerdict(const LoadRequest& request,
+                            const FlowRequestOutcome& outcome) {
+  const AnswerChecker& checker = *request.checker;
+  const char* ended_by = "answer";
+  if (outcome.given_up) {
+    ended_by = request.is_cancelled || stopping_ ? "caller" : "deadline";
+  }
+  const char* const class_names[] = {"feed", "upload", "download", "echo",
+                                     "stubborn"};
+  log_->Write(
+      "verdict",
+      {{"service", settings_.service},
+       {"flow", request.flow_name},
+       {"class", class_names[static_cast<size_t>(request.flow->flow_class)]},
+       {"token", request.token},
+       {"key", request.key},
+       {"copy", std::to_string(request.copy)},
+       {"verdict", VerdictName(outcome.verdict)},
+       {"status", std::to_string(outcome.status)},
+       {"complete", outcome.complete ? "1" : "0"},
+       {"whole", checker.IsWhole() ? "1" : "0"},
+       {"fault", checker.fault()},
+       {"ended_by", ended_by},
+       {"flow_broken", outcome.flow_broken ? "1" : "0"},
+       {"attempts", std::to_string(outcome.attempts)},
+       {"bytes", std::to_string(outcome.body_bytes)},
+       {"first_byte_ms", std::to_string(outcome.first_byte_after.value)},
+       {"ms", std::to_string(outcome.ended_after.value)}});
+}
+
+void LoadCaller::ScheduleNext(const std::shared_ptr<LoadFlow>& flow) {
+  int64_t interval = settings_.echo_interval_ms;
+  if (flow->flow_class == FlowClass::kDownload) {
+    interval = settings_.download_interval_ms;
+  }
+  if (flow->flow_class == FlowClass::kUpload ||
+      flow->flow_class == FlowClass::kStubborn) {
+    interval = settings_.upload_interval_ms;
+  }
+  // Half of the interval is random, so that flows do not fall into step.
+  const int64_t delay = interval / 2 + RandomBelow(interval);
+  timer_.RunAfter(milliseconds(delay), [this, flow] { SendNext(flow); });
+}
+
+void LoadCaller::EndFeed(const std::shared_ptr<LoadFlow>& flow) {
+  FlowRequestHandle feed = 0;
+  {
+    const std::lock_guard<std::mutex> lock(flows_mutex_);
+    feed = flow->feed;
+    const auto found = feeds_.find(feed);
+    if (found == feeds_.end()) return;
+    found->second->is_cancelled = true;
+  }
+  client_->Cancel(feed);
+}
+
+void LoadCaller::Stop(milliseconds wait) {
+  log_->Write("stopping", {{"service", settings_.service}});
+  stopping_ = true;
+  std::vector<FlowRequestHandle> feeds;
+  {
+    const std::lock_guard<std::mutex> lock(flows_mutex_);
+    for (const auto& [handle, request] : feeds_) {
+      request->is_cancelled = true;
+      feeds.push_back(handle);
+    }
+  }
+  for (const FlowRequestHandle feed : feeds) client_->Cancel(feed);
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (in_progress_ > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  LogCounters();
+}
+
+void LoadCaller::LogCounters() {
+  const FlowClientCounters counters = client_->counters();
+  log_->Write(
+      "counters",
+      {{"service", settings_.service},
+       {"flows_opened", std::to_string(counters.flows_opened)},
+       {"flows_moved", std::to_string(counters.flows_reopened_after_go_away)},
+       {"flows_broken", std::to_string(counters.flows_broken)},
+       {"flows_shed", std::to_string(counters.flows_shed)},
+       {"open_timeouts", std::to_string(counters.open_timeouts)},
+       {"requests_sent", std::to_string(counters.requests_sent)},
+       {"requests_resent", std::to_string(counters.requests_resent)},
+       {"retries", std::to_string(counters.retries)},
+       {"parts_received", std::to_string(counters.parts_received)},
+       {"duplicate_parts", std::to_string(counters.duplicate_parts)},
+       {"malformed", std::to_string(counters.datagrams_malformed)},
+       {"unknown", std::to_string(counters.datagrams_unknown)},
+       {"unfinished", std::to_string(in_progress_.load())}});
+}
+
+std::string LoadCaller::AgentOf(FlowHandle handle) const {
+  constexpr size_t kAgentBytes = 7;
+  const Bytes identifier = client_->CurrentIdentifier(handle);
+  if (identifier.size() < kAgentBytes) return "";
+  Endpoint agent;
+  for (size_t index = 1; index <= 4; ++index) {
+    agent.ip = (agent.ip << 8) | identifier[index];
+  }
+  agent.port = static_cast<uint16_t>(identifier[5] << 8 | identifier[6]);
+  return ToString(agent);
+}
+
+int64_t LoadCaller::RandomBelow(int64_t bound) {
+  const std::lock_guard<std::mutex> lock(random_mutex_);
+  return std::uniform_int_distribution<int64_t>(0, bound - 1)(random_);
+}
+
+}  // namespace medlarwinch
--- a/standins/src/upstream_session.cc
+++ b/standins/src/upstream_session.cc
@@ -266,6 +266,7 @@
                              {"upstream", state_->settings.name},
                              {"path", target_.path},
                              {"token", Query("token")},
+                             {"copy", std::to_string(QueryNumber("copy", 1))},
                              {"key", Header("idempotency-key")},
                              {"body", request_.body()}});
 }
--- a/standins/tests/packet_fabric_test.cc
+++ b/standins/tests/packet_fabric_test.cc
@@ -5,16 +5,17 @@
 #include <thread>
 
 #include "medlarwinch/protocol/frames.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
-constexpr Endpoint kIngress{0x7f000001, 17'411};
-constexpr Endpoint kFabric{0x7f000001, 17'412};
-constexpr Endpoint kControl{0x7f000001, 17'413};
-constexpr Endpoint kProbeHub{0x7f000001, 17'414};
-constexpr Endpoint kReportDesk{0x7f000001, 17'415};
-constexpr Endpoint kAnyPort{0x7f000001, 0};
+const Endpoint kIngress = TestEndpoint(17'411);
+const Endpoint kFabric = TestEndpoint(17'412);
+const Endpoint kControl = TestEndpoint(17'413);
+const Endpoint kProbeHub = TestEndpoint(17'414);
+const Endpoint kReportDesk = TestEndpoint(17'415);
+const Endpoint kAnyPort = TestEndpoint(0);
 constexpr Endpoint kCaller{0x0a000001, 1'024};
 
 // Waits up to 3 s for a count to reach a value.
--- a/standins/tests/platform_service_test.cc
+++ b/standins/tests/platform_service_test.cc
@@ -5,14 +5,15 @@
 #include <thread>
 
 #include "medlarwinch/transport/http_client.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr Endpoint kApi{0x7f000001, 17'401};
-constexpr Endpoint kControl{0x7f000001, 17'402};
+const Endpoint kApi = TestEndpoint(17'401);
+const Endpoint kControl = TestEndpoint(17'402);
 constexpr Millis kWait{1'000};
 
 struct RunningPlatform {
--- a/standins/tests/upstream_server_test.cc
+++ b/standins/tests/upstream_server_test.cc
@@ -10,11 +10,12 @@
 #include "medlarwinch/standins/answer_text.h"
 #include "medlarwinch/standins/process_main.h"
 #include "medlarwinch/transport/http_client.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
-constexpr Endpoint kListen{0x7f000001, 17'421};
+const Endpoint kListen = TestEndpoint(17'421);
 constexpr Millis kWait{2'000};
 
 struct RunningUpstream {
@@ -90,10 +91,10 @@
   BOOST_REQUIRE(IsOk(answer));
   const Result<std::string> log = ReadTextFile(log_file);
   BOOST_REQUIRE(IsOk(log));
-  BOOST_TEST(ValueOf(log).find("event=run service=probe-hub "
-                               "upstream=probe-hub/1 path=/samples token=t4 "
-                               "key=k4 body=moisture=3\n") !=
-             std::string::npos);
+  BOOST_TEST(
+      ValueOf(log).find("event=run service=probe-hub "
+                        "upstream=probe-hub/1 path=/samples token=t4 copy=1 "
+                        "key=k4 body=moisture=3\n") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(DeadlineBelowWorkTime_Called_ExpiresAtTheDeadline) {
