Add the scenario language, its runner and the demo

A scenario is a text file with one statement a line. The runner starts the stand-ins and the daemons on loopback addresses, carries out the steps, acts as the fabric's health check by polling the balancers' status, ends its own processes by id, and checks the logs.

--- /dev/null
+++ b/standins/include/medlarwinch/standins/operator_desk.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "medlarwinch/standins/line_log.h"
+#include "medlarwinch/state/endpoint.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// Plays the operators of a run: writes documents and the key ring to the
+/// platform, conditionally and with operation identifiers, and logs
+/// config_applied for each write that the platform accepted. Functions may be
+/// called from several threads; each waits until the write is settled.
+class OperatorDesk {
+ public:
+  /// `log` outlives the desk. `seed` makes operation identifiers unique.
+  OperatorDesk(const Endpoint& platform, LineLog& log, uint64_t seed);
+
+  /// Sets the base text of a service's document, without writing it.
+  void SetDocument(const std::string& service, const std::string& text);
+
+  /// Writes the document with its current drain list.
+  Result<uint64_t> Apply(const std::string& service);
+
+  /// Adds an upstream's listener to the drain list, or takes it away.
+  void SetDraining(const std::string& service, const Endpoint& upstream,
+                   bool is_draining);
+
+  /// `writers` operators change the document at the same time; each reads,
+  /// changes and writes until its own write was accepted.
+  void Race(const std::string& service, int writers);
+
+  /// Writes a key ring with one more epoch.
+  Result<uint64_t> RotateKeys();
+
+  /// Lets pending writes fail soon.
+  void Stop() { stopping_ = true; }
+
+ private:
+  Result<uint64_t> Write(const std::string& key, const std::string& value);
+  std::string DocumentText(const std::string& service);
+
+  Endpoint platform_;
+  LineLog& log_;
+  uint64_t seed_;
+  std::atomic<uint64_t> next_operation_{1};
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::map<std::string, std::string> documents_;
+  std::map<std::string, std::set<Endpoint>> draining_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/include/medlarwinch/standins/settings_writer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/standins/scenario.h"
+#include "medlarwinch/standins/topology.h"
+
+namespace medlarwinch {
+
+/// Writes the texts of the settings files of one run.
+class SettingsWriter {
+ public:
+  /// `folder` takes the event and execution logs.
+  SettingsWriter(const Scenario& scenario, const Topology& topology,
+                 std::string folder, uint64_t seed);
+
+  std::string Platform() const;
+  std::string Fabric() const;
+  /// `peers` are control addresses of balancers.
+  std::string Balancer(uint32_t number,
+                       const std::vector<Endpoint>& peers) const;
+  /// Agent of a host of `home` that serves `service` (both indices).
+  std::string Agent(size_t home, uint32_t host, size_t service,
+                    const std::vector<Endpoint>& peers) const;
+  std::string Upstream(size_t home, uint32_t host, size_t service) const;
+  std::string Caller(size_t service) const;
+
+  /// Name of an upstream, such as "probe-hub/2".
+  std::string UpstreamName(size_t home, uint32_t host) const;
+
+ private:
+  std::string Daemon(const std::string& name, const std::string& domain,
+                     const Endpoint& address,
+                     const std::vector<Endpoint>& peers) const;
+
+  const Scenario& scenario_;
+  const Topology& topology_;
+  std::string folder_;
+  uint64_t seed_;
+};
+
+/// Replaces '/' in a name so that it can stand in a file name.
+std::string FileNameOf(const std::string& name);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/src/balancer_watcher.cc
@@ -0,0 +1,78 @@
+#include "medlarwinch/standins/balancer_watcher.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "medlarwinch/transport/http_client.h"
+
+namespace medlarwinch {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kInterval{50};
+constexpr Millis kStatusTimeout{400};
+constexpr Millis kFabricTimeout{1'000};
+// One lost poll on a busy machine does not take a balancer out of the fabric.
+constexpr int kMaxFailures = 2;
+
+}  // namespace
+
+BalancerWatcher::BalancerWatcher(const WatchedBalancer& balancer, LineLog& log)
+    : balancer_(balancer), log_(log), thread_([this] { Run(); }) {}
+
+BalancerWatcher::~BalancerWatcher() {
+  stopping_ = true;
+  thread_.join();
+}
+
+void BalancerWatcher::Run() {
+  int failures = 0;
+  while (!stopping_) {
+    const bool is_ready = Poll();
+    is_ready_ = is_ready;
+    failures = is_ready ? 0 : failures + 1;
+    if (is_ready || failures >= kMaxFailures) SetInFabric(is_ready);
+    std::this_thread::sleep_for(kInterval);
+  }
+}
+
+bool BalancerWatcher::Poll() {
+  const Result<HttpResponse> answer = SendHttpRequest(
+      balancer_.admin, HttpRequest{"GET", "/status", "", {}}, kStatusTimeout);
+  if (!IsOk(answer) || ValueOf(answer).status != 200) return false;
+  const Json status = Json::parse(ValueOf(answer).body, nullptr, false);
+  if (!status.is_object() || !status.contains("documents")) return false;
+  for (const auto& [service, version] : status["documents"].items()) {
+    if (!version.is_number_unsigned()) continue;
+    const uint64_t number = version.get<uint64_t>();
+    if (versions_[service] == number) continue;
+    versions_[service] = number;
+    log_.Write("config_seen", {{"balancer", balancer_.name},
+                               {"service", service},
+                               {"version", std::to_string(number)}});
+  }
+  const Json::json_pointer agents("/members/agent/ready");
+  if (status.contains(agents) && status[agents].is_number()) {
+    ready_agents_ = status[agents].get<int>();
+  }
+  return status.value("phase", "") == "ready" &&
+         status["documents"].size() >= balancer_.documents;
+}
+
+void BalancerWatcher::SetInFabric(bool is_in_fabric) {
+  if (is_in_fabric == is_in_fabric_) return;
+  const std::string target =
+      is_in_fabric ? "/control/balancers?add=" + balancer_.name +
+                         "&data=" + ToString(balancer_.data) +
+                         "&domain=" + balancer_.domain
+                   : "/control/balancers?remove=" + balancer_.name;
+  const Result<HttpResponse> answer = SendHttpRequest(
+      balancer_.fabric, HttpRequest{"POST", target, "", {}}, kFabricTimeout);
+  if (!IsOk(answer)) return;
+  is_in_fabric_ = is_in_fabric;
+  log_.Write(is_in_fabric ? "fabric_added" : "fabric_removed",
+             {{"balancer", balancer_.name}});
+}
+
+}  // namespace medlarwinch
