--- a/standins/tests/packet_fabric_test.cc
+++ b/standins/tests/packet_fabric_test.cc
@@ -10,12 +10,12 @@
 namespace medlarwinch {
 namespace {
 
-const Endpoint kIngress{ProcessLoopbackIp(), 17'411};
-const Endpoint kFabric{ProcessLoopbackIp(), 17'412};
-const Endpoint kControl{ProcessLoopbackIp(), 17'413};
-const Endpoint kProbeHub{ProcessLoopbackIp(), 17'414};
-const Endpoint kReportDesk{ProcessLoopbackIp(), 17'415};
-constexpr Endpoint kAnyPort{0x7f000001, 0};
+const Endpoint kIngress = TestEndpoint(17'411);
+const Endpoint kFabric = TestEndpoint(17'412);
+const Endpoint kControl = TestEndpoint(17'413);
+const Endpoint kProbeHub = TestEndpoint(17'414);
+const Endpoint kReportDesk = TestEndpoint(17'415);
+const Endpoint kAnyPort = TestEndpoint(0);
 constexpr Endpoint kCaller{0x0a000001, 1'024};
 
 // Waits up to 3 s for a count to reach a value.
--- a/standins/tests/platform_service_test.cc
+++ b/standins/tests/platform_service_test.cc
@@ -12,8 +12,8 @@
 
 using Json = nlohmann::json;
 
-const Endpoint kApi{ProcessLoopbackIp(), 17'401};
-const Endpoint kControl{ProcessLoopbackIp(), 17'402};
+const Endpoint kApi = TestEndpoint(17'401);
+const Endpoint kControl = TestEndpoint(17'402);
 constexpr Millis kWait{1'000};
 
 struct RunningPlatform {
