Add the decisions and the line format of the account

Cause: every process records its decisions on the platform, within its share of the writes and through outages.

--- /dev/null
+++ b/packages/transport/src/account_json.cc
@@ -0,0 +1,74 @@
+#include "medlarwinch/transport/account_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace medlarwinch {
+namespace {
+
+using Json = nlohmann::json;
+
+// Bounds one line, so that a part holds many.
+constexpr size_t kMaxTextBytes = 512;
+constexpr size_t kMaxFacts = 16;
+
+std::string Cut(const std::string& text) {
+  return text.substr(0, kMaxTextBytes);
+}
+
+std::string TextOf(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+}  // namespace
+
+std::string FormatAccountLine(const AccountEntry& entry) {
+  Json facts = Json::object();
+  for (const auto& [name, value] : entry.reason.facts) {
+    if (facts.size() == kMaxFacts) break;
+    facts[Cut(name)] = Cut(value);
+  }
+  const Json json = {{"time_ms", entry.time.value},
+                     {"process", Cut(entry.process)},
+                     {"action", Cut(entry.action)},
+                     {"service", Cut(entry.service)},
+                     {"subject", Cut(entry.subject)},
+                     {"rule", Cut(entry.reason.rule)},
+                     {"document", Cut(entry.reason.document)},
+                     {"version", entry.reason.document_version},
+                     {"path", Cut(entry.reason.path)},
+                     {"facts", facts}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<AccountEntry> ParseAccountLine(std::string_view line) {
+  const Json json = Json::parse(line, nullptr, false);
+  const bool is_entry = json.is_object() && json.contains("time_ms") &&
+                        json["time_ms"].is_number_integer();
+  if (!is_entry) {
+    return Error{ErrorCode::kInvalidInput,
+                 "the account line is no JSON object with time_ms"};
+  }
+  AccountEntry entry;
+  entry.time = TimePoint{json["time_ms"].get<int64_t>()};
+  entry.process = TextOf(json, "process");
+  entry.action = TextOf(json, "action");
+  entry.service = TextOf(json, "service");
+  entry.subject = TextOf(json, "subject");
+  entry.reason.rule = TextOf(json, "rule");
+  entry.reason.document = TextOf(json, "document");
+  entry.reason.path = TextOf(json, "path");
+  const auto version = json.find("version");
+  if (version != json.end() && version->is_number_unsigned()) {
+    entry.reason.document_version = version->get<uint64_t>();
+  }
+  const auto facts = json.find("facts");
+  if (facts == json.end() || !facts->is_object()) return entry;
+  for (const auto& [name, value] : facts->items()) {
+    if (value.is_string()) entry.reason.facts[name] = value.get<std::string>();
+  }
+  return entry;
+}
+
+}  // namespace medlarwinch
