Add the client of the thin request protocol

One socket, one lock and one set of timers for each shard of flows; callbacks run in order and without the lock. Datagrams of up to 6,144 bytes are read, since an answer of the ledger with 4 KB of stored response was cut at 2,048.

--- /dev/null
+++ b/packages/transport/src/flow_shard.cc
@@ -0,0 +1,424 @@
+#include "flow_shard.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint64_t kPortsPerAddress = 60'000;
+constexpr uint16_t kFirstPort = 1'024;
+constexpr size_t kOpenDestinationBytes = 8;
+// Bytes 1 to 12 of a flow identifier name agent, boot and flow; the rest
+// changes with the key epoch.
+constexpr size_t kOwnerFirst = 1;
+constexpr size_t kOwnerBytes = 12;
+constexpr Millis kShedPause{200};
+constexpr uint32_t kMaxShedDoublings = 4;
+
+ByteView OwnerOf(ByteView identifier) {
+  if (identifier.size() != kFlowIdentifierBytes) return {};
+  return identifier.subspan(kOwnerFirst, kOwnerBytes);
+}
+
+bool IsEqual(ByteView a, ByteView b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end());
+}
+
+uint64_t KeyOf(const Endpoint& caller) {
+  return (static_cast<uint64_t>(caller.ip) << 16) | caller.port;
+}
+
+}  // namespace
+
+FlowShard::FlowShard(const FlowClientOptions& options, size_t index,
+                     size_t shards, std::unique_ptr<UdpSocket> socket,
+                     std::atomic<uint64_t>& next_caller)
+    : options_(options),
+      shards_(shards),
+      socket_(std::move(socket)),
+      next_caller_(next_caller),
+      random_(options.seed * 1'000'003 + index),
+      next_handle_(index == 0 ? shards : index) {}
+
+void FlowShard::Start() {
+  socket_->Start(
+      [this](const Endpoint& /*from*/, ByteView datagram) {
+        OnDatagram(datagram);
+      });
+}
+
+void FlowShard::Stop() {
+  socket_->Stop();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<FlowRequestHandle> open;
+    open.reserve(requests_.size());
+    for (const auto& entry : requests_) open.push_back(entry.first);
+    const TimePoint now = MonotonicNow();
+    for (const FlowRequestHandle handle : open) GiveUp(handle, now);
+  }
+  RunCallbacks();
+}
+
+FlowHandle FlowShard::OpenFlow(FlowOptions options) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const FlowHandle handle = NextHandle();
+  flows_[handle].options = std::move(options);
+  StartSession(handle, MonotonicNow());
+  return handle;
+}
+
+void FlowShard::CloseFlow(FlowHandle handle) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const Flow* flow = FindFlow(handle);
+    if (flow == nullptr) return;
+    std::vector<FlowRequestHandle> open(flow->waiting.begin(),
+                                        flow->waiting.end());
+    std::set<SessionKey> sessions = flow->earlier;
+    if (flow->current != 0) sessions.insert(flow->current);
+    for (const SessionKey key : sessions) {
+      for (const auto& entry : sessions_[key].requests) {
+        open.push_back(entry.second);
+      }
+    }
+    const TimePoint now = MonotonicNow();
+    for (const FlowRequestHandle request : open) GiveUp(request, now);
+    for (const SessionKey key : sessions) sessions_.erase(key);
+    flows_.erase(handle);
+  }
+  RunCallbacks();
+}
+
+bool FlowShard::IsOpen(FlowHandle handle) {
+  return !CurrentIdentifier(handle).empty();
+}
+
+Bytes FlowShard::CurrentIdentifier(FlowHandle handle) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Flow* flow = FindFlow(handle);
+  if (flow == nullptr) return {};
+  const Session* session = FindSession(flow->current);
+  return session == nullptr ? Bytes() : session->identifier;
+}
+
+FlowRequestHandle FlowShard::SendRequest(FlowHandle handle, FlowRequest request,
+                                         FlowRequestEvents events) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Flow* flow = FindFlow(handle);
+  if (flow == nullptr) return 0;
+  const TimePoint now = MonotonicNow();
+  const FlowRequestHandle request_handle = NextHandle();
+  Request& created = requests_[request_handle];
+  created.flow = handle;
+  created.request = std::move(request);
+  created.events = std::move(events);
+  created.created = now;
+  created.due = now;
+  flow->waiting.insert(request_handle);
+  SendWaiting(handle, now);
+  ScheduleRequest(request_handle, created);
+  return request_handle;
+}
+
+void FlowShard::Cancel(FlowRequestHandle handle) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    GiveUp(handle, MonotonicNow());
+  }
+  RunCallbacks();
+}
+
+void FlowShard::AddCounters(FlowClientCounters& sum) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  sum.flows_opened += counters_.flows_opened;
+  sum.flows_reopened_after_go_away += counters_.flows_reopened_after_go_away;
+  sum.flows_broken += counters_.flows_broken;
+  sum.flows_shed += counters_.flows_shed;
+  sum.open_timeouts += counters_.open_timeouts;
+  sum.requests_sent += counters_.requests_sent;
+  sum.requests_resent += counters_.requests_resent;
+  sum.retries += counters_.retries;
+  sum.parts_received += counters_.parts_received;
+  sum.duplicate_parts += counters_.duplicate_parts;
+  sum.datagrams_malformed += counters_.datagrams_malformed;
+  sum.datagrams_unknown += counters_.datagrams_unknown;
+}
+
+void FlowShard::OnDatagram(ByteView datagram) {
+  const Result<FabricPacket> packet = DecodeFabricPacket(datagram);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!IsOk(packet)) {
+      ++counters_.datagrams_malformed;
+      return;
+    }
+    const SessionKey key = KeyOf(ValueOf(packet).caller);
+    Session* session = FindSession(key);
+    if (session == nullptr) {
+      ++counters_.datagrams_unknown;
+      return;
+    }
+    const Result<PacketHeader> header =
+        ParsePacketHeader(ValueOf(packet).payload);
+    const bool is_ours = IsOk(header) && ValueOf(header).is_long &&
+                         ValueOf(header).version == kThinProtocolVersion;
+    if (!is_ours) {
+      ++counters_.datagrams_malformed;
+      return;
+    }
+    const Result<Frame> frame = DecodeFrame(ValueOf(header).payload);
+    if (!IsOk(frame)) {
+      ++counters_.datagrams_malformed;
+      return;
+    }
+    OnFrame(key, *session, ValueOf(header), ValueOf(frame), MonotonicNow());
+  }
+  RunCallbacks();
+}
+
+bool FlowShard::IsFromOwner(const Session& session,
+                            const PacketHeader& header) const {
+  if (session.identifier.empty()) return false;
+  // Without identifiers, the address pair alone says whose the packet is.
+  if (session.caller_identifier.empty()) return true;
+  return IsEqual(OwnerOf(session.identifier), OwnerOf(header.source));
+}
+
+void FlowShard::OnFrame(SessionKey key, Session& session,
+                        const PacketHeader& header, const Frame& frame,
+                        TimePoint now) {
+  if (const auto* reset = std::get_if<ResetFrame>(&frame)) {
+    OnReset(key, session, header, *reset, now);
+    return;
+  }
+  if (!IsEqual(header.destination, session.caller_identifier)) {
+    ++counters_.datagrams_unknown;
+    return;
+  }
+  if (std::holds_alternative<OpenAckFrame>(frame)) {
+    OnOpenAck(key, session, header, now);
+    return;
+  }
+  // Another agent may have answered the Open as well; only the first one counts.
+  if (!IsFromOwner(session, header)) {
+    ++counters_.datagrams_unknown;
+    return;
+  }
+  session.last_heard = now;
+  session.pings_unanswered = 0;
+  if (header.source.size() == kFlowIdentifierBytes) {
+    session.identifier.assign(header.source.begin(), header.source.end());
+  }
+  if (const auto* part = std::get_if<ResponsePartFrame>(&frame)) {
+    OnPart(key, session, *part, now);
+  } else if (std::holds_alternative<GoAwayFrame>(frame)) {
+    OnGoAway(key, session, now);
+  } else if (std::holds_alternative<PingFrame>(frame)) {
+    SendFrame(session, PongFrame{});
+  }
+}
+
+void FlowShard::OnOpenAck(SessionKey key, Session& session,
+                          const PacketHeader& header, TimePoint now) {
+  if (!session.identifier.empty() ||
+      header.source.size() != kFlowIdentifierBytes) {
+    return;
+  }
+  session.identifier.assign(header.source.begin(), header.source.end());
+  session.last_heard = now;
+  ++counters_.flows_opened;
+  const FlowHandle handle = session.flow;
+  Flow* flow = FindFlow(handle);
+  if (flow == nullptr || flow->current != key) return;
+  flow->sheds_in_a_row = 0;
+  session.due = now + Millis{0};
+  Schedule(TimerKind::kSession, key, session.due);
+  Notify(handle, FlowEvent::kOpened);
+  SendWaiting(handle, now);
+}
+
+void FlowShard::OnGoAway(SessionKey key, Session& session, TimePoint now) {
+  // The answer lets the agent forget the flow.
+  SendFrame(session, PongFrame{});
+  if (session.go_away) return;
+  session.go_away = true;
+  const FlowHandle handle = session.flow;
+  Flow* flow = FindFlow(handle);
+  if (flow == nullptr || flow->current != key) return;
+  flow->earlier.insert(key);
+  ++counters_.flows_reopened_after_go_away;
+  Notify(handle, FlowEvent::kGoAway);
+  StartSession(handle, now);
+  DropSessionIfDone(key);
+}
+
+void FlowShard::OnReset(SessionKey key, Session& session,
+                        const PacketHeader& header, const ResetFrame& reset,
+                        TimePoint now) {
+  if (session.identifier.empty()) {
+    if (!IsEqual(header.destination, session.caller_identifier)) return;
+    const FlowHandle handle = session.flow;
+    Flow* flow = FindFlow(handle);
+    if (flow == nullptr || flow->current != key) return;
+    if (reset.reason == ResetReason::kShed) {
+      ++counters_.flows_shed;
+      Notify(handle, FlowEvent::kShed);
+    }
+    const uint32_t doublings =
+        std::min(flow->sheds_in_a_row++, kMaxShedDoublings);
+    DropSession(key);
+    flow->current = 0;
+    flow->reopen_at = now + kShedPause * (int64_t{1} << doublings);
+    Schedule(TimerKind::kFlow, handle, flow->reopen_at);
+    return;
+  }
+  const bool is_current =
+      session.caller_identifier.empty()
+          ? header.source.empty()
+          : IsEqual(OwnerOf(session.identifier), OwnerOf(header.source));
+  if (is_current) BreakSession(key, now);
+}
+
+void FlowShard::StartSession(FlowHandle handle, TimePoint now) {
+  Flow& flow = flows_[handle];
+  const uint64_t number = next_caller_++;
+  Session session;
+  session.flow = handle;
+  session.caller = Endpoint{
+      options_.first_caller_ip +
+          static_cast<uint32_t>(number / kPortsPerAddress),
+      static_cast<uint16_t>(kFirstPort + number % kPortsPerAddress)};
+  if (!flow.options.address_only) {
+    session.caller_identifier = RandomBytes(kCallerIdentifierBytes);
+  }
+  session.opened = now;
+  session.last_heard = now;
+  session.backoff = options_.resend_after;
+  const SessionKey key = KeyOf(session.caller);
+  flow.current = key;
+  Session& started = sessions_[key] = std::move(session);
+  SendOpen(started, now);
+  Schedule(TimerKind::kSession, key, started.due);
+}
+
+void FlowShard::BreakSession(SessionKey key, TimePoint now) {
+  const Session* session = FindSession(key);
+  const FlowHandle handle = session->flow;
+  Flow* flow = FindFlow(handle);
+  const bool is_current = flow != nullptr && flow->current == key;
+  const std::map<uint32_t, FlowRequestHandle> lost = session->requests;
+  // A flow that said GoAway and has nothing in progress may disappear.
+  if (is_current || !lost.empty()) {
+    ++counters_.flows_broken;
+    Notify(handle, FlowEvent::kBroken);
+  }
+  for (const auto& entry : lost) RetryLost(entry.second, now);
+  DropSession(key);
+  if (!is_current) return;
+  StartSession(handle, now);
+}
+
+void FlowShard::DropSession(SessionKey key) {
+  const Session* session = FindSession(key);
+  if (session == nullptr) return;
+  Flow* flow = FindFlow(session->flow);
+  if (flow != nullptr) flow->earlier.erase(key);
+  sessions_.erase(key);
+}
+
+void FlowShard::DropSessionIfDone(SessionKey key) {
+  const Session* session = FindSession(key);
+  if (session == nullptr || !session->go_away || !session->requests.empty()) {
+    return;
+  }
+  DropSession(key);
+}
+
+void FlowShard::SendOpen(Session& session, TimePoint now) {
+  Bytes packet;
+  AppendLongHeader(kThinProtocolVersion, RandomBytes(kOpenDestinationBytes),
+                   session.caller_identifier, packet);
+  EncodeTo(Frame(OpenFrame{}), packet);
+  SendPacket(session, std::move(packet));
+  session.due = now + session.backoff;
+  session.backoff = std::min(session.backoff * 2, options_.resend_after * 8);
+}
+
+void FlowShard::SendFrame(const Session& session, const Frame& frame) {
+  Bytes packet;
+  if (session.caller_identifier.empty() ||
+      session.identifier.size() != kFlowIdentifierBytes) {
+    AppendLongHeader(kThinProtocolVersion, {}, session.caller_identifier,
+                     packet);
+  } else {
+    FlowIdentifierBytes identifier{};
+    std::copy(session.identifier.begin(), session.identifier.end(),
+              identifier.begin());
+    AppendShortHeader(identifier, packet);
+  }
+  EncodeTo(frame, packet);
+  SendPacket(session, std::move(packet));
+}
+
+void FlowShard::SendPacket(const Session& session, Bytes packet) {
+  const Flow* flow = FindFlow(session.flow);
+  if (flow == nullptr) return;
+  FabricPacket fabric;
+  fabric.service_address = flow->options.service_address;
+  fabric.caller = session.caller;
+  fabric.payload = std::move(packet);
+  const Endpoint& target =
+      options_.targets[random_() % options_.targets.size()];
+  socket_->Send(target, EncodeFabricPacket(fabric));
+}
+
+void FlowShard::Notify(FlowHandle handle, FlowEvent event) {
+  const Flow* flow = FindFlow(handle);
+  if (flow == nullptr || !flow->options.on_event) return;
+  callbacks_.emplace_back(
+      [on_event = flow->options.on_event, handle, event] {
+        on_event(handle, event);
+      });
+}
+
+void FlowShard::RunCallbacks() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  if (running_callbacks_) return;
+  running_callbacks_ = true;
+  while (!callbacks_.empty()) {
+    std::deque<std::function<void()>> batch;
+    batch.swap(callbacks_);
+    lock.unlock();
+    for (const std::function<void()>& callback : batch) callback();
+    lock.lock();
+  }
+  running_callbacks_ = false;
+}
+
+uint64_t FlowShard::NextHandle() {
+  const uint64_t handle = next_handle_;
+  next_handle_ += shards_;
+  return handle;
+}
+
+Bytes FlowShard::RandomBytes(size_t size) {
+  Bytes bytes(size);
+  for (uint8_t& byte : bytes) byte = static_cast<uint8_t>(random_());
+  return bytes;
+}
+
+FlowShard::Flow* FlowShard::FindFlow(FlowHandle handle) {
+  const auto found = flows_.find(handle);
+  return found == flows_.end() ? nullptr : &found->second;
+}
+
+FlowShard::Session* FlowShard::FindSession(SessionKey key) {
+  const auto found = sessions_.find(key);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/flow_shard.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <queue>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "medlarwinch/protocol/data_messages.h"
+#include "medlarwinch/protocol/frames.h"
+#include "medlarwinch/protocol/packet_header.h"
+#include "medlarwinch/transport/flow_client.h"
+#include "medlarwinch/transport/udp_socket.h"
+
+namespace medlarwinch {
+
+/// The flows of a FlowClient that share one socket.
+class FlowShard {
+ public:
+  /// Handles are `index` modulo `shards`. `next_caller` counts the callers of
+  /// all shards.
+  FlowShard(const FlowClientOptions& options, size_t index, size_t shards,
+            std::unique_ptr<UdpSocket> socket,
+            std::atomic<uint64_t>& next_caller);
+
+  void Start();
+
+  /// Stops the socket and ends all requests as given up.
+  void Stop();
+
+  FlowHandle OpenFlow(FlowOptions options);
+  void CloseFlow(FlowHandle handle);
+  bool IsOpen(FlowHandle handle);
+  Bytes CurrentIdentifier(FlowHandle handle);
+  FlowRequestHandle SendRequest(FlowHandle handle, FlowRequest request,
+                                FlowRequestEvents events);
+  void Cancel(FlowRequestHandle handle);
+
+  /// Does what is due.
+  void Tick(TimePoint now);
+
+  void AddCounters(FlowClientCounters& sum);
+
+ private:
+  /// Names a session: the caller's address and port.
+  using SessionKey = uint64_t;
+
+  /// One opening of a flow at one agent.
+  struct Session {
+    FlowHandle flow = 0;
+    Endpoint caller;
+    Bytes caller_identifier;
+    /// Issued by the agent; empty until the flow is open.
+    Bytes identifier;
+    bool go_away = false;
+    TimePoint opened;
+    TimePoint last_heard;
+    Millis backoff;
+    TimePoint due;
+    /// Time of the timer that counts; others are outdated.
+    int64_t timer = INT64_MAX;
+    uint32_t pings_unanswered = 0;
+    uint32_t next_number = 1;
+    std::map<uint32_t, FlowRequestHandle> requests;
+  };
+
+  struct Flow {
+    FlowOptions options;
+    /// The session for new requests; 0 while none is being opened.
+    SessionKey current = 0;
+    /// Sessions after GoAway whose requests have not ended.
+    std::set<SessionKey> earlier;
+    /// Requests that wait for the flow to be open.
+    std::set<FlowRequestHandle> waiting;
+    uint32_t sheds_in_a_row = 0;
+    /// When the flow is opened again; meaningful while `current` is 0.
+    TimePoint reopen_at;
+    int64_t timer = INT64_MAX;
+  };
+
+  struct Request {
+    FlowHandle flow = 0;
+    FlowRequest request;
+    FlowRequestEvents events;
+    FlowRequestOutcome outcome;
+    TimePoint created;
+    TimePoint first_sent{-1};
+    /// Session that the current attempt was sent on; 0 while it waits.
+    SessionKey session = 0;
+    uint32_t number = 0;
+    bool part_arrived = false;
+    bool may_have_run = false;
+    /// True while the last attempt was lost without a verdict.
+    bool is_unresolved = false;
+    Bytes earlier_flow;
+    Millis backoff;
+    /// When the request is sent again, or sent after a pause.
+    TimePoint due;
+    int64_t timer = INT64_MAX;
+    uint64_t next_offset = 0;
+    std::map<uint64_t, Bytes> early_parts;
+    bool fin_arrived = false;
+    uint64_t fin_offset = 0;
+    uint16_t status = 0;
+    Verdict verdict = Verdict::kMayHaveRun;
+  };
+
+  enum class TimerKind : uint8_t { kSession, kFlow, kRequest };
+  struct Timer {
+    int64_t due;
+    TimerKind kind;
+    uint64_t id;
+    auto operator<=>(const Timer&) const = default;
+  };
+
+  void OnDatagram(ByteView datagram);
+  void OnFrame(SessionKey key, Session& session, const PacketHeader& header,
+               const Frame& frame, TimePoint now);
+  void OnOpenAck(SessionKey key, Session& session, const PacketHeader& header,
+                 TimePoint now);
+  void OnPart(SessionKey key, Session& session, const ResponsePartFrame& part,
+              TimePoint now);
+  void OnGoAway(SessionKey key, Session& session, TimePoint now);
+  void OnReset(SessionKey key, Session& session, const PacketHeader& header,
+               const ResetFrame& reset, TimePoint now);
+  bool IsFromOwner(const Session& session, const PacketHeader& header) const;
+
+  void StartSession(FlowHandle handle, TimePoint now);
+  void BreakSession(SessionKey key, TimePoint now);
+  void DropSession(SessionKey key);
+  void DropSessionIfDone(SessionKey key);
+  void SendOpen(Session& session, TimePoint now);
+  void SendWaiting(FlowHandle handle, TimePoint now);
+  void SendAttempt(FlowRequestHandle handle, Request& request, SessionKey key,
+                   TimePoint now);
+  void SendRequestFrame(Request& request, const Session& session,
+                        TimePoint now);
+  void SendFrame(const Session& session, const Frame& frame);
+  void SendPacket(const Session& session, Bytes packet);
+
+  void Deliver(FlowRequestHandle handle, Request& request,
+               const ResponsePartFrame& part, TimePoint now);
+  void OnVerdict(FlowRequestHandle handle, TimePoint now);
+  void RetryLost(FlowRequestHandle handle, TimePoint now);
+  void Retry(FlowRequestHandle handle, Request& request, TimePoint now);
+  void EndRequest(FlowRequestHandle handle, Verdict verdict, bool complete,
+                  bool given_up, TimePoint now);
+  void GiveUp(FlowRequestHandle handle, TimePoint now);
+
+  void OnSessionTimer(SessionKey key, TimePoint now);
+  void OnFlowTimer(FlowHandle handle, TimePoint now);
+  void OnRequestTimer(FlowRequestHandle handle, TimePoint now);
+  /// Sets the timer of a session, flow or request to `due`, unless it has an
+  /// earlier one.
+  void Schedule(TimerKind kind, uint64_t id, TimePoint due);
+  void ScheduleRequest(FlowRequestHandle handle, const Request& request);
+  int64_t* TimerOf(TimerKind kind, uint64_t id);
+
+  void Notify(FlowHandle handle, FlowEvent event);
+  /// Runs the callbacks that were queued, in order, on one thread at a time and
+  /// without the lock.
+  void RunCallbacks();
+  uint64_t NextHandle();
+  Bytes RandomBytes(size_t size);
+  Flow* FindFlow(FlowHandle handle);
+  Session* FindSession(SessionKey key);
+
+  const FlowClientOptions& options_;
+  size_t shards_;
+  std::unique_ptr<UdpSocket> socket_;
+  std::atomic<uint64_t>& next_caller_;
+  std::mutex mutex_;
+  std::mt19937_64 random_;
+  uint64_t next_handle_;
+  std::unordered_map<FlowHandle, Flow> flows_;
+  std::unordered_map<SessionKey, Session> sessions_;
+  std::unordered_map<FlowRequestHandle, Request> requests_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::deque<std::function<void()>> callbacks_;
+  bool running_callbacks_ = false;
+  FlowClientCounters counters_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/flow_shard_requests.cc
@@ -0,0 +1,366 @@
+// Requests and timers of a FlowShard; its flows are in flow_shard.cc.
+#include <algorithm>
+
+#include "flow_shard.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+// An agent that is silent while a request waits is probed this often, so that
+// its death is noticed within seconds.
+constexpr Millis kBusyProbe{2'000};
+constexpr Millis kPingRepeat{1'000};
+constexpr Millis kRetryPause{50};
+constexpr int64_t kMaxBackoffFactor = 8;
+// Parts that arrive ahead of a lost one are kept up to the agent's window.
+constexpr size_t kMaxEarlyParts = 256;
+
+}  // namespace
+
+void FlowShard::SendWaiting(FlowHandle handle, TimePoint now) {
+  Flow* flow = FindFlow(handle);
+  if (flow == nullptr) return;
+  const Session* session = FindSession(flow->current);
+  if (session == nullptr || session->identifier.empty()) return;
+  std::vector<FlowRequestHandle> ready;
+  for (const FlowRequestHandle waiting : flow->waiting) {
+    if (requests_[waiting].due <= now) ready.push_back(waiting);
+  }
+  for (const FlowRequestHandle request : ready) {
+    flow->waiting.erase(request);
+    SendAttempt(request, requests_[request], flow->current, now);
+  }
+}
+
+void FlowShard::SendAttempt(FlowRequestHandle handle, Request& request,
+                            SessionKey key, TimePoint now) {
+  Session& session = *FindSession(key);
+  request.session = key;
+  request.number = session.next_number++;
+  request.part_arrived = false;
+  request.next_offset = 0;
+  request.early_parts.clear();
+  request.fin_arrived = false;
+  request.backoff = options_.resend_after;
+  if (request.first_sent.value < 0) request.first_sent = now;
+  ++request.outcome.attempts;
+  session.requests[request.number] = handle;
+  ++counters_.requests_sent;
+  SendRequestFrame(request, session, now);
+  // The probes of a session with a request in progress are more frequent.
+  Schedule(TimerKind::kSession, key, now + kBusyProbe);
+  ScheduleRequest(handle, request);
+}
+
+void FlowShard::SendRequestFrame(Request& request, const Session& session,
+                                 TimePoint now) {
+  RequestFrame frame;
+  frame.number = request.number;
+  frame.method = request.request.method;
+  frame.path = request.request.path;
+  frame.tenant = request.request.tenant;
+  frame.repeatable = request.request.repeatable;
+  frame.idempotency_key = request.request.idempotency_key;
+  frame.attempt = request.outcome.attempts;
+  frame.age_ms = static_cast<uint32_t>((now - request.first_sent).value);
+  frame.earlier_flow = request.earlier_flow;
+  if (request.request.deadline.value > 0) {
+    const Millis remaining = request.request.deadline - (now - request.created);
+    frame.deadline_ms =
+        static_cast<uint32_t>(std::max<int64_t>(1, remaining.value));
+  }
+  frame.body = request.request.body;
+  SendFrame(session, frame);
+  request.due = now + request.backoff;
+  request.backoff = std::min(request.backoff * 2,
+                             options_.resend_after * kMaxBackoffFactor);
+}
+
+void FlowShard::OnPart(SessionKey key, Session& session,
+                       const ResponsePartFrame& part, TimePoint now) {
+  ++counters_.parts_received;
+  const auto found = session.requests.find(part.number);
+  if (found == session.requests.end()) {
+    // The request has ended here; the agent need not send more of it.
+    SendFrame(session, CancelFrame{part.number});
+    return;
+  }
+  const FlowRequestHandle handle = found->second;
+  Request& request = requests_[handle];
+  request.part_arrived = true;
+  const bool is_empty_notice = part.data.empty() && !part.fin;
+  if (is_empty_notice) return;
+  Deliver(handle, request, part, now);
+  const bool is_whole =
+      request.fin_arrived && request.next_offset == request.fin_offset;
+  SendFrame(session,
+            ResponseAckFrame{part.number, request.next_offset, is_whole});
+  if (!is_whole) return;
+  session.requests.erase(part.number);
+  OnVerdict(handle, now);
+  DropSessionIfDone(key);
+}
+
+void FlowShard::Deliver(FlowRequestHandle /*handle*/, Request& request,
+                        const ResponsePartFrame& part, TimePoint now) {
+  if (part.fin) {
+    request.fin_arrived = true;
+    request.fin_offset = part.offset + part.data.size();
+    request.status = part.status;
+    request.verdict = part.verdict;
+  }
+  const uint64_t end = part.offset + part.data.size();
+  if (end <= request.next_offset) {
+    if (!part.data.empty()) ++counters_.duplicate_parts;
+    return;
+  }
+  if (request.early_parts.size() < kMaxEarlyParts) {
+    Bytes& kept = request.early_parts[part.offset];
+    if (part.data.size() > kept.size()) kept = part.data;
+  }
+  while (!request.early_parts.empty()) {
+    const auto first = request.early_parts.begin();
+    if (first->first > request.next_offset) break;
+    const uint64_t skip = request.next_offset - first->first;
+    if (skip < first->second.size()) {
+      Bytes data(first->second.begin() + static_cast<ptrdiff_t>(skip),
+                 first->second.end());
+      if (request.outcome.first_byte_after.value < 0) {
+        request.outcome.first_byte_after = now - request.created;
+      }
+      const uint64_t offset = request.next_offset;
+      request.next_offset += data.size();
+      if (request.events.on_part) {
+        callbacks_.emplace_back([on_part = request.events.on_part, offset,
+                                 bytes = std::move(data)] {
+          on_part(offset, bytes);
+        });
+      }
+    }
+    request.early_parts.erase(first);
+  }
+}
+
+void FlowShard::OnVerdict(FlowRequestHandle handle, TimePoint now) {
+  Request& request = requests_[handle];
+  request.outcome.status = request.status;
+  request.is_unresolved = false;
+  const Verdict verdict = request.verdict;
+  if (verdict == Verdict::kRan) {
+    EndRequest(handle, verdict, true, false, now);
+    return;
+  }
+  if (verdict == Verdict::kMayHaveRun) request.may_have_run = true;
+  const bool may_retry =
+      verdict == Verdict::kNotRun || request.request.repeatable;
+  if (!may_retry || request.outcome.attempts >= request.request.max_attempts) {
+    EndRequest(handle, verdict, true, false, now);
+    return;
+  }
+  Retry(handle, request, now);
+}
+
+void FlowShard::RetryLost(FlowRequestHandle handle, TimePoint now) {
+  Request& request = requests_[handle];
+  request.outcome.flow_broken = true;
+  request.is_unresolved = true;
+  // A request that may be repeated runs again. For another one the system
+  // resolves what became of this attempt, by the flow that the retry names.
+  if (request.request.repeatable) request.may_have_run = true;
+  if (request.outcome.attempts >= request.request.max_attempts) {
+    EndRequest(handle, Verdict::kMayHaveRun, false, false, now);
+    return;
+  }
+  Retry(handle, request, now);
+}
+
+void FlowShard::Retry(FlowRequestHandle handle, Request& request,
+                      TimePoint now) {
+  const Session* session = FindSession(request.session);
+  if (session != nullptr) request.earlier_flow = session->identifier;
+  request.session = 0;
+  ++counters_.retries;
+  const int64_t factor = int64_t{1} << std::min(request.outcome.attempts, 6U);
+  const int64_t jitter = static_cast<int64_t>(random_() % 50);
+  request.due = now + kRetryPause * factor + Millis{jitter};
+  Flow* flow = FindFlow(request.flow);
+  if (flow != nullptr) flow->waiting.insert(handle);
+  ScheduleRequest(handle, request);
+}
+
+void FlowShard::EndRequest(FlowRequestHandle handle, Verdict verdict,
+                           bool complete, bool given_up, TimePoint now) {
+  const auto found = requests_.find(handle);
+  Request& request = found->second;
+  FlowRequestOutcome outcome = request.outcome;
+  // An attempt that was not run says nothing about those before it.
+  outcome.verdict = verdict == Verdict::kNotRun && request.may_have_run
+                        ? Verdict::kMayHaveRun
+                        : verdict;
+  outcome.complete = complete;
+  outcome.given_up = given_up;
+  outcome.body_bytes = request.next_offset;
+  outcome.ended_after = now - request.created;
+  if (request.events.on_end) {
+    callbacks_.emplace_back(
+        [on_end = std::move(request.events.on_end), outcome] {
+          on_end(outcome);
+        });
+  }
+  Flow* flow = FindFlow(request.flow);
+  if (flow != nullptr) flow->waiting.erase(handle);
+  requests_.erase(found);
+}
+
+void FlowShard::GiveUp(FlowRequestHandle handle, TimePoint now) {
+  const auto found = requests_.find(handle);
+  if (found == requests_.end()) return;
+  const SessionKey key = found->second.session;
+  Session* session = FindSession(key);
+  if (session != nullptr) {
+    SendFrame(*session, CancelFrame{found->second.number});
+    session->requests.erase(found->second.number);
+  }
+  // A request that waits to be sent, or to be sent again after "not run", has
+  // run nowhere.
+  const Request& request = found->second;
+  const bool is_not_run = request.session == 0 && !request.is_unresolved;
+  EndRequest(handle, is_not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
+             false, true, now);
+  DropSessionIfDone(key);
+}
+
+void FlowShard::OnRequestTimer(FlowRequestHandle handle, TimePoint now) {
+  const auto found = requests_.find(handle);
+  if (found == requests_.end()) return;
+  Request& request = found->second;
+  const Millis deadline = request.request.deadline;
+  if (deadline.value > 0 &&
+      now >= request.created + deadline + options_.grace) {
+    GiveUp(handle, now);
+    return;
+  }
+  const Session* session = FindSession(request.session);
+  if (now >= request.due && request.session == 0) {
+    SendWaiting(request.flow, now);
+  } else if (now >= request.due && !request.part_arrived &&
+             session != nullptr) {
+    ++counters_.requests_resent;
+    SendRequestFrame(request, *session, now);
+  }
+  ScheduleRequest(handle, request);
+}
+
+void FlowShard::ScheduleRequest(FlowRequestHandle handle,
+                                const Request& request) {
+  const Millis deadline = request.request.deadline;
+  if (deadline.value > 0) {
+    Schedule(TimerKind::kRequest, handle,
+             request.created + deadline + options_.grace);
+  }
+  // A request that waits for its flow to open is sent by the opening.
+  const bool is_timed = request.session == 0 ? request.due > MonotonicNow()
+                                             : !request.part_arrived;
+  if (is_timed) Schedule(TimerKind::kRequest, handle, request.due);
+}
+
+void FlowShard::OnSessionTimer(SessionKey key, TimePoint now) {
+  Session* session = FindSession(key);
+  if (session == nullptr) return;
+  if (session->identifier.empty()) {
+    if (now < session->due) {
+      Schedule(TimerKind::kSession, key, session->due);
+      return;
+    }
+    if (now - session->opened < options_.open_timeout) {
+      SendOpen(*session, now);
+      Schedule(TimerKind::kSession, key, session->due);
+      return;
+    }
+    const FlowHandle handle = session->flow;
+    ++counters_.open_timeouts;
+    Notify(handle, FlowEvent::kOpenTimedOut);
+    DropSession(key);
+    StartSession(handle, now);
+    return;
+  }
+  const bool is_busy = !session->requests.empty();
+  const bool has_pings = options_.ping_interval.value > 0;
+  if (!is_busy && !has_pings) return;
+  Millis interval = options_.ping_interval;
+  if (is_busy) interval = has_pings ? std::min(interval, kBusyProbe) : kBusyProbe;
+  TimePoint next = session->last_heard + interval;
+  if (session->pings_unanswered > 0) {
+    next = std::max(next, session->due);
+  }
+  if (now < next) {
+    Schedule(TimerKind::kSession, key, next);
+    return;
+  }
+  if (session->pings_unanswered >= options_.max_lost_pings) {
+    BreakSession(key, now);
+    return;
+  }
+  ++session->pings_unanswered;
+  session->due = now + kPingRepeat;
+  SendFrame(*session, PingFrame{});
+  Schedule(TimerKind::kSession, key, session->due);
+}
+
+void FlowShard::OnFlowTimer(FlowHandle handle, TimePoint now) {
+  const Flow* flow = FindFlow(handle);
+  if (flow == nullptr || flow->current != 0) return;
+  if (now < flow->reopen_at) {
+    Schedule(TimerKind::kFlow, handle, flow->reopen_at);
+    return;
+  }
+  StartSession(handle, now);
+}
+
+int64_t* FlowShard::TimerOf(TimerKind kind, uint64_t id) {
+  if (kind == TimerKind::kFlow) {
+    Flow* flow = FindFlow(id);
+    return flow == nullptr ? nullptr : &flow->timer;
+  }
+  if (kind == TimerKind::kSession) {
+    Session* session = FindSession(id);
+    return session == nullptr ? nullptr : &session->timer;
+  }
+  const auto request = requests_.find(id);
+  return request == requests_.end() ? nullptr : &request->second.timer;
+}
+
+void FlowShard::Schedule(TimerKind kind, uint64_t id, TimePoint due) {
+  int64_t* timer = TimerOf(kind, id);
+  if (timer == nullptr || *timer <= due.value) return;
+  *timer = due.value;
+  timers_.push(Timer{due.value, kind, id});
+}
+
+void FlowShard::Tick(TimePoint now) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    while (!timers_.empty() && timers_.top().due <= now.value) {
+      const Timer timer = timers_.top();
+      timers_.pop();
+      int64_t* current = TimerOf(timer.kind, timer.id);
+      if (current == nullptr || *current != timer.due) continue;
+      *current = INT64_MAX;
+      switch (timer.kind) {
+        case TimerKind::kSession:
+          OnSessionTimer(timer.id, now);
+          break;
+        case TimerKind::kFlow:
+          OnFlowTimer(timer.id, now);
+          break;
+        case TimerKind::kRequest:
+          OnRequestTimer(timer.id, now);
+          break;
+      }
+    }
+  }
+  RunCallbacks();
+}
+
+}  // namespace medlarwinch
--- a/packages/transport/src/udp_socket.cc
+++ b/packages/transport/src/udp_socket.cc
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr size_t kBatchSize = 32;
-constexpr size_t kMaxDatagramBytes = 2'048;
+// The largest messages are answers of the ledger with 4 KB of stored response.
+constexpr size_t kMaxDatagramBytes = 6'144;
 // The reading threads look at the stop flag this often when nothing arrives.
 constexpr int kPollMillis = 100;
 // Bursts of thousands of packets arrive between two reads when all cores are
