Test the control plane against the fake platform

New cases: an invalid document, newcomers while the platform is down, and daemons that know no peer.

--- a/packages/coordination/include/medlarwinch/coordination/agent_drain.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_drain.h
@@ -62,8 +62,8 @@
   std::vector<DrainDecision> actions;
 };
 
-/// Starts and ends a drain. It is final: a member's phase never goes back, so an
-/// upstream that the document lists no longer returns with a new process. No
+/// Starts and ends a drain. It is final: a member's phase never goes back, so
+/// an upstream that the document lists no longer returns with a new process. No
 /// further trigger or signal cuts anything; only `drain.deadline_ms` does.
 DrainStep StepDrain(DrainState state, const DrainInput& input,
                     const DocumentContext& context, TimePoint now);
--- a/packages/coordination/include/medlarwinch/coordination/request_ledger.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_ledger.h
@@ -48,8 +48,8 @@
   /// Time for which an ended request is remembered.
   Millis retention{600'000};
   size_t max_keys = 100'000;
-  /// Bytes of all stored answers together. Above it an answer is not stored, and
-  /// its retry is answered "may have run".
+  /// Bytes of all stored answers together. Above it an answer is not stored,
+  /// and its retry is answered "may have run".
   size_t max_answer_bytes = 8 * 1'024 * 1'024;
 };
 
--- a/packages/coordination/src/agent_drain.cc
+++ b/packages/coordination/src/agent_drain.cc
@@ -63,8 +63,8 @@
   }
   if (input.in_progress == 0 && input.is_told) {
     state.phase = DrainPhase::kLeft;
-    step.actions.push_back(
-        DrainDecision{DrainAction::kLeave, StartReason(state.trigger, context)});
+    step.actions.push_back(DrainDecision{DrainAction::kLeave,
+                                         StartReason(state.trigger, context)});
   }
   step.state = state;
   return step;
--- a/packages/coordination/src/flow_acceptance.cc
+++ b/packages/coordination/src/flow_acceptance.cc
@@ -30,9 +30,9 @@
 double SlowStartShare(const SlowStartPolicy& policy, Millis warm_for) {
   if (policy.window.value <= 0 || warm_for >= policy.window) return 1;
   const double initial = policy.initial_percent / 100.0;
-  const double elapsed = static_cast<double>(std::max<int64_t>(
-                             warm_for.value, 0)) /
-                         static_cast<double>(policy.window.value);
+  const double elapsed =
+      static_cast<double>(std::max<int64_t>(warm_for.value, 0)) /
+      static_cast<double>(policy.window.value);
   return std::min(1.0, initial + (1 - initial) * elapsed);
 }
 
@@ -40,13 +40,13 @@
                            const CandidatePosition& position,
                            const DocumentContext& context) {
   if (position.hop >= position.candidates) {
-    return FlowDecision{FlowAction::kDrop,
-                        MakeReason(context, "hop_out_of_bounds",
-                                   "balance.candidates")};
+    return FlowDecision{
+        FlowAction::kDrop,
+        MakeReason(context, "hop_out_of_bounds", "balance.candidates")};
   }
   if (state.draining) {
-    return PassOnOrShed(
-        position, MakeReason(context, "draining", "drain.upstreams"));
+    return PassOnOrShed(position,
+                        MakeReason(context, "draining", "drain.upstreams"));
   }
   if (position.hop >= position.accepting) {
     return PassOnOrShed(position, MakeReason(context, "not_in_current_table",
@@ -65,7 +65,8 @@
     return PassOnOrShed(position, MakeReason(context, "outlier",
                                              "health.outlier.error_percent"));
   }
-  if (state.mean_flows_per_slot < 0) return FlowDecision{FlowAction::kAccept, {}};
+  if (state.mean_flows_per_slot < 0)
+    return FlowDecision{FlowAction::kAccept, {}};
   if (state.flows <= BalancedFlows(state, context)) {
     return FlowDecision{FlowAction::kAccept, {}};
   }
--- a/packages/coordination/src/key_attempt.cc
+++ b/packages/coordination/src/key_attempt.cc
@@ -52,9 +52,9 @@
   if (attempt.start.refusal.has_value()) {
     // The earlier attempt is proven not to have run only when it is the only
     // one before this, and its agent has said so.
-    const bool is_proof = attempt.start.attempt == 1 ||
-                          (attempt.start.attempt == 2 &&
-                           !attempt.cancelled.empty());
+    const bool is_proof =
+        attempt.start.attempt == 1 ||
+        (attempt.start.attempt == 2 && !attempt.cancelled.empty());
     Reason reason = *attempt.start.refusal;
     return Refuse(std::move(attempt),
                   is_proof ? Verdict::kNotRun : Verdict::kMayHaveRun,
@@ -193,10 +193,9 @@
   }
   if (now >= attempt.stage_ends) {
     const bool is_asking = attempt.stage == KeyAttemptStage::kAsking;
-    return EndStage(std::move(attempt), context,
-                    is_asking ? "earlier_agent_unanswered"
-                              : "key_home_unanswered",
-                    "");
+    return EndStage(
+        std::move(attempt), context,
+        is_asking ? "earlier_agent_unanswered" : "key_home_unanswered", "");
   }
   KeyAttemptStep step{std::move(attempt), {}};
   if (now < step.attempt.next_send) return step;
--- a/packages/coordination/src/key_homes.cc
+++ b/packages/coordination/src/key_homes.cc
@@ -50,7 +50,8 @@
                   const KeyHomeLimits& limits, TimePoint now) {
   home = ExpireKeys(std::move(home), now);
   for (const MovedKey& moved : keys) {
-    if (moved.remaining.value <= 0 || home.records.contains(moved.key)) continue;
+    if (moved.remaining.value <= 0 || home.records.contains(moved.key))
+      continue;
     if (home.records.size() >= limits.max_keys) break;
     const Millis remaining = std::min(moved.remaining, limits.retention);
     Put(home, moved.key, KeyHomeRecord{moved.holder, now + remaining});
--- a/packages/coordination/src/outlier_detection.cc
+++ b/packages/coordination/src/outlier_detection.cc
@@ -48,8 +48,8 @@
       // Failures from before the ejection say nothing about the upstream now.
       state.window.clear();
       step.action = OutlierAction::kReturn;
-      step.reason = MakeReason(context, "ejection_over",
-                               "health.outlier.ejection_ms");
+      step.reason =
+          MakeReason(context, "ejection_over", "health.outlier.ejection_ms");
     }
     step.state = std::move(state);
     return step;
@@ -68,10 +68,9 @@
     step.state = std::move(state);
     return step;
   }
-  step.reason =
-      MakeReason(context, "outlier", "health.outlier.error_percent",
-                 {{"finished", std::to_string(finished)},
-                  {"failed", std::to_string(failed)}});
+  step.reason = MakeReason(context, "outlier", "health.outlier.error_percent",
+                           {{"finished", std::to_string(finished)},
+                            {"failed", std::to_string(failed)}});
   if (MayWithdraw(slots, context)) {
     state.ejected = true;
     state.ejected_until = now + policy.ejection;
--- a/packages/coordination/src/request_admission.cc
+++ b/packages/coordination/src/request_admission.cc
@@ -76,8 +76,9 @@
   if (request.requests_in_flight >= limit) {
     return Refuse(
         std::move(state), kUnavailable,
-        MakeReason(context, "request_limit", "limits.max_requests_per_slot",
-                   {{"in_flight", std::to_string(request.requests_in_flight)}}));
+        MakeReason(
+            context, "request_limit", "limits.max_requests_per_slot",
+            {{"in_flight", std::to_string(request.requests_in_flight)}}));
   }
   const TenantLimit* tenant = FindLimit(context, request.tenant);
   if (tenant == nullptr) return AdmissionStep{std::move(state), {}, 0};
@@ -116,8 +117,8 @@
     budget.tokens -= 1;
     return RetryStep{budget, {}};
   }
-  return RetryStep{budget, MakeReason(context, "retry_budget",
-                                      "retry.budget_percent")};
+  return RetryStep{budget,
+                   MakeReason(context, "retry_budget", "retry.budget_percent")};
 }
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/request_ledger.cc
+++ b/packages/coordination/src/request_ledger.cc
@@ -151,7 +151,8 @@
     const LedgerEntry& entry = found->second;
     const bool is_open = entry.state == LedgerState::kReserving ||
                          entry.state == LedgerState::kRunning;
-    // An entry whose retention was started again has a later place in the queue.
+    // An entry whose retention was started again has a later place in the
+    // queue.
     if (is_open || entry.expires > now) continue;
     if (entry.answer != nullptr) ledger.answer_bytes -= entry.answer->size();
     ledger.entries.erase(found);
--- a/packages/daemon/src/flow_table.cc
+++ b/packages/daemon/src/flow_table.cc
@@ -79,8 +79,7 @@
   found->second.key = moved;
 }
 
-bool FlowTable::AllOf(
-    const std::function<bool(const Flow&)>& predicate) const {
+bool FlowTable::AllOf(const std::function<bool(const Flow&)>& predicate) const {
   return std::all_of(flows_.begin(), flows_.end(), [&](const auto& entry) {
     return predicate(entry.second);
   });
--- a/packages/daemon/src/thin_transport.cc
+++ b/packages/daemon/src/thin_transport.cc
@@ -78,8 +78,7 @@
                                        const PacketHeader& header,
                                        const FlowIdentifier& identifier,
                                        Frame frame, TimePoint now) {
-  if (identifier.agent != identity_.data ||
-      identifier.boot_tag != boot_tag_) {
+  if (identifier.agent != identity_.data || identifier.boot_tag != boot_tag_) {
     SendReset(packet, header, ResetReason::kOtherBoot);
     return;
   }
@@ -335,10 +334,10 @@
 void ThinTransport::SendFrame(uint32_t flow_number, const Flow& flow,
                               const Frame& frame) {
   const std::shared_ptr<const KeySet> keys = ports_.keys();
-  const FlowIdentifierBytes identifier = IssueFlowIdentifier(
-      *keys, identity_.service,
-      FlowIdentifier{keys->current_epoch(), identity_.data, boot_tag_,
-                     flow_number});
+  const FlowIdentifierBytes identifier =
+      IssueFlowIdentifier(*keys, identity_.service,
+                          FlowIdentifier{keys->current_epoch(), identity_.data,
+                                         boot_tag_, flow_number});
   FabricPacket packet;
   packet.service_address = flow.key.service_address;
   packet.caller = flow.key.caller;
--- a/packages/daemon/src/upstream_client.cc
+++ b/packages/daemon/src/upstream_client.cc
@@ -89,7 +89,8 @@
 
 // One request and its response. All functions run on the thread of the
 // io_context; the handlers keep the exchange alive.
-class UpstreamClient::State::Exchange : public std::enable_shared_from_this<Exchange> {
+class UpstreamClient::State::Exchange
+    : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(std::shared_ptr<State> state, uint64_t number,
            UpstreamRequest request, UpstreamEvents events)
@@ -125,11 +126,10 @@
   void Connect() {
     reused_ = false;
     connection_ = std::make_unique<Connection>(state_->context);
-    SetDeadline(std::min(request_.head_deadline,
-                         MonotonicNow() + kConnectTimeout));
+    SetDeadline(
+        std::min(request_.head_deadline, MonotonicNow() + kConnectTimeout));
     connection_->stream.async_connect(
-        state_->upstream,
-        [self = shared_from_this()](const error_code& error) {
+        state_->upstream, [self = shared_from_this()](const error_code& error) {
           if (self->ended_) return;
           if (error) {
             self->End(UpstreamEnd::kNotHandedOver);
@@ -152,7 +152,8 @@
     message_.method_string(request_.method);
     message_.target(request_.target);
     message_.set(http::field::host, state_->host);
-    for (const auto& [name, value] : request_.headers) message_.set(name, value);
+    for (const auto& [name, value] : request_.headers)
+      message_.set(name, value);
     message_.set("x-request-deadline-ms", std::to_string(remaining.value));
     message_.body().assign(request_.body.begin(), request_.body.end());
     message_.prepare_payload();
@@ -188,8 +189,7 @@
   void OnHead() {
     head_read_ = true;
     const int status = static_cast<int>(parser_->get().result_int());
-    const bool not_run =
-        status == 503 && parser_->get()["x-not-run"] == "1";
+    const bool not_run = status == 503 && parser_->get()["x-not-run"] == "1";
     events_.on_head(status, not_run);
     if (!request_.deadline_covers_body) connection_->stream.expires_never();
     if (!ended_) ReadBody();
--- a/packages/daemon/tests/control_plane_test.cc
+++ b/packages/daemon/tests/control_plane_test.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/daemon/control_plane.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <caf/all.hpp>
 #include <chrono>
@@ -7,12 +8,14 @@
 #include <mutex>
 #include <thread>
 
-#include "medlarwinch/transport/platform_client.h"
+#include "fake_platform.h"
 
 namespace medlarwinch {
 namespace {
 
 constexpr Endpoint kAnyPort{0x7f000001, 0};
+constexpr char kDocument[] =
+    "service: probe-hub\nowner: feeds\naddresses: [\"10.1.0.1:443\"]\n";
 
 bool WaitFor(Millis limit, const std::function<bool()>& condition) {
   for (int64_t waited = 0; waited < limit.value; waited += 10) {
@@ -28,6 +31,8 @@
     Settings settings;
     settings.failure_domain = "catania";
     settings.control = kAnyPort;
+    settings.platform = platform.Options().server;
+    settings.platform_calls_per_second = 50;
     for (const std::unique_ptr<ControlPlane>& balancer : balancers) {
       settings.peers.push_back(balancer->view()->self.id);
     }
@@ -83,6 +88,31 @@
     return true;
   }
 
+  // Version of the service's document in force; 0 when there is none.
+  static uint64_t DocumentVersion(const ControlPlane& plane) {
+    const std::shared_ptr<const ControlView> view = plane.view();
+    const auto found = view->documents.find("probe-hub");
+    return found == view->documents.end() ? 0 : found->second.version;
+  }
+
+  bool AllHaveDocument(uint64_t version) const {
+    for (const std::unique_ptr<ControlPlane>& balancer : balancers) {
+      if (DocumentVersion(*balancer) != version) return false;
+    }
+    for (const std::unique_ptr<ControlPlane>& agent : agents) {
+      if (DocumentVersion(*agent) != version) return false;
+    }
+    return true;
+  }
+
+  size_t CountAccounted(const std::string& action) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return static_cast<size_t>(std::count_if(
+        account.begin(), account.end(),
+        [&](const AccountEntry& e) { return e.action == action; }));
+  }
+
+  FakePlatform platform;
   UpstreamLoad load{400, 0, 0, 0};
   Metrics metrics;
   std::mutex mutex;
@@ -117,24 +147,47 @@
   }
 }
 
-// Guards against a document that reaches only the balancers that watch.
-BOOST_AUTO_TEST_CASE(DocumentWritten_ViewsRead_InForceEverywhere) {
+// Guards against a document that reaches only the balancers that watch, and
+// against an invalid one that takes the valid one out of force.
+BOOST_AUTO_TEST_CASE(DocumentsWritten_ViewsRead_LastValidIsInForce) {
   StartBalancers(3);
   StartAgents(1);
-  PlatformClient client(PlatformClientOptions{});
-  const Result<uint64_t> version =
-      client.Put("config/probe-hub", "service: probe-hub\n", 0, "test");
-  BOOST_REQUIRE(IsOk(version));
-  const auto has_document = [&](const std::unique_ptr<ControlPlane>& plane) {
-    const std::shared_ptr<const ControlView> view = plane->view();
-    const auto found = view->documents.find("probe-hub");
-    return found != view->documents.end() &&
-           found->second.version == ValueOf(version);
-  };
+  platform.Set("config/probe-hub", kDocument);
+  BOOST_TEST(WaitFor(Millis{5'000}, [this] { return AllHaveDocument(1); }));
+  platform.Set("config/probe-hub", "service: [");
+  BOOST_TEST(WaitFor(Millis{5'000},
+                     [this] { return CountAccounted("reject_record") > 0; }));
+  BOOST_TEST(AllHaveDocument(1));
+  platform.Set("config/probe-hub", kDocument);
+  BOOST_TEST(WaitFor(Millis{5'000}, [this] { return AllHaveDocument(3); }));
+}
+
+// Guards against a newcomer that needs the platform to learn the documents.
+BOOST_AUTO_TEST_CASE(PlatformDown_NewcomersStarted_LearnFromPeers) {
+  platform.Set("config/probe-hub", kDocument);
+  StartBalancers(1);
+  BOOST_REQUIRE(WaitFor(Millis{5'000}, [this] { return AllHaveDocument(1); }));
+  platform.SetDown(true);
+  StartBalancers(2);
+  StartAgents(1);
+  BOOST_TEST(WaitFor(Millis{5'000}, [this] { return AllHaveDocument(1); }));
+}
+
+// Guards against daemons that only find each other through their settings.
+BOOST_AUTO_TEST_CASE(NoPeersInSettings_Started_FindEachOtherByBootstrapList) {
+  for (int index = 0; index < 2; ++index) {
+    Settings settings = MakeSettings();
+    settings.peers.clear();
+    balancers.push_back(Start(settings, MemberKind::kBalancer));
+    BOOST_REQUIRE(WaitFor(Millis{15'000}, [this] {
+      return platform.Find("bootstrap/catania").version > 0;
+    }));
+  }
   for (const std::unique_ptr<ControlPlane>& balancer : balancers) {
-    BOOST_TEST(WaitFor(Millis{5'000}, [&] { return has_document(balancer); }));
+    BOOST_TEST(WaitFor(Millis{15'000}, [&] {
+      return CountReady(*balancer, MemberKind::kBalancer) == 2;
+    }));
   }
-  BOOST_TEST(WaitFor(Millis{5'000}, [&] { return has_document(agents[0]); }));
 }
 
 // Guards against a dead agent that stays in service, and against a withdrawal
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -67,7 +67,8 @@
   packet.candidates = {Endpoint{1, 2}, Endpoint{3, 4}};
   packet.payload = Bytes(100, 7);
   CheckMutations(DataMessage(packet));
-  CheckMutations(DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5, {6, 7}, 8}));
+  CheckMutations(
+      DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5, {6, 7}, 8}));
   CheckMutations(DataMessage(
       KeyQueryReply{1, {1, 2}, KeyState::kRan, 200, true, Bytes(50, 1)}));
   CheckMutations(FabricPacket{{1, 2}, {3, 4}, Bytes(80, 5)});
