--- /dev/null
+++ b/packages/coordination/tests/liveness_test.cc
@@ -0,0 +1,210 @@
+#include <boost/test/unit_test.hpp>
+
+#include "control_parties.h"
+#include "property_check.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kBalancers = 3;
+// Time within which a dead member must be withdrawn: fail_after and the query.
+constexpr Millis kWithdrawnWithin{4'500};
+
+// Three balancers and `agent_count` agents that know each other.
+ControlParties StartParties(uint64_t seed, uint32_t agent_count) {
+  ControlParties parties(seed);
+  for (uint32_t number = 1; number <= kBalancers; ++number) {
+    parties.AddBalancer(number);
+  }
+  for (uint32_t number = 1; number <= agent_count; ++number) {
+    parties.AddAgent(number);
+  }
+  parties.Run(Millis{4'000});
+  return parties;
+}
+
+Endpoint AnyBalancer() {
+  return ControlParties::BalancerId(
+      static_cast<uint32_t>(AnyNumber(1, kBalancers)));
+}
+
+BOOST_AUTO_TEST_SUITE(LivenessOfThreeBalancersAndAgents)
+
+// Guards against a dead upstream that keeps its share of new flows.
+BOOST_AUTO_TEST_CASE(AgentDies_TimePasses_WithdrawnWithinBoundEverywhere) {
+  CheckProperty("a dead member is withdrawn in time", [] {
+    ControlParties parties =
+        StartParties(static_cast<uint64_t>(AnyNumber(0, 1'000)), 3);
+    parties.Run(Millis{AnyNumber(0, 20) * 50});
+    const Endpoint agent = ControlParties::AgentId(2);
+    parties.dead.insert(agent);
+    parties.Run(kWithdrawnWithin);
+    for (uint32_t number = 1; number <= kBalancers; ++number) {
+      RC_ASSERT(parties.PhaseAt(number, agent) == MemberPhase::kFailed);
+    }
+    RC_ASSERT(parties.Count("withdraw_balancer") == 0U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(BalancerDies_TimePasses_WithdrawnWithinBound) {
+  ControlParties parties = StartParties(1, 1);
+  parties.dead.insert(ControlParties::BalancerId(3));
+  parties.Run(kWithdrawnWithin);
+  BOOST_CHECK(parties.PhaseAt(1, ControlParties::BalancerId(3)) ==
+              MemberPhase::kFailed);
+  BOOST_CHECK(parties.PhaseAt(2, ControlParties::BalancerId(3)) ==
+              MemberPhase::kFailed);
+  BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
+}
+
+// Guards against a paused keeper that takes its own silence for that of the
+// upstreams when it resumes.
+BOOST_AUTO_TEST_CASE(KeeperPaused_Resumed_WithdrawsNobody) {
+  CheckProperty("a paused keeper withdraws nobody", [] {
+    ControlParties parties =
+        StartParties(static_cast<uint64_t>(AnyNumber(0, 1'000)), 3);
+    const Endpoint keeper = AnyBalancer();
+    parties.paused.insert(keeper);
+    parties.Run(Millis{AnyNumber(1, 200) * 50});
+    parties.paused.clear();
+    parties.Run(Millis{6'000});
+    RC_ASSERT(parties.Count("withdraw_upstream") == 0U);
+    // The keeper may have been recorded as failed, and answers that.
+    for (uint32_t number = 1; number <= kBalancers; ++number) {
+      RC_ASSERT(parties.PhaseAt(number, keeper) == MemberPhase::kReady);
+    }
+  });
+}
+
+// Guards against healthy upstreams that are withdrawn because a keeper is dead,
+// cut off, or loses messages.
+BOOST_AUTO_TEST_CASE(KeeperDeadOrCutOff_TimePasses_NoHealthyUpstreamWithdrawn) {
+  CheckProperty("a minority withdraws nobody", [] {
+    ControlParties parties =
+        StartParties(static_cast<uint64_t>(AnyNumber(0, 1'000)), 3);
+    const Endpoint keeper = AnyBalancer();
+    parties.loss_percent = 5;
+    parties.repeat_percent = 20;
+    if (AnyNumber(0, 1) == 0) {
+      parties.dead.insert(keeper);
+    } else {
+      parties.is_blocked = [keeper](const Endpoint& from, const Endpoint& to) {
+        return from == keeper || to == keeper;
+      };
+    }
+    parties.Run(Millis{15'000});
+    RC_ASSERT(parties.Count("withdraw_upstream") == 0U);
+  });
+}
+
+// Guards against two sides of a partition that stay apart after its end.
+BOOST_AUTO_TEST_CASE(BalancerCutOff_PartitionEnds_AllAreReadyAgain) {
+  ControlParties parties = StartParties(7, 2);
+  const Endpoint cut_off = ControlParties::BalancerId(2);
+  parties.is_blocked = [cut_off](const Endpoint& from, const Endpoint& to) {
+    return from == cut_off || to == cut_off;
+  };
+  parties.Run(Millis{20'000});
+  BOOST_CHECK(parties.PhaseAt(1, cut_off) == MemberPhase::kFailed);
+  parties.is_blocked = nullptr;
+  parties.Run(Millis{15'000});
+  for (uint32_t number = 1; number <= kBalancers; ++number) {
+    for (uint32_t other = 1; other <= kBalancers; ++other) {
+      BOOST_CHECK(parties.PhaseAt(number, ControlParties::BalancerId(other)) ==
+                  MemberPhase::kReady);
+    }
+  }
+  BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
+}
+
+// Guards against one keeper's broken path to an upstream that takes the
+// upstream out of service.
+BOOST_AUTO_TEST_CASE(OnePathBroken_TimePasses_DenialKeepsMember) {
+  ControlParties parties = StartParties(3, 2);
+  const Endpoint agent = ControlParties::AgentId(1);
+  const Endpoint keeper = ControlParties::BalancerId(2);
+  parties.is_blocked = [=](const Endpoint& from, const Endpoint& to) {
+    return from == agent && to == keeper;
+  };
+  parties.Run(Millis{20'000});
+  BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
+  BOOST_CHECK(parties.PhaseAt(2, agent) == MemberPhase::kReady);
+}
+
+// Guards against a service that is left with a few overloaded upstreams, and
+// against a refusal that nobody can explain afterwards.
+BOOST_AUTO_TEST_CASE(MostAgentsDie_TimePasses_HalfStaysInUseAsDoubtful) {
+  ControlParties parties = StartParties(5, 7);
+  for (uint32_t number = 1; number <= 5; ++number) {
+    parties.dead.insert(ControlParties::AgentId(number));
+  }
+  parties.Run(Millis{10'000});
+  const BalancerControl& state =
+      parties.balancers.at(ControlParties::BalancerId(1));
+  size_t failed = 0;
+  for (uint32_t number = 1; number <= 5; ++number) {
+    const Endpoint agent = ControlParties::AgentId(number);
+    if (parties.PhaseAt(1, agent) == MemberPhase::kFailed) ++failed;
+  }
+  BOOST_TEST(failed == 3U);
+  BOOST_TEST(state.doubtful.size() == 2U);
+  // Each of the keepers accounts for each refusal once.
+  BOOST_TEST(parties.Count("refuse_withdrawal") == 2U * kBalancers);
+  for (const Decision& decision : parties.decisions) {
+    if (decision.entry.action != "refuse_withdrawal") continue;
+    BOOST_TEST(decision.is_accounted);
+    BOOST_TEST(decision.entry.reason.path == "health.max_withdrawn_percent");
+    BOOST_TEST(decision.entry.reason.facts.count("failed_slots") == 1U);
+  }
+}
+
+// Guards against a document's limit that is not used.
+BOOST_AUTO_TEST_CASE(DocumentWithLongerLimit_AgentDies_StaysUntilThen) {
+  ControlParties parties = StartParties(5, 2);
+  HealthPolicy policy;
+  policy.fail_after = Millis{8'000};
+  for (auto& [id, state] : parties.balancers) {
+    state.policies["probe-hub"] = ServiceHealth{4, policy};
+  }
+  parties.dead.insert(ControlParties::AgentId(1));
+  parties.Run(Millis{6'500});
+  BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
+  parties.Run(Millis{3'000});
+  BOOST_REQUIRE(parties.Count("withdraw_upstream") > 0U);
+  for (const Decision& decision : parties.decisions) {
+    if (decision.entry.action != "withdraw_upstream") continue;
+    BOOST_TEST(decision.entry.reason.document == "probe-hub");
+    BOOST_TEST(decision.entry.reason.document_version == 4U);
+    BOOST_TEST(decision.entry.reason.path == "health.fail_after_ms");
+  }
+}
+
+// Guards against a paused agent that stays withdrawn after it resumes.
+BOOST_AUTO_TEST_CASE(AgentPaused_Resumed_RaisesIncarnationAndReturns) {
+  ControlParties parties = StartParties(9, 3);
+  const Endpoint agent = ControlParties::AgentId(1);
+  parties.paused.insert(agent);
+  parties.Run(Millis{8'000});
+  BOOST_CHECK(parties.PhaseAt(1, agent) == MemberPhase::kFailed);
+  parties.paused.clear();
+  parties.Run(Millis{3'000});
+  for (uint32_t number = 1; number <= kBalancers; ++number) {
+    BOOST_CHECK(parties.PhaseAt(number, agent) == MemberPhase::kReady);
+  }
+  BOOST_TEST(parties.agents.at(agent).self.version.incarnation == 1U);
+}
+
+// Guards against agents without the roster and the mean of their service.
+BOOST_AUTO_TEST_CASE(AgentsStarted_TimePasses_KnowKeepersRosterAndMean) {
+  const ControlParties parties = StartParties(2, 4);
+  for (const auto& [id, agent] : parties.agents) {
+    BOOST_TEST(agent.keepers.size() == kBalancers);
+    BOOST_TEST(agent.roster.size() == 4U);
+    BOOST_TEST(agent.mean_flows_per_slot == 100);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
