--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
   libgnutls28-dev pkg-config
 SOURCES = $(shell git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
 
-.PHONY: help setup configure build lint format test bench demo clean
+.PHONY: help setup configure build lint format test bench demo scenarios clean
 
 help:
-	@echo "make setup|build|lint|format|test|bench|demo"
+	@echo "make setup|build|lint|format|test|bench|demo|scenarios"
 
 # Installs the missing packages only, so that a prepared machine needs no network.
 setup:
@@ -44,5 +44,9 @@
 demo: build
 	@bash standins/demo $(BUILD_DIR)
 
+# Runs all scenarios, the long ones included, one after the other.
+scenarios: build
+	@bash standins/run_all $(BUILD_DIR)
+
 clean:
 	@rm -rf $(BUILD_DIR)
--- a/standins/tests/invariant_checks_test.cc
+++ b/standins/tests/invariant_checks_test.cc
@@ -18,36 +18,45 @@
 // A run without any violation: two upstreams, one flow of each kind.
 struct CleanRun {
   CleanRun() {
-    logs.steps = Records(
-        {"time=1000 event=upstream_started service=probe-hub "
-         "upstream=probe-hub/1 agent=127.0.21.1:7200 slots=4",
-         "time=1000 event=upstream_started service=probe-hub "
-         "upstream=probe-hub/2 agent=127.0.21.2:7200 slots=4",
-         "time=1000 event=balancer_started balancer=b1",
-         "time=1100 event=config_seen balancer=b1 service=probe-hub version=1",
-         "time=5000 event=config_applied service=probe-hub version=2",
-         "time=5300 event=config_seen balancer=b1 service=probe-hub "
-         "version=2"});
-    logs.callers = Records(
-        {"time=2000 event=flow_opened service=probe-hub flow=f1 "
-         "agent=127.0.21.1:7200",
-         "time=2000 event=request service=probe-hub flow=f1 token=t1",
-         "time=2010 event=head service=probe-hub flow=f1 token=t1 "
-         "answered_by=probe-hub upstream=probe-hub/1",
-         "time=2000 event=flow_opened service=probe-hub flow=f2 "
-         "agent=127.0.21.2:7200",
-         "time=2100 event=request service=probe-hub flow=f2 token=t2 key=k2",
-         "time=2110 event=head service=probe-hub flow=f2 token=t2 "
-         "answered_by=probe-hub upstream=probe-hub/2",
-         Verdict("2120", "f2", "t2", "k2", "ran"),
-         "time=9000 event=stopping service=probe-hub"});
-    logs.upstreams = Records(
-        {"time=2005 event=start service=probe-hub upstream=probe-hub/1 "
-         "path=/feed token=t1 copy=1",
-         "time=2105 event=start service=probe-hub upstream=probe-hub/2 "
-         "path=/samples token=t2 copy=1 key=k2",
-         "time=2105 event=run service=probe-hub upstream=probe-hub/2 "
-         "path=/samples token=t2 copy=1 key=k2 body=moisture=1;key=k2"});
+    AddStep(
+        "time=1000 event=upstream_started service=probe-hub "
+        "upstream=probe-hub/1 agent=127.0.21.1:7200 slots=4");
+    AddStep(
+        "time=1000 event=upstream_started service=probe-hub "
+        "upstream=probe-hub/2 agent=127.0.21.2:7200 slots=4");
+    AddStep("time=1000 event=balancer_started balancer=b1");
+    AddStep(
+        "time=1100 event=config_seen balancer=b1 service=probe-hub version=1");
+    AddStep("time=5000 event=config_applied service=probe-hub version=2");
+    AddStep(
+        "time=5300 event=config_seen balancer=b1 service=probe-hub "
+        "version=2");
+    AddCaller(
+        "time=2000 event=flow_opened service=probe-hub flow=f1 "
+        "agent=127.0.21.1:7200");
+    AddCaller("time=2000 event=request service=probe-hub flow=f1 token=t1");
+    AddCaller(
+        "time=2010 event=head service=probe-hub flow=f1 token=t1 "
+        "answered_by=probe-hub upstream=probe-hub/1");
+    AddCaller(
+        "time=2000 event=flow_opened service=probe-hub flow=f2 "
+        "agent=127.0.21.2:7200");
+    AddCaller(
+        "time=2100 event=request service=probe-hub flow=f2 token=t2 key=k2");
+    AddCaller(
+        "time=2110 event=head service=probe-hub flow=f2 token=t2 "
+        "answered_by=probe-hub upstream=probe-hub/2");
+    AddCaller(Verdict("2120", "f2", "t2", "k2", "ran"));
+    AddCaller("time=9000 event=stopping service=probe-hub");
+    AddUpstream(
+        "time=2005 event=start service=probe-hub upstream=probe-hub/1 "
+        "path=/feed token=t1 copy=1");
+    AddUpstream(
+        "time=2105 event=start service=probe-hub upstream=probe-hub/2 "
+        "path=/samples token=t2 copy=1 key=k2");
+    AddUpstream(
+        "time=2105 event=run service=probe-hub upstream=probe-hub/2 "
+        "path=/samples token=t2 copy=1 key=k2 body=moisture=1;key=k2");
     logs.fabric = {{"misdelivered", 0}};
   }
 
