Add the operators' commands that read and write documents

Change: validate, apply, get, history, status, drain, keys rotate and metrics as functions that return a report; the report is formatted as text or JSON.

--- /dev/null
+++ b/packages/cli/include/medlarwinch/cli/history_object.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/coordination/document_changes.h"
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// Entries and bytes that the object "history/SERVICE" holds at most.
+inline constexpr size_t kMaxHistoryEntries = 100;
+inline constexpr size_t kMaxHistoryBytes = 128 * 1'024;
+
+/// One applied version of a document.
+struct HistoryEntry {
+  uint64_t version = 0;
+  /// Version before it; 0 for the first.
+  uint64_t previous_version = 0;
+  TimePoint time;
+  std::string operator_name;
+  std::vector<FieldChange> changes;
+
+  friend bool operator==(const HistoryEntry&, const HistoryEntry&) = default;
+};
+
+/// Returns the key of a service's history, "history/SERVICE".
+std::string HistoryKey(const std::string& service);
+
+/// Formats entries, oldest first, as JSON lines.
+std::string FormatHistory(const std::vector<HistoryEntry>& entries);
+
+/// Parses the text that FormatHistory() made. Fails with kInvalidInput.
+Result<std::vector<HistoryEntry>> ParseHistory(const std::string& text);
+
+/// Adds an entry in the order of versions and drops the oldest ones above the
+/// bounds.
+std::vector<HistoryEntry> AppendHistory(std::vector<HistoryEntry> entries,
+                                        HistoryEntry entry);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/include/medlarwinch/cli/report_json.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "medlarwinch/coordination/change_checks.h"
+
+namespace medlarwinch {
+
+nlohmann::json ToJson(const FieldChange& change);
+nlohmann::json ToJson(const ChangeRefusal& refusal);
+
+/// Formats each element with ToJson().
+template <typename T>
+nlohmann::json ToJsonList(const std::vector<T>& elements) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const T& element : elements) list.push_back(ToJson(element));
+  return list;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/include/medlarwinch/cli/report_text.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "medlarwinch/coordination/document_changes.h"
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// Formats a wall-clock time as "2026-01-31T12:00:00.000Z".
+std::string FormatTime(TimePoint time);
+
+/// Parses "2026-01-31T12:00:00Z", with or without milliseconds, or "12:00:00"
+/// or "12:00" for the day of `now`, all in UTC. Fails with kInvalidInput.
+Result<TimePoint> ParseTime(std::string_view text, TimePoint now);
+
+/// Parses a span such as "500ms", "90s", "15m" or "2h". Fails with
+/// kInvalidInput.
+Result<Millis> ParseSpan(std::string_view text);
+
+/// Aligns the cells of all rows; the first row is the header.
+std::string FormatTable(const std::vector<std::vector<std::string>>& rows);
+
+/// Formats changes as lines "  PATH: BEFORE -> AFTER".
+std::string FormatChanges(const std::vector<FieldChange>& changes);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/src/command_context.cc
@@ -0,0 +1,49 @@
+#include "medlarwinch/cli/command_context.h"
+
+#include <sodium.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace medlarwinch {
+namespace {
+
+// One command makes few calls; the rate keeps a script of commands below the
+// platform's limits.
+constexpr double kCallsPerSecond = 20;
+constexpr double kCallBurst = 50;
+constexpr size_t kOperationBytes = 16;
+
+}  // namespace
+
+PlatformClient MakePlatformClient(const CommandContext& context) {
+  PlatformClientOptions options;
+  options.server = context.platform;
+  options.retry_for = context.timeout;
+  options.calls_per_second = kCallsPerSecond;
+  options.burst = kCallBurst;
+  randombytes_buf(&options.seed, sizeof(options.seed));
+  return PlatformClient(options);
+}
+
+std::string NewOperation(const CommandContext& context) {
+  uint8_t bytes[kOperationBytes];
+  char hex[2 * kOperationBytes + 1];
+  randombytes_buf(bytes, sizeof(bytes));
+  sodium_bin2hex(hex, sizeof(hex), bytes, sizeof(bytes));
+  return "operator/" + context.operator_name + "/" + hex;
+}
+
+Result<std::string> ReadFile(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) return Error{ErrorCode::kNotFound, file + ": can't be read"};
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+std::string DocumentKey(const std::string& service) {
+  return "config/" + service;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/src/daemon_status.cc
@@ -0,0 +1,191 @@
+#include "medlarwinch/cli/daemon_status.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "medlarwinch/transport/http_client.h"
+
+namespace medlarwinch {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis kStatusTimeout{1'000};
+constexpr int kStatusOk = 200;
+
+std::string TextOf(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+double NumberOf(const Json& json, const char* name, double fallback) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number()) return fallback;
+  return found->get<double>();
+}
+
+Endpoint EndpointOf(const Json& json, const char* name) {
+  const Result<Endpoint> endpoint = ParseEndpoint(TextOf(json, name));
+  return IsOk(endpoint) ? ValueOf(endpoint) : Endpoint{};
+}
+
+MemberPhase ParsePhase(const std::string& name) {
+  for (const MemberPhase phase : {MemberPhase::kStarting, MemberPhase::kReady,
+                                  MemberPhase::kDraining, MemberPhase::kLeft}) {
+    if (name == MemberPhaseName(phase)) return phase;
+  }
+  return MemberPhase::kFailed;
+}
+
+SeenMember ToMember(const Json& json) {
+  SeenMember member;
+  MemberEntry& entry = member.entry;
+  entry.id = EndpointOf(json, "id");
+  entry.kind = TextOf(json, "kind") == "balancer" ? MemberKind::kBalancer
+                                                  : MemberKind::kAgent;
+  entry.version.phase = ParsePhase(TextOf(json, "phase"));
+  entry.version.boot = static_cast<int64_t>(NumberOf(json, "boot", 0));
+  entry.version.incarnation =
+      static_cast<uint32_t>(NumberOf(json, "incarnation", 0));
+  entry.service = TextOf(json, "service");
+  entry.failure_domain = TextOf(json, "domain");
+  entry.slots = static_cast<uint32_t>(NumberOf(json, "slots", 0));
+  entry.data = EndpointOf(json, "data");
+  entry.upstream = EndpointOf(json, "upstream");
+  const auto doubtful = json.find("doubtful");
+  member.is_doubtful =
+      doubtful != json.end() && doubtful->is_boolean() && doubtful->get<bool>();
+  return member;
+}
+
+// Reads the fields that the daemon itself and its control plane give; the two
+// parts may stand in one object or the second below "control".
+void ReadPart(const Json& json, DaemonStatus& status) {
+  const auto documents = json.find("documents");
+  if (documents != json.end() && documents->is_object()) {
+    for (const auto& [service, version] : documents->items()) {
+      if (!version.is_number_unsigned()) continue;
+      status.documents[service] = version.get<uint64_t>();
+    }
+  }
+  const auto members = json.find("members");
+  if (members != json.end() && members->is_array()) {
+    for (const Json& member : *members) {
+      if (member.is_object()) status.members.push_back(ToMember(member));
+    }
+  }
+  const auto means = json.find("means");
+  if (means != json.end() && means->is_object()) {
+    for (const auto& [service, mean] : means->items()) {
+      if (mean.is_number()) status.means[service] = mean.get<double>();
+    }
+  }
+  const double version = NumberOf(json, "key_ring_version", 0);
+  if (version > 0) status.key_ring_version = static_cast<uint64_t>(version);
+  for (const char* name : {"platform_age_ms", "ms_since_platform_answer"}) {
+    const double age = NumberOf(json, name, -1);
+    if (age >= 0) status.platform_age = Millis{static_cast<int64_t>(age)};
+  }
+}
+
+void ReadSelf(const Json& json, DaemonStatus& status) {
+  if (status.id.empty()) status.id = TextOf(json, "id");
+  if (status.phase.empty()) status.phase = TextOf(json, "phase");
+  if (status.service.empty()) status.service = TextOf(json, "service");
+}
+
+DaemonStatus FetchStatus(const Endpoint& admin) {
+  DaemonStatus failed;
+  failed.admin = admin;
+  const Result<HttpResponse> response = SendHttpRequest(
+      admin, HttpRequest{"GET", "/status", "", {}}, kStatusTimeout);
+  if (!IsOk(response)) {
+    failed.error = ErrorOf(response).message;
+    return failed;
+  }
+  if (ValueOf(response).status != kStatusOk) {
+    failed.error = "answered " + std::to_string(ValueOf(response).status);
+    return failed;
+  }
+  Result<DaemonStatus> status =
+      ParseDaemonStatus(admin, ValueOf(response).body);
+  if (IsOk(status)) return TakeValue(std::move(status));
+  failed.error = ErrorOf(status).message;
+  return failed;
+}
+
+}  // namespace
+
+Result<DaemonStatus> ParseDaemonStatus(const Endpoint& admin,
+                                       const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) {
+    return Error{ErrorCode::kInvalidInput,
+                 "the status of " + ToString(admin) + " is no JSON object"};
+  }
+  DaemonStatus status;
+  status.admin = admin;
+  ReadPart(json, status);
+  ReadSelf(json, status);
+  const auto control = json.find("control");
+  if (control != json.end() && control->is_object()) {
+    ReadPart(*control, status);
+    const auto self = control->find("self");
+    if (self != control->end() && self->is_object()) ReadSelf(*self, status);
+  }
+  for (const auto& [name, value] : json.items()) {
+    if (value.is_number()) status.numbers[name] = value.get<double>();
+  }
+  return status;
+}
+
+Result<std::vector<Endpoint>> FindAdminAddresses(
+    const CommandContext& context) {
+  if (!context.admin.empty() || context.admin_port == 0) return context.admin;
+  PlatformClient client = MakePlatformClient(context);
+  const Result<std::vector<PlatformObject>> lists = client.List("bootstrap/");
+  if (!IsOk(lists)) return ErrorOf(lists);
+  std::set<Endpoint> addresses;
+  for (const PlatformObject& list : ValueOf(lists)) {
+    std::istringstream lines(list.value);
+    for (std::string line; std::getline(lines, line);) {
+      const Result<Endpoint> control = ParseEndpoint(line);
+      if (!IsOk(control)) continue;
+      addresses.insert(Endpoint{ValueOf(control).ip, context.admin_port});
+    }
+  }
+  return std::vector<Endpoint>(addresses.begin(), addresses.end());
+}
+
+std::vector<DaemonStatus> FetchStatuses(
+    const std::vector<Endpoint>& addresses) {
+  std::vector<DaemonStatus> statuses;
+  statuses.reserve(addresses.size());
+  for (const Endpoint& admin : addresses) {
+    statuses.push_back(FetchStatus(admin));
+  }
+  return statuses;
+}
+
+std::vector<SeenMember> MergeMembers(
+    const std::vector<DaemonStatus>& statuses) {
+  std::map<Endpoint, SeenMember> newest;
+  for (const DaemonStatus& status : statuses) {
+    for (const SeenMember& member : status.members) {
+      const auto [found, is_new] = newest.emplace(member.entry.id, member);
+      if (is_new) continue;
+      SeenMember& known = found->second;
+      const bool is_doubtful = known.is_doubtful || member.is_doubtful;
+      if (known.entry.version < member.entry.version) known = member;
+      known.is_doubtful = is_doubtful;
+    }
+  }
+  std::vector<SeenMember> members;
+  members.reserve(newest.size());
+  for (const auto& [id, member] : newest) members.push_back(member);
+  return members;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/src/validate_command.cc
@@ -0,0 +1,48 @@
+#include "medlarwinch/cli/validate_command.h"
+
+#include <sstream>
+
+#include "medlarwinch/cli/command_context.h"
+#include "medlarwinch/protocol/document_parser.h"
+
+namespace medlarwinch {
+
+Result<ValidateReport> RunValidate(const std::string& file) {
+  const Result<std::string> text = ReadFile(file);
+  if (!IsOk(text)) return ErrorOf(text);
+  ValidateReport report;
+  report.file = file;
+  const Result<ServiceDocument> document =
+      ParseServiceDocument(file, ValueOf(text));
+  if (IsOk(document)) {
+    report.service = ValueOf(document).service;
+    return report;
+  }
+  std::istringstream lines(ErrorOf(document).message);
+  for (std::string line; std::getline(lines, line);) {
+    report.mistakes.push_back(line);
+  }
+  return report;
+}
+
+ExitCode ExitCodeOf(const ValidateReport& report) {
+  return report.mistakes.empty() ? kExitOk : kExitFailed;
+}
+
+std::string FormatText(const ValidateReport& report) {
+  if (report.mistakes.empty()) {
+    return report.file + ": valid document of " + report.service + "\n";
+  }
+  std::string text;
+  for (const std::string& mistake : report.mistakes) text += mistake + "\n";
+  return text;
+}
+
+nlohmann::json ToJson(const ValidateReport& report) {
+  return {{"file", report.file},
+          {"valid", report.mistakes.empty()},
+          {"service", report.service},
+          {"mistakes", report.mistakes}};
+}
+
+}  // namespace medlarwinch
