--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -67,7 +67,8 @@
   packet.candidates = {Endpoint{1, 2}, Endpoint{3, 4}};
   packet.payload = Bytes(100, 7);
   CheckMutations(DataMessage(packet));
-  CheckMutations(DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5}));
+  CheckMutations(
+      DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5, {6, 7}, 8}));
   CheckMutations(DataMessage(
       KeyQueryReply{1, {1, 2}, KeyState::kRan, 200, true, Bytes(50, 1)}));
   CheckMutations(FabricPacket{{1, 2}, {3, 4}, Bytes(80, 5)});
@@ -86,8 +87,9 @@
   delta.members = {heartbeat.entry};
   delta.records = {RecordVersion{"config/probe-hub", 7}};
   CheckMutations(ControlMessage(delta));
-  CheckMutations(FetchRequest{{"config/a", "keys/ring"}, false, true});
-  CheckMutations(FetchReply{{Record{"config/a", 3, "service: a"}}, {}});
+  CheckMutations(FetchRequest{{"config/a", "keys/ring"}, false, true, "a"});
+  CheckMutations(
+      FetchReply{{Record{"config/a", 3, "service: a"}}, {}, ack.roster});
 }
 
 // Guards against a length field that makes the decoder allocate gigabytes.
