--- a/packages/daemon/src/upstream_client.cc
+++ b/packages/daemon/src/upstream_client.cc
@@ -172,7 +172,8 @@
 
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(boost::none);
+    // This version of Beast refuses every body when the limit is none.
+    parser_->body_limit(UINT64_MAX);
     if (request_.method == "HEAD") parser_->skip(true);
     http::async_read_header(
         connection_->stream, connection_->buffer, *parser_,
--- a/packages/transport/src/flow_shard.cc
+++ b/packages/transport/src/flow_shard.cc
@@ -44,10 +44,9 @@
       next_handle_(index == 0 ? shards : index) {}
 
 void FlowShard::Start() {
-  socket_->Start(
-      [this](const Endpoint& /*from*/, ByteView datagram) {
-        OnDatagram(datagram);
-      });
+  socket_->Start([this](const Endpoint& /*from*/, ByteView datagram) {
+    OnDatagram(datagram);
+  });
 }
 
 void FlowShard::Stop() {
@@ -203,7 +202,8 @@
     OnOpenAck(key, session, header, now);
     return;
   }
-  // Another agent may have answered the Open as well; only the first one counts.
+  // Another agent may have answered the Open as well; only the first one
+  // counts.
   if (!IsFromOwner(session, header)) {
     ++counters_.datagrams_unknown;
     return;
@@ -288,10 +288,10 @@
   const uint64_t number = next_caller_++;
   Session session;
   session.flow = handle;
-  session.caller = Endpoint{
-      options_.first_caller_ip +
-          static_cast<uint32_t>(number / kPortsPerAddress),
-      static_cast<uint16_t>(kFirstPort + number % kPortsPerAddress)};
+  session.caller =
+      Endpoint{options_.first_caller_ip +
+                   static_cast<uint32_t>(number / kPortsPerAddress),
+               static_cast<uint16_t>(kFirstPort + number % kPortsPerAddress)};
   if (!flow.options.address_only) {
     session.caller_identifier = RandomBytes(kCallerIdentifierBytes);
   }
@@ -379,10 +379,9 @@
 void FlowShard::Notify(FlowHandle handle, FlowEvent event) {
   const Flow* flow = FindFlow(handle);
   if (flow == nullptr || !flow->options.on_event) return;
-  callbacks_.emplace_back(
-      [on_event = flow->options.on_event, handle, event] {
-        on_event(handle, event);
-      });
+  callbacks_.emplace_back([on_event = flow->options.on_event, handle, event] {
+    on_event(handle, event);
+  });
 }
 
 void FlowShard::RunCallbacks() {
--- a/packages/transport/src/flow_shard_requests.cc
+++ b/packages/transport/src/flow_shard_requests.cc
@@ -73,8 +73,8 @@
   frame.body = request.request.body;
   SendFrame(session, frame);
   request.due = now + request.backoff;
-  request.backoff = std::min(request.backoff * 2,
-                             options_.resend_after * kMaxBackoffFactor);
+  request.backoff =
+      std::min(request.backoff * 2, options_.resend_after * kMaxBackoffFactor);
 }
 
 void FlowShard::OnPart(SessionKey key, Session& session,
@@ -132,10 +132,9 @@
       const uint64_t offset = request.next_offset;
       request.next_offset += data.size();
       if (request.events.on_part) {
-        callbacks_.emplace_back([on_part = request.events.on_part, offset,
-                                 bytes = std::move(data)] {
-          on_part(offset, bytes);
-        });
+        callbacks_.emplace_back(
+            [on_part = request.events.on_part, offset,
+             bytes = std::move(data)] { on_part(offset, bytes); });
       }
     }
     request.early_parts.erase(first);
@@ -203,10 +202,8 @@
   outcome.body_bytes = request.next_offset;
   outcome.ended_after = now - request.created;
   if (request.events.on_end) {
-    callbacks_.emplace_back(
-        [on_end = std::move(request.events.on_end), outcome] {
-          on_end(outcome);
-        });
+    callbacks_.emplace_back([on_end = std::move(request.events.on_end),
+                             outcome] { on_end(outcome); });
   }
   Flow* flow = FindFlow(request.flow);
   if (flow != nullptr) flow->waiting.erase(handle);
@@ -289,7 +286,8 @@
   const bool has_pings = options_.ping_interval.value > 0;
   if (!is_busy && !has_pings) return;
   Millis interval = options_.ping_interval;
-  if (is_busy) interval = has_pings ? std::min(interval, kBusyProbe) : kBusyProbe;
+  if (is_busy)
+    interval = has_pings ? std::min(interval, kBusyProbe) : kBusyProbe;
   TimePoint next = session->last_heard + interval;
   if (session->pings_unanswered > 0) {
     next = std::max(next, session->due);
