--- a/packages/coordination/tests/liveness_test.cc
+++ b/packages/coordination/tests/liveness_test.cc
@@ -57,21 +57,33 @@
   BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
 }
 
-// Guards against a paused keeper that takes its own silence for that of the
-// upstreams when it resumes.
-BOOST_AUTO_TEST_CASE(KeeperPaused_Resumed_WithdrawsNobody) {
-  CheckProperty("a paused keeper withdraws nobody", [] {
+// Guards against paused keepers that take their own silence for that of the
+// upstreams when they resume. They may be paused together, as on one host, and
+// then confirm each other's suspicion.
+BOOST_AUTO_TEST_CASE(KeepersPaused_Resumed_WithdrawNobody) {
+  CheckProperty("paused keepers withdraw nobody", [] {
     ControlParties parties =
         StartParties(static_cast<uint64_t>(AnyNumber(0, 1'000)), 3);
-    const Endpoint keeper = AnyBalancer();
-    parties.paused.insert(keeper);
+    const bool is_input_lost = AnyNumber(0, 1) == 0;
+    const uint32_t count = static_cast<uint32_t>(AnyNumber(1, kBalancers));
+    for (uint32_t number = 1; number <= count; ++number) {
+      parties.paused.insert(ControlParties::BalancerId(number));
+    }
+    if (is_input_lost) {
+      parties.is_blocked = [&parties](const Endpoint&, const Endpoint& to) {
+        return parties.paused.count(to) > 0;
+      };
+    }
     parties.Run(Millis{AnyNumber(1, 200) * 50});
     parties.paused.clear();
     parties.Run(Millis{6'000});
     RC_ASSERT(parties.Count("withdraw_upstream") == 0U);
-    // The keeper may have been recorded as failed, and answers that.
+    // A keeper may have been recorded as failed, and answers that.
     for (uint32_t number = 1; number <= kBalancers; ++number) {
-      RC_ASSERT(parties.PhaseAt(number, keeper) == MemberPhase::kReady);
+      for (uint32_t other = 1; other <= kBalancers; ++other) {
+        RC_ASSERT(parties.PhaseAt(number, ControlParties::BalancerId(other)) ==
+                  MemberPhase::kReady);
+      }
     }
   });
 }
@@ -117,18 +129,46 @@
   BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
 }
 
-// Guards against one keeper's broken path to an upstream that takes the
-// upstream out of service.
-BOOST_AUTO_TEST_CASE(OnePathBroken_TimePasses_DenialKeepsMember) {
-  ControlParties parties = StartParties(3, 2);
-  const Endpoint agent = ControlParties::AgentId(1);
-  const Endpoint keeper = ControlParties::BalancerId(2);
-  parties.is_blocked = [=](const Endpoint& from, const Endpoint& to) {
-    return from == agent && to == keeper;
+// Guards against two sides that recorded each other as failed and never send
+// each other anything again.
+BOOST_AUTO_TEST_CASE(FourBalancersSplit_PartitionEnds_AllAreReadyAgain) {
+  ControlParties parties = StartParties(8, 1);
+  parties.AddBalancer(4);
+  parties.Run(Millis{4'000});
+  parties.is_blocked = [](const Endpoint& from, const Endpoint& to) {
+    return (from.ip <= 2) != (to.ip <= 2);
   };
   parties.Run(Millis{20'000});
-  BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
-  BOOST_CHECK(parties.PhaseAt(2, agent) == MemberPhase::kReady);
+  for (uint32_t number = 1; number <= 4; ++number) {
+    for (uint32_t other = 1; other <= 4; ++other) {
+      const bool is_same_side = (number <= 2) == (other <= 2);
+      BOOST_CHECK(parties.PhaseAt(number, ControlParties::BalancerId(other)) ==
+                  (is_same_side ? MemberPhase::kReady : MemberPhase::kFailed));
+    }
+  }
+  parties.is_blocked = nullptr;
+  parties.Run(Millis{25'000});
+  for (uint32_t number = 1; number <= 4; ++number) {
+    for (uint32_t other = 1; other <= 4; ++other) {
+      BOOST_CHECK(parties.PhaseAt(number, ControlParties::BalancerId(other)) ==
+                  MemberPhase::kReady);
+    }
+  }
+}
+
+// Guards against broken paths between some keepers and an upstream that take
+// the upstream out of service.
+BOOST_AUTO_TEST_CASE(TwoPathsBroken_TimePasses_DenialKeepsMember) {
+  for (uint32_t broken = 1; broken <= 2; ++broken) {
+    ControlParties parties = StartParties(3, 2);
+    const Endpoint agent = ControlParties::AgentId(1);
+    parties.is_blocked = [=](const Endpoint& from, const Endpoint& to) {
+      return from == agent && to.ip <= broken;
+    };
+    parties.Run(Millis{20'000});
+    BOOST_TEST(parties.Count("withdraw_upstream") == 0U);
+    BOOST_CHECK(parties.PhaseAt(1, agent) == MemberPhase::kReady);
+  }
 }
 
 // Guards against a service that is left with a few overloaded upstreams, and
