Bind the control plane's tests to an address of their own

Cause: the tests picked free UDP ports on 127.0.0.1, whose TCP port another process on the machine could hold; Start() then failed now and then. Change: they use the address derived from the process id.

--- a/packages/daemon/tests/control_plane_test.cc
+++ b/packages/daemon/tests/control_plane_test.cc
@@ -9,11 +9,12 @@
 #include <thread>
 
 #include "fake_platform.h"
+#include "test_address.h"
 
 namespace medlarwinch {
 namespace {
 
-constexpr Endpoint kAnyPort{0x7f000001, 0};
+const Endpoint kAnyPort{ProcessLoopbackIp(), 0};
 constexpr char kDocument[] =
     "service: probe-hub\nowner: feeds\naddresses: [\"10.1.0.1:443\"]\n";
 
