Answer heartbeats in turn and measure the control traffic

Cause: with an answer to every heartbeat, a balancer of a full region would send and receive about 5 KB/s (computed from the message sizes). Change: the keepers of a member answer in turn unless there is news.

--- /dev/null
+++ b/bench/control_bench.cc
@@ -0,0 +1,62 @@
+// Costs of one balancer's control decisions, and its traffic against the number
+// of agents.
+#include <benchmark/benchmark.h>
+
+#include "medlarwinch/bench/control_fixture.h"
+
+namespace medlarwinch {
+namespace {
+
+template <size_t (ControlFixture::*Handle)()>
+void RunDecision(benchmark::State& state) {
+  ControlFixture fixture(kRegionBalancers, kRegionAgents, 0);
+  size_t messages = 0;
+  for (auto _ : state) messages += (fixture.*Handle)();
+  state.counters["messages"] = benchmark::Counter(
+      static_cast<double>(messages), benchmark::Counter::kAvgIterations);
+}
+
+BENCHMARK(RunDecision<&ControlFixture::HandleKeptHeartbeat>)
+    ->Name("kept_heartbeat");
+BENCHMARK(RunDecision<&ControlFixture::HandleNewAgent>)
+    ->Name("delta_new_agent")
+    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(RunDecision<&ControlFixture::HandleBalancerChange>)
+    ->Name("delta_balancer_change")
+    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(RunDecision<&ControlFixture::HandleEqualDigest>)
+    ->Name("equal_digest")
+    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(RunDecision<&ControlFixture::RunTick>)
+    ->Name("heartbeat_tick")
+    ->Unit(benchmark::kMicrosecond);
+
+// Time is that of one second of a steady state; the counters are per second.
+void RunTraffic(benchmark::State& state) {
+  const uint32_t agents = static_cast<uint32_t>(state.range(0));
+  ControlFixture fixture(kRegionBalancers, agents, 0);
+  ControlTraffic traffic;
+  constexpr uint32_t kSeconds = 6;
+  for (auto _ : state) traffic = fixture.RunSteady(kSeconds);
+  const auto per_second = [](uint64_t count) {
+    return static_cast<double>(count) / kSeconds;
+  };
+  state.counters["kept"] = static_cast<double>(fixture.state().kept.size());
+  state.counters["sent_messages"] = per_second(traffic.sent_messages);
+  state.counters["sent_bytes"] = per_second(traffic.sent_bytes);
+  state.counters["received_messages"] = per_second(traffic.received_messages);
+  state.counters["received_bytes"] = per_second(traffic.received_bytes);
+}
+
+BENCHMARK(RunTraffic)
+    ->Name("steady_six_seconds")
+    ->Arg(120)
+    ->Arg(1'200)
+    ->Arg(kRegionAgents)
+    ->Arg(8'600)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace medlarwinch
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/src/control_fixture.cc
@@ -0,0 +1,154 @@
+#include "medlarwinch/bench/control_fixture.h"
+
+#include <utility>
+
+#include "medlarwinch/coordination/digest_tree.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kAgentBase = 0x0a800000;
+constexpr uint32_t kBalancerBase = 0x0a000001;
+
+MemberEntry MakeBalancer(uint32_t number) {
+  MemberEntry entry;
+  entry.id = Endpoint{kBalancerBase + number, 7'100};
+  entry.version = MemberVersion{1'700'000'000'000, 0, MemberPhase::kReady};
+  entry.kind = MemberKind::kBalancer;
+  entry.failure_domain = "ktm-balaju-" + std::to_string(number % 3);
+  entry.data = Endpoint{entry.id.ip, 7'000};
+  return entry;
+}
+
+MemberEntry MakeAgent(uint32_t number) {
+  MemberEntry entry;
+  entry.id = Endpoint{kAgentBase + number, 7'100};
+  entry.version = MemberVersion{1'700'000'000'000, 0, MemberPhase::kReady};
+  entry.service = "service-" + std::to_string(number / kAgentsPerService);
+  entry.failure_domain = "ktm-balaju-" + std::to_string(number % 3);
+  entry.slots = 4;
+  entry.data = Endpoint{entry.id.ip, 7'000};
+  entry.upstream = Endpoint{entry.id.ip, 8'080};
+  return entry;
+}
+
+Digest TopDigestOf(const BalancerControl& state) {
+  Digest digest =
+      ComputeDigest(MemberItems(state.table), DigestScope::kMembers, 0, 0);
+  digest.records = HashItems(RecordItems(state.records));
+  digest.wants_answer = true;
+  return digest;
+}
+
+}  // namespace
+
+ControlFixture::ControlFixture(uint32_t balancers, uint32_t agents,
+                               uint32_t own) {
+  std::vector<MemberEntry> members;
+  for (uint32_t number = 0; number < balancers; ++number) {
+    members.push_back(MakeBalancer(number));
+  }
+  std::vector<OfferedRecord> documents;
+  for (uint32_t number = 0; number < agents; ++number) {
+    members.push_back(MakeAgent(number));
+    if (number % kAgentsPerService != 0) continue;
+    const std::string name = kDocumentPrefix + members.back().service;
+    documents.push_back(OfferedRecord{
+        Record{name, 7, std::string(700, 'x')}, {}, HealthPolicy{}, "", false});
+  }
+  state_ = StartBalancerControl(MakeBalancer(own), {}, now_);
+  Take(HandleFetchedMembers(std::move(state_), members, now_, random_));
+  Take(HandleOfferedRecords(std::move(state_), documents, now_, random_));
+}
+
+ControlTraffic ControlFixture::RunSteady(uint32_t seconds) {
+  // The first second has the first answers and means.
+  for (uint32_t second = 0; second <= seconds; ++second) {
+    if (second == 1) traffic_ = ControlTraffic{};
+    ++sequence_;
+    std::vector<Endpoint> kept;
+    for (const auto& [id, member] : state_.kept) kept.push_back(id);
+    for (const Endpoint& id : kept) Receive(id, HeartbeatOf(id));
+    HandleEqualDigest();
+    for (int64_t tick = 0; tick < 1'000; tick += kControlTick.value) {
+      now_ = now_ + kControlTick;
+      Take(TickBalancer(std::move(state_), now_, random_));
+    }
+  }
+  return traffic_;
+}
+
+size_t ControlFixture::HandleKeptHeartbeat() {
+  KeptMembers::const_iterator kept = state_.kept.begin();
+  while (state_.table.members.at(kept->first).entry.kind !=
+         MemberKind::kAgent) {
+    ++kept;
+  }
+  ++sequence_;
+  const Endpoint id = kept->first;
+  const Heartbeat heartbeat = HeartbeatOf(id);
+  return Take(
+      HandleBalancerMessage(std::move(state_), id, heartbeat, now_, random_));
+}
+
+size_t ControlFixture::HandleNewAgent() {
+  Delta delta;
+  delta.members = {MakeAgent(1'000'000 + changes_ % 500)};
+  delta.members[0].version.incarnation = ++changes_;
+  return Take(HandleBalancerMessage(std::move(state_), MakeBalancer(1).id,
+                                    delta, now_, random_));
+}
+
+size_t ControlFixture::HandleBalancerChange() {
+  Delta delta;
+  delta.members = {MakeBalancer(2)};
+  MemberVersion& version = delta.members[0].version;
+  version.incarnation = changes_ / 2 + 1;
+  version.phase =
+      changes_ % 2 == 0 ? MemberPhase::kStarting : MemberPhase::kReady;
+  ++changes_;
+  return Take(HandleBalancerMessage(std::move(state_), MakeBalancer(1).id,
+                                    delta, now_, random_));
+}
+
+size_t ControlFixture::HandleEqualDigest() {
+  const size_t before = traffic_.sent_messages;
+  Receive(MakeBalancer(1).id, TopDigestOf(state_));
+  return traffic_.sent_messages - before;
+}
+
+size_t ControlFixture::RunTick() {
+  now_ = now_ + kHeartbeatInterval;
+  return Take(TickBalancer(std::move(state_), now_, random_));
+}
+
+size_t ControlFixture::Take(BalancerStep step) {
+  state_ = std::move(step.state);
+  for (const OutgoingMessage& message : step.actions.messages) {
+    ++traffic_.sent_messages;
+    traffic_.sent_bytes += EncodeControlMessage(key_, message.message).size();
+  }
+  return step.actions.messages.size();
+}
+
+void ControlFixture::Receive(const Endpoint& from,
+                             const ControlMessage& message) {
+  ++traffic_.received_messages;
+  traffic_.received_bytes += EncodeControlMessage(key_, message).size();
+  Take(HandleBalancerMessage(std::move(state_), from, message, now_, random_));
+}
+
+Heartbeat ControlFixture::HeartbeatOf(const Endpoint& id) {
+  Heartbeat heartbeat;
+  heartbeat.entry = state_.table.members.at(id).entry;
+  heartbeat.sequence = sequence_;
+  heartbeat.load.flows = 8'000;
+  const std::map<std::string, ServiceSummary>::const_iterator summary =
+      state_.summaries.find(heartbeat.entry.service);
+  if (summary != state_.summaries.end()) {
+    heartbeat.roster_hash = summary->second.roster_hash;
+  }
+  return heartbeat;
+}
+
+}  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/agent_control.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_control.h
@@ -11,8 +11,9 @@
 namespace medlarwinch {
 
 /// An agent whose keepers have been silent for this long asks its first peers
-/// again.
-inline constexpr Millis kKeepersLostAfter{3'000};
+/// again. Keepers answer in turn, so that a single one left of three answers
+/// every 3 s.
+inline constexpr Millis kKeepersLostAfter{5'000};
 
 /// The control state of an agent. All times are monotonic.
 struct AgentControl {
--- a/packages/coordination/include/medlarwinch/coordination/kept_members.h
+++ b/packages/coordination/include/medlarwinch/coordination/kept_members.h
@@ -17,7 +17,10 @@
   TimePoint last_heard;
   /// True once a heartbeat has arrived.
   bool heard = false;
-  UpstreamLoad load;
+  UpstreamLoad load = {};
+  /// Versions of the document and the key ring in the last answer to it.
+  uint64_t answered_document = 0;
+  uint64_t answered_ring = 0;
 };
 
 /// The members that this process keeps, by control address.
--- a/packages/coordination/src/balancer_control.cc
+++ b/packages/coordination/src/balancer_control.cc
@@ -76,6 +76,27 @@
   return ack;
 }
 
+// True when the sender of a heartbeat needs the answer. The keepers of a member
+// answer in turn unless there is news, since each answer carries the same mean:
+// answers to every heartbeat would be a quarter of a balancer's traffic.
+bool NeedsAnswer(const BalancerControl& state, const Endpoint& to,
+                 const Heartbeat& heartbeat, const HeartbeatAck& ack) {
+  const MemberEntry& entry = heartbeat.entry;
+  if (ack.recorded != entry.version) return true;
+  if (entry.kind == MemberKind::kBalancer) return false;
+  if (ack.roster_hash != heartbeat.roster_hash) return true;
+  const KeptMembers::const_iterator kept = state.kept.find(to);
+  if (kept == state.kept.end()) return true;
+  if (kept->second.answered_document != ack.document_version) return true;
+  if (kept->second.answered_ring != ack.key_ring_version) return true;
+  const std::vector<Endpoint>& keepers = ack.keepers;
+  const std::vector<Endpoint>::const_iterator own =
+      std::find(keepers.begin(), keepers.end(), state.self.id);
+  if (own == keepers.end()) return true;
+  const size_t turn = heartbeat.sequence % keepers.size();
+  return turn == static_cast<size_t>(own - keepers.begin());
+}
+
 BalancerStep HandleHeartbeat(BalancerControl state, const Endpoint& from,
                              const Heartbeat& heartbeat, TimePoint now,
                              Random& random) {
@@ -86,8 +107,14 @@
       NoteHeartbeat(std::move(step.state.kept), id, heartbeat.load, now);
   step.state.suspicions = EndSuspicion(std::move(step.state.suspicions), id);
   if (step.state.doubtful.erase(id) > 0) step.actions.view_changed = true;
-  step.actions.messages.push_back(
-      OutgoingMessage{from, MakeAck(step.state, heartbeat)});
+  HeartbeatAck ack = MakeAck(step.state, heartbeat);
+  if (!NeedsAnswer(step.state, id, heartbeat, ack)) return step;
+  const KeptMembers::iterator kept = step.state.kept.find(id);
+  if (kept != step.state.kept.end()) {
+    kept->second.answered_document = ack.document_version;
+    kept->second.answered_ring = ack.key_ring_version;
+  }
+  step.actions.messages.push_back(OutgoingMessage{from, std::move(ack)});
   return step;
 }
 
--- a/packages/coordination/src/kept_members.cc
+++ b/packages/coordination/src/kept_members.cc
@@ -34,7 +34,7 @@
     }
     const KeptMembers::iterator known = kept.find(id);
     if (known == kept.end()) {
-      updated.emplace_hint(updated.end(), id, KeptMember{now, false, {}});
+      updated.emplace_hint(updated.end(), id, KeptMember{now});
     } else {
       updated.emplace_hint(updated.end(), id, known->second);
     }
@@ -52,7 +52,7 @@
   }
   if (kept.count(entry.id) > 0) return kept;
   if (!IsKeeperOf(self, entry, ready_balancers)) return kept;
-  kept[entry.id] = KeptMember{now, false, {}};
+  kept[entry.id] = KeptMember{now};
   return kept;
 }
 
@@ -60,7 +60,9 @@
                           const UpstreamLoad& load, TimePoint now) {
   const KeptMembers::iterator member = kept.find(id);
   if (member == kept.end()) return kept;
-  member->second = KeptMember{now, true, load};
+  member->second.last_heard = now;
+  member->second.heard = true;
+  member->second.load = load;
   return kept;
 }
 
