Shorten heartbeats and push means once a second

Change: heartbeats carry the whole entry only when a keeper may lack it; changed means are collected for a second and pushed to 2 balancers.

--- a/bench/control_bench.cc
+++ b/bench/control_bench.cc
@@ -1,8 +1,11 @@
 // Costs of one balancer's control decisions, and its traffic against the number
 // of agents.
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
 #include "medlarwinch/bench/control_fixture.h"
+#include "medlarwinch/bench/loop_fixture.h"
+#include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
 namespace {
@@ -56,7 +59,33 @@
     ->Arg(8'600)
     ->Unit(benchmark::kMillisecond);
 
+// Publishing a view after the change of one agent. `heap_mb` is what the loop
+// holds with two views alive, the newest and the one that readers still use.
+void RunPublish(benchmark::State& state) {
+  const size_t before = mallinfo2().uordblks;
+  LoopFixture fixture(static_cast<uint32_t>(state.range(0)));
+  fixture.PublishChange();
+  const size_t after = mallinfo2().uordblks;
+  for (auto _ : state) fixture.PublishChange();
+  state.counters["members"] =
+      static_cast<double>(fixture.view().members.size());
+  state.counters["documents"] =
+      static_cast<double>(fixture.view().documents.size());
+  state.counters["heap_mb"] = static_cast<double>(after - before) / 1'000'000;
+}
+
+BENCHMARK(RunPublish)
+    ->Name("publish_view")
+    ->Arg(620)
+    ->Arg(6'800)
+    ->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 }  // namespace medlarwinch
 
-BENCHMARK_MAIN();
+int main(int argc, char** argv) {
+  medlarwinch::InitLog(medlarwinch::LogLevel::kError, "bench");
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- a/bench/include/medlarwinch/bench/control_fixture.h
+++ b/bench/include/medlarwinch/bench/control_fixture.h
@@ -34,7 +34,8 @@
   ControlFixture(uint32_t balancers, uint32_t agents, uint32_t own);
 
   /// Runs `seconds` of a steady state: ticks, heartbeats of kept members, one
-  /// digest of a peer each second.
+  /// digest of a peer and as many changed means as a region may have each
+  /// second.
   ControlTraffic RunSteady(uint32_t seconds);
 
   /// Handles one heartbeat of a kept agent; returns the number of messages that
@@ -59,6 +60,8 @@
  private:
   size_t Take(BalancerStep step);
   void Receive(const Endpoint& from, const ControlMessage& message);
+  // The means that other keepers disseminate in one second, twice.
+  void ReceiveMeans();
   Heartbeat HeartbeatOf(const Endpoint& id);
 
   BalancerControl state_;
--- a/bench/src/control_fixture.cc
+++ b/bench/src/control_fixture.cc
@@ -70,6 +70,7 @@
     for (const auto& [id, member] : state_.kept) kept.push_back(id);
     for (const Endpoint& id : kept) Receive(id, HeartbeatOf(id));
     HandleEqualDigest();
+    ReceiveMeans();
     for (int64_t tick = 0; tick < 1'000; tick += kControlTick.value) {
       now_ = now_ + kControlTick;
       Take(TickBalancer(std::move(state_), now_, random_));
@@ -119,9 +120,23 @@
 
 size_t ControlFixture::RunTick() {
   now_ = now_ + kHeartbeatInterval;
+  state_.last_tick = now_;
+  state_.kept = CountAllAsHeard(std::move(state_.kept), now_);
   return Take(TickBalancer(std::move(state_), now_, random_));
 }
 
+void ControlFixture::ReceiveMeans() {
+  Delta delta;
+  for (int64_t index = 0; index < kMeansPerSecond; ++index) {
+    const uint32_t number = static_cast<uint32_t>(random_() % 600);
+    delta.means.push_back(ServiceMean{"service-" + std::to_string(number),
+                                      2'000, MakeBalancer(1).id, sequence_});
+  }
+  // The second copy is no news any more.
+  Receive(MakeBalancer(1).id, delta);
+  Receive(MakeBalancer(2).id, delta);
+}
+
 size_t ControlFixture::Take(BalancerStep step) {
   state_ = std::move(step.state);
   for (const OutgoingMessage& message : step.actions.messages) {
@@ -140,6 +155,7 @@
 
 Heartbeat ControlFixture::HeartbeatOf(const Endpoint& id) {
   Heartbeat heartbeat;
+  heartbeat.is_brief = true;
   heartbeat.entry = state_.table.members.at(id).entry;
   heartbeat.sequence = sequence_;
   heartbeat.load.flows = 8'000;
--- a/packages/coordination/include/medlarwinch/coordination/agent_control.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_control.h
@@ -35,6 +35,8 @@
   /// Time until which a fetch is under way.
   TimePoint fetching_until{-1};
   uint64_t heartbeats = 0;
+  /// True when the next heartbeats must carry the whole entry.
+  bool needs_whole_entry = true;
 };
 
 /// Next state and what to do.
--- a/packages/coordination/include/medlarwinch/coordination/balancer_control.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_control.h
@@ -18,6 +18,9 @@
 
 /// Balancers to which news is pushed.
 inline constexpr size_t kPushTargets = 4;
+/// Balancers to which changed means are pushed, once a second. Fewer than for
+/// other news, because a mean is a hint and the next change repairs a miss.
+inline constexpr size_t kMeanPushTargets = 2;
 /// Every n-th digest exchange goes to a balancer recorded as failed or to a
 /// first peer, so that two sides of a former partition find each other again.
 inline constexpr uint64_t kReunionInterval = 10;
@@ -49,6 +52,8 @@
   RecordStore records;
   HealthPolicies policies;
   KnownMeans means;
+  /// New means by service that wait for the next push.
+  std::map<std::string, ServiceMean> pending_means;
   ComputedMeans computed_means;
   std::map<std::string, ServiceSummary> summaries;
   /// Running fetches by record name, with the time at which they count as lost.
@@ -60,6 +65,9 @@
   /// True once a peer has answered with its member table.
   bool has_joined = false;
   uint64_t heartbeats = 0;
+  /// Version for which whole entries were last sent to the keepers.
+  MemberVersion announced;
+  std::vector<Endpoint> announced_to;
   uint64_t exchanges = 0;
 };
 
--- a/packages/coordination/include/medlarwinch/coordination/control_types.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_types.h
@@ -39,6 +39,10 @@
 
 /// Sent once a second by every member to each of its keepers.
 struct Heartbeat {
+  /// True when only id and version of the entry are sent. The receiver takes
+  /// the rest from its table; one that does not know the sender answers with an
+  /// empty record, and gets the whole entry next.
+  bool is_brief = false;
   MemberEntry entry;
   UpstreamLoad load;
   uint64_t sequence = 0;
--- a/packages/coordination/include/medlarwinch/coordination/service_means.h
+++ b/packages/coordination/include/medlarwinch/coordination/service_means.h
@@ -13,8 +13,9 @@
 /// A mean is disseminated when it differs from the known one by more than this
 /// share.
 inline constexpr double kMeanChange = 0.02;
-/// Means of one region that its keepers disseminate per second at most; each
-/// reaches a balancer about four times, which takes up half of the 4 KB/s.
+/// Means of one region that its keepers disseminate per second at most. Each
+/// balancer sends and receives a mean about twice, so that they take up less
+/// than a third of the 4 KB/s.
 inline constexpr int64_t kMeansPerSecond = 8;
 
 /// Time that a new keeper waits for the first heartbeats of all agents before
--- a/packages/coordination/src/agent_control.cc
+++ b/packages/coordination/src/agent_control.cc
@@ -18,6 +18,7 @@
   heartbeat.load = load;
   heartbeat.sequence = ++step.state.heartbeats;
   heartbeat.roster_hash = step.state.roster_hash;
+  heartbeat.is_brief = !step.state.needs_whole_entry;
   for (const Endpoint& target : targets) {
     step.actions.messages.push_back(OutgoingMessage{target, heartbeat});
   }
@@ -47,6 +48,8 @@
                   const UpstreamLoad& load) {
   const MemberVersion version =
       VersionAfterRecord(step.state.self.version, recorded);
+  // A keeper that has an older record needs the entry.
+  step.state.needs_whole_entry |= recorded != step.state.self.version;
   if (version == step.state.self.version) return;
   AccountEntry entry;
   entry.action = "raise_incarnation";
@@ -72,6 +75,7 @@
     }
   }
   step.state.keepers = keepers;
+  step.state.needs_whole_entry = true;
   SendHeartbeat(step, added, load);
 }
 
@@ -123,6 +127,7 @@
   }
   if (now < step.state.next_heartbeat) return step;
   SendHeartbeat(step, step.state.keepers, load);
+  step.state.needs_whole_entry = step.state.keepers.empty();
   step.state.next_heartbeat = now + kHeartbeatInterval;
   return step;
 }
@@ -175,6 +180,7 @@
   AgentStep step{std::move(state), {}};
   if (phase <= step.state.self.version.phase) return step;
   step.state.self.version.phase = phase;
+  step.state.needs_whole_entry = true;
   SendHeartbeat(step, step.state.keepers, load);
   step.state.next_heartbeat = now + kHeartbeatInterval;
   step.actions.view_changed = true;
--- a/packages/coordination/src/balancer_control.cc
+++ b/packages/coordination/src/balancer_control.cc
@@ -97,9 +97,30 @@
   return turn == static_cast<size_t>(own - keepers.begin());
 }
 
+// Fills in what a brief heartbeat leaves out; false when the sender is unknown
+// or has restarted, since another process may then use its address.
+bool CompleteEntry(const MemberTable& table, Heartbeat& heartbeat) {
+  if (!heartbeat.is_brief) return true;
+  const std::map<Endpoint, MemberRecord>::const_iterator known =
+      table.members.find(heartbeat.entry.id);
+  if (known == table.members.end()) return false;
+  const MemberVersion version = heartbeat.entry.version;
+  if (known->second.entry.version.boot != version.boot) return false;
+  heartbeat.entry = known->second.entry;
+  heartbeat.entry.version = version;
+  return true;
+}
+
 BalancerStep HandleHeartbeat(BalancerControl state, const Endpoint& from,
-                             const Heartbeat& heartbeat, TimePoint now,
+                             Heartbeat heartbeat, TimePoint now,
                              Random& random) {
+  if (!CompleteEntry(state.table, heartbeat)) {
+    BalancerStep step{std::move(state), {}};
+    HeartbeatAck unknown;
+    unknown.sequence = heartbeat.sequence;
+    step.actions.messages.push_back(OutgoingMessage{from, unknown});
+    return step;
+  }
   const Endpoint& id = heartbeat.entry.id;
   BalancerStep step = MergeNews(std::move(state), {heartbeat.entry}, Endpoint{},
                                 PassOn::kYes, now, random);
@@ -120,6 +141,8 @@
 
 BalancerStep HandleAck(BalancerControl state, const HeartbeatAck& ack,
                        TimePoint now, Random& random) {
+  // A keeper without this record gets the whole entry next.
+  if (ack.recorded != state.self.version) state.announced = MemberVersion{};
   MemberEntry recorded = state.self;
   recorded.version = ack.recorded;
   return MergeNews(std::move(state), {recorded}, Endpoint{}, PassOn::kYes, now,
@@ -159,6 +182,30 @@
   step.actions.fetches.push_back(OutgoingFetch{from, std::move(request)});
 }
 
+void KeepForPush(BalancerControl& state,
+                 const std::vector<ServiceMean>& means) {
+  for (const ServiceMean& mean : means) {
+    state.pending_means[mean.service] = mean;
+  }
+}
+
+// Pushes the means that have changed in the last second together.
+void PushMeans(BalancerStep& step, Random& random) {
+  std::vector<ServiceMean> means;
+  for (const auto& [service, mean] : step.state.pending_means) {
+    means.push_back(mean);
+  }
+  step.state.pending_means.clear();
+  const std::vector<Delta> deltas = ChunkNews({}, {}, means);
+  if (deltas.empty()) return;
+  for (const Endpoint& target : PickRandom(OtherBalancers(step.state, false),
+                                           kMeanPushTargets, random)) {
+    for (const Delta& delta : deltas) {
+      step.actions.messages.push_back(OutgoingMessage{target, delta});
+    }
+  }
+}
+
 BalancerStep HandleDelta(BalancerControl state, const Endpoint& from,
                          const Delta& delta, TimePoint now, Random& random) {
   BalancerStep step = MergeNews(std::move(state), delta.members, from,
@@ -167,7 +214,7 @@
   MeanOutcome means = MergeMeans(std::move(step.state.means), delta.means, now);
   step.state.means = std::move(means.known);
   if (means.accepted.empty()) return step;
-  PushNews(step.state, step.actions, {}, {}, means.accepted, random);
+  KeepForPush(step.state, means.accepted);
   step.actions.means_changed = true;
   return step;
 }
@@ -240,9 +287,9 @@
       PublishMeans(std::move(state.means), state.computed_means,
                    state.policies.size(), state.self.id, now);
   state.means = std::move(published.known);
-  if (published.accepted.empty()) return;
-  PushNews(state, step.actions, {}, {}, published.accepted, random);
-  step.actions.means_changed = true;
+  if (!published.accepted.empty()) step.actions.means_changed = true;
+  KeepForPush(state, published.accepted);
+  PushMeans(step, random);
 }
 
 }  // namespace
--- a/packages/coordination/src/balancer_liveness.cc
+++ b/packages/coordination/src/balancer_liveness.cc
@@ -229,8 +229,13 @@
   Heartbeat heartbeat;
   heartbeat.entry = step.state.self;
   heartbeat.sequence = ++step.state.heartbeats;
-  for (const Endpoint& keeper :
-       KeepersOf(step.state.self, step.state.ready_balancers)) {
+  const std::vector<Endpoint> keepers =
+      KeepersOf(step.state.self, step.state.ready_balancers);
+  heartbeat.is_brief = step.state.announced == step.state.self.version &&
+                       step.state.announced_to == keepers;
+  step.state.announced = step.state.self.version;
+  step.state.announced_to = keepers;
+  for (const Endpoint& keeper : keepers) {
     step.actions.messages.push_back(OutgoingMessage{keeper, heartbeat});
   }
   step.state.next_heartbeat = now + kHeartbeatInterval;
--- a/packages/coordination/tests/liveness_test.cc
+++ b/packages/coordination/tests/liveness_test.cc
@@ -234,6 +234,21 @@
   BOOST_TEST(parties.agents.at(agent).self.version.incarnation == 1U);
 }
 
+// Guards against a keeper that lost its state, or missed the whole entry of a
+// restarted agent, and completes a brief heartbeat with what it does not know.
+BOOST_AUTO_TEST_CASE(KeeperForgotOrHasOldBoot_HeartbeatsArrive_EntryIsWhole) {
+  ControlParties parties = StartParties(6, 2);
+  const Endpoint agent = ControlParties::AgentId(1);
+  BalancerControl& first = parties.balancers.at(ControlParties::BalancerId(1));
+  BalancerControl& second = parties.balancers.at(ControlParties::BalancerId(2));
+  first.table.members.erase(agent);
+  second.table.members.at(agent).entry.version.boot -= 1;
+  second.table.members.at(agent).entry.service = "report-desk";
+  parties.Run(Millis{3'000});
+  BOOST_TEST(first.table.members.at(agent).entry.service == "probe-hub");
+  BOOST_TEST(second.table.members.at(agent).entry.service == "probe-hub");
+}
+
 // Guards against agents without the roster and the mean of their service.
 BOOST_AUTO_TEST_CASE(AgentsStarted_TimePasses_KnowKeepersRosterAndMean) {
   const ControlParties parties = StartParties(2, 4);
--- a/packages/protocol/include/medlarwinch/protocol/control_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/control_messages.h
@@ -23,7 +23,13 @@
 
 template <typename Archive>
 void serialize(Archive& archive, Heartbeat& message) {
-  archive(message.entry, message.load, message.sequence, message.roster_hash);
+  archive(message.is_brief);
+  if (message.is_brief) {
+    archive(message.entry.id, message.entry.version);
+  } else {
+    archive(message.entry);
+  }
+  archive(message.load, message.sequence, message.roster_hash);
 }
 
 template <typename Archive>
