--- a/packages/coordination/include/medlarwinch/coordination/record_store.h
+++ b/packages/coordination/include/medlarwinch/coordination/record_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,7 +22,8 @@
 struct RecordState {
   /// Version in force; 0 before one was accepted.
   uint64_t version = 0;
-  std::string text;
+  /// Text in force; null before one was accepted. Copies of the store share it.
+  std::shared_ptr<const std::string> text;
   /// Highest version whose text was invalid.
   uint64_t rejected_version = 0;
 };
--- a/packages/coordination/src/record_store.cc
+++ b/packages/coordination/src/record_store.cc
@@ -69,7 +69,7 @@
   decision.reason.facts["previous_version"] = std::to_string(state.version);
   if (outcome.accepted) {
     state.version = record.version;
-    state.text = record.text;
+    state.text = std::make_shared<const std::string>(record.text);
   }
   outcome.decisions.push_back(std::move(decision));
   return outcome;
@@ -93,7 +93,7 @@
                                     name) != request.names.end();
     if (!request.all_records && !is_named) continue;
     if (selected.size() == kMaxFetchedRecords) break;
-    selected.push_back(Record{name, state.version, state.text});
+    selected.push_back(Record{name, state.version, *state.text});
   }
   return selected;
 }
--- a/packages/coordination/tests/record_store_test.cc
+++ b/packages/coordination/tests/record_store_test.cc
@@ -34,7 +34,7 @@
       RC_ASSERT(outcome.accepted == (after > before));
       RC_ASSERT(after <= highest_valid);
       if (after > 0) {
-        RC_ASSERT(store.records.at(kName).text == std::to_string(after));
+        RC_ASSERT(*store.records.at(kName).text == std::to_string(after));
       }
     }
   });
