Serve HTTP/3 at the agent beside the thin protocol

Cause: callers could reach an upstream by the thin protocol only, while they expect a usual one.

Change: QuicTransport implements CallerTransport with the quic package; TransportMux tells the two protocols apart by flow number or version. The transport learns the status before the body (Begin). Requests that were not run are reset with H3_REQUEST_REJECTED, unknown outcomes carry x-verdict. Agents with a certificate serve HTTP/3; balancers need no change.

--- a/packages/daemon/include/medlarwinch/daemon/agent_engine.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -12,7 +12,7 @@
 #include "medlarwinch/daemon/control_view.h"
 #include "medlarwinch/daemon/decision_log.h"
 #include "medlarwinch/daemon/request_executor.h"
-#include "medlarwinch/daemon/thin_transport.h"
+#include "medlarwinch/daemon/transport_mux.h"
 #include "medlarwinch/daemon/upstream_client.h"
 #include "medlarwinch/transport/metrics.h"
 
@@ -26,6 +26,8 @@
   FleetKey fleet_key{};
   /// Seed of the first flow number.
   uint32_t seed = 1;
+  /// Certificate and key for HTTP/3 in PEM form; empty for none.
+  CertificatePair certificate;
 };
 
 /// How an AgentEngine reaches its surroundings; the functions return at once
@@ -84,6 +86,8 @@
 
  private:
   FlowDecision DecideFlow(const ForwardedPacket& packet);
+  ThinTransportPorts TransportPorts();
+  std::unique_ptr<QuicTransport> MakeQuicTransport();
   void Decide(const char* action, const std::string& subject,
               const Reason& reason);
   void Emit(AccountEntry entry);
@@ -110,7 +114,7 @@
   DecisionLog decisions_;
   UpstreamClient upstream_;
   RequestExecutor executor_;
-  ThinTransport transport_;
+  TransportMux transport_;
 };
 
 }  // namespace medlarwinch
--- a/packages/daemon/include/medlarwinch/daemon/caller_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/caller_transport.h
@@ -49,6 +49,11 @@
   /// Takes a caller's packet that a balancer or another agent forwarded.
   virtual void OnPacket(ForwardedPacket packet, TimePoint now) = 0;
 
+  /// The upstream has answered with `status`; Write() follows. Protocols that
+  /// send the status with the end of a response ignore it.
+  virtual void Begin(const CallerRequestId& /*id*/, uint16_t /*status*/,
+                     TimePoint /*now*/) {}
+
   /// Appends to a response and sends what the caller's window allows. Returns
   /// false when the response holds as many unacknowledged bytes as it may; the
   /// bytes are taken nevertheless.
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/quic_transport.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/daemon/agent_situation.h"
+#include "medlarwinch/daemon/caller_transport.h"
+#include "medlarwinch/daemon/thin_transport.h"
+#include "medlarwinch/quic/quic_connection.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// Flow numbers of QUIC connections have this bit set; those of the thin
+/// protocol do not.
+inline constexpr uint32_t kQuicFlowBit = 0x80000000;
+
+/// Bytes of a response that may be unacknowledged before Write() asks for a
+/// pause.
+inline constexpr size_t kQuicResponseWindowBytes = 64 * 1'024;
+
+/// Turns a request of HTTP/3 into the frame that the executor takes. Methods
+/// other than GET, HEAD and OPTIONS run at most once; `unique_key` stands in
+/// for a missing idempotency key.
+RequestFrame ToRequestFrame(const Http3Request& request, uint32_t number,
+                            const std::string& unique_key);
+
+/// Ends HTTP/3 over QUIC. A refused request is reset with H3_REQUEST_REJECTED,
+/// which tells the caller that it was not processed; a response that breaks off
+/// is reset with H3_INTERNAL_ERROR, and a request whose outcome is unknown
+/// before its response begins is answered with the header
+/// `x-verdict: may_have_run`.
+class QuicTransport : public CallerTransport {
+ public:
+  /// `handler` and `metrics` outlive the transport. `ports` are those of the
+  /// thin protocol.
+  QuicTransport(AgentIdentity identity, uint32_t first_flow_number,
+                std::unique_ptr<TlsCredentials> credentials,
+                ThinTransportPorts ports, CallerRequestHandler& handler,
+                Metrics& metrics);
+  ~QuicTransport() override;
+
+  void OnPacket(ForwardedPacket packet, TimePoint now) override;
+  void Begin(const CallerRequestId& id, uint16_t status,
+             TimePoint now) override;
+  bool Write(const CallerRequestId& id, ByteView data, TimePoint now) override;
+  void Finish(const CallerRequestId& id, uint16_t status, Verdict verdict,
+              TimePoint now) override;
+  void StartDrain(TimePoint now) override;
+  void Tick(TimePoint now) override;
+  size_t flows() const override { return connections_.size(); }
+  size_t responses() const override;
+  bool IsDrained() const override;
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void OnOwnPacket(Connection& connection, ForwardedPacket packet,
+                   TimePoint now);
+  void OnNewConnection(ForwardedPacket packet, const PacketHeader& header,
+                       TimePoint now);
+  void PassOn(ForwardedPacket packet);
+  void SendReset(const ForwardedPacket& packet, const PacketHeader& header);
+  QuicConnectionEvents EventsOf(Connection& connection);
+  FlowIdentifierBytes IssueIdentifier(Connection& connection);
+  void Settle(Connection& connection, TimePoint now);
+  void Remove(uint32_t number);
+  Connection* Find(uint32_t number);
+  std::vector<ConnectionPtr> AllConnections() const;
+  void Count(const char* reason);
+
+  AgentIdentity identity_;
+  uint16_t boot_tag_;
+  std::unique_ptr<TlsCredentials> credentials_;
+  ThinTransportPorts ports_;
+  CallerRequestHandler& handler_;
+  Metrics& metrics_;
+  uint32_t next_number_;
+  std::unordered_map<uint32_t, ConnectionPtr> connections_;
+  // Every issued flow number, by the connection that it names.
+  std::unordered_map<uint32_t, uint32_t> connection_of_number_;
+  // Connections by caller and the first destination that the caller chose, for
+  // packets that arrive before the caller knows its identifier.
+  std::map<std::pair<Endpoint, Bytes>, uint32_t> connection_of_caller_;
+  bool draining_ = false;
+};
+
+}  // namespace medlarwinch
--- a/packages/daemon/include/medlarwinch/daemon/settings.h
+++ b/packages/daemon/include/medlarwinch/daemon/settings.h
@@ -17,6 +17,10 @@
   uint32_t slots = 1;
   /// HTTP/1.1 listener of the upstream.
   Endpoint upstream;
+  /// Files with the certificate and the private key in PEM form that callers of
+  /// HTTP/3 see; without them the agent serves the thin protocol only.
+  std::string certificate_file = "";
+  std::string private_key_file = "";
 
   friend bool operator==(const AgentSettings&, const AgentSettings&) = default;
 };
--- /dev/null
+++ b/packages/daemon/include/medlarwinch/daemon/transport_mux.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+
+#include "medlarwinch/daemon/caller_transport.h"
+#include "medlarwinch/daemon/quic_transport.h"
+#include "medlarwinch/daemon/thin_transport.h"
+
+namespace medlarwinch {
+
+/// Serves the thin protocol and, when there is a certificate, HTTP/3 at the
+/// same data address. Packets of a flow are told apart by their flow number,
+/// others by the version in their header.
+class TransportMux : public CallerTransport {
+ public:
+  /// `quic` may be null.
+  TransportMux(std::unique_ptr<ThinTransport> thin,
+               std::unique_ptr<QuicTransport> quic, AgentIdentity identity,
+               std::function<std::shared_ptr<const KeySet>()> keys);
+
+  void OnPacket(ForwardedPacket packet, TimePoint now) override;
+  void Begin(const CallerRequestId& id, uint16_t status,
+             TimePoint now) override;
+  bool Write(const CallerRequestId& id, ByteView data, TimePoint now) override;
+  void Finish(const CallerRequestId& id, uint16_t status, Verdict verdict,
+              TimePoint now) override;
+  void StartDrain(TimePoint now) override;
+  void Tick(TimePoint now) override;
+  size_t flows() const override;
+  size_t responses() const override;
+  bool IsDrained() const override;
+
+ private:
+  CallerTransport& TransportOf(const CallerRequestId& id);
+  bool IsForQuic(const ForwardedPacket& packet) const;
+
+  std::unique_ptr<ThinTransport> thin_;
+  std::unique_ptr<QuicTransport> quic_;
+  AgentIdentity identity_;
+  std::function<std::shared_ptr<const KeySet>()> keys_;
+};
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/agent.cc
+++ b/packages/daemon/src/agent.cc
@@ -2,7 +2,9 @@
 #include <boost/asio/io_context.hpp>
 #include <caf/all.hpp>
 #include <chrono>
+#include <fstream>
 #include <random>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -79,6 +81,13 @@
   self->wait_for(actor);
 }
 
+std::string ReadFile(const std::string& file) {
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
 AgentEngineOptions EngineOptions(const Settings& settings, int64_t boot) {
   AgentEngineOptions options;
   options.identity =
@@ -87,6 +96,11 @@
   options.slots = settings.agent->slots;
   options.fleet_key = settings.fleet_key;
   options.seed = std::random_device{}();
+  if (!settings.agent->certificate_file.empty()) {
+    options.certificate =
+        CertificatePair{ReadFile(settings.agent->certificate_file),
+                        ReadFile(settings.agent->private_key_file)};
+  }
   return options;
 }
 
--- a/packages/daemon/src/agent_engine.cc
+++ b/packages/daemon/src/agent_engine.cc
@@ -53,13 +53,11 @@
                       Decide(action, subject, reason);
                     }},
                 metrics),
-      transport_(
-          options.identity, options.seed,
-          ThinTransportPorts{ports_.send, [this] { return situation_.keys; },
-                             [this](const ForwardedPacket& packet) {
-                               return DecideFlow(packet);
-                             }},
-          executor_, metrics) {
+      transport_(std::make_unique<ThinTransport>(
+                     options.identity, options.seed & ~kQuicFlowBit,
+                     TransportPorts(), executor_, metrics),
+                 MakeQuicTransport(), options.identity,
+                 [this] { return situation_.keys; }) {
   situation_.context.document.service = options.identity.service;
   situation_.keys =
       std::make_shared<const KeySet>(options.fleet_key, KeyRing{});
@@ -68,6 +66,28 @@
   executor_.SetTransport(&transport_);
 }
 
+ThinTransportPorts AgentEngine::TransportPorts() {
+  return ThinTransportPorts{
+      ports_.send, [this] { return situation_.keys; },
+      [this](const ForwardedPacket& packet) { return DecideFlow(packet); }};
+}
+
+std::unique_ptr<QuicTransport> AgentEngine::MakeQuicTransport() {
+  const CertificatePair& certificate = options_.certificate;
+  if (certificate.certificate_pem.empty()) return nullptr;
+  Result<std::unique_ptr<TlsCredentials>> credentials =
+      TlsCredentials::ForServer(certificate.certificate_pem,
+                                certificate.private_key_pem);
+  if (!IsOk(credentials)) {
+    Log(LogLevel::kError, "certificate_refused",
+        {{"error", ErrorOf(credentials).message}});
+    return nullptr;
+  }
+  return std::make_unique<QuicTransport>(options_.identity, options_.seed,
+                                         TakeValue(std::move(credentials)),
+                                         TransportPorts(), executor_, metrics_);
+}
+
 void AgentEngine::OnDatagram(const Endpoint& from, ByteView datagram) {
   Result<DataMessage> message = DecodeDataMessage(seal_key_, datagram);
   if (!IsOk(message)) {
--- /dev/null
+++ b/packages/daemon/src/quic_transport.cc
@@ -0,0 +1,399 @@
+#include "medlarwinch/daemon/quic_transport.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint64_t kH3InternalError = 0x0102;
+constexpr int64_t kStreamsPerRequest = 4;
+// A caller that has been told to go away opens another connection and closes
+// this one; one that does not is closed after this time.
+constexpr Millis kCloseAfterGoAway{2'000};
+
+int64_t StreamOf(const CallerRequestId& id) {
+  return static_cast<int64_t>(id.number) * kStreamsPerRequest;
+}
+
+std::string HeaderOf(const Http3Request& request, const std::string& name) {
+  const auto found = request.headers.find(name);
+  return found == request.headers.end() ? "" : found->second;
+}
+
+uint32_t NumberOf(const Http3Request& request, const std::string& name,
+                  uint32_t fallback) {
+  const std::string text = HeaderOf(request, name);
+  uint32_t number = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+Bytes DecodeHex(const std::string& text) {
+  Bytes bytes;
+  if (text.size() != 2 * kFlowIdentifierBytes) return bytes;
+  for (size_t index = 0; index < text.size(); index += 2) {
+    uint8_t byte = 0;
+    const char* end = text.data() + index + 2;
+    if (std::from_chars(text.data() + index, end, byte, 16).ptr != end) {
+      return {};
+    }
+    bytes.push_back(byte);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+RequestFrame ToRequestFrame(const Http3Request& request, uint32_t number,
+                            const std::string& unique_key) {
+  RequestFrame frame;
+  frame.number = number;
+  frame.method = request.method;
+  frame.path = request.path;
+  frame.tenant = HeaderOf(request, "x-tenant");
+  frame.repeatable = request.method == "GET" || request.method == "HEAD" ||
+                     request.method == "OPTIONS";
+  frame.idempotency_key = HeaderOf(request, "idempotency-key");
+  if (!frame.repeatable && frame.idempotency_key.empty()) {
+    frame.idempotency_key = unique_key;
+  }
+  frame.attempt = NumberOf(request, "x-attempt", 1);
+  frame.age_ms = NumberOf(request, "x-age-ms", 0);
+  frame.deadline_ms = NumberOf(request, "x-deadline-ms", 0);
+  frame.earlier_flow = DecodeHex(HeaderOf(request, "x-earlier-flow"));
+  frame.body = request.body;
+  return frame;
+}
+
+struct QuicTransport::Connection {
+  uint32_t number = 0;
+  Endpoint service_address;
+  Endpoint caller;
+  Endpoint fabric;
+  // Caller and destination of the first packet.
+  std::pair<Endpoint, Bytes> first_key;
+  std::unique_ptr<QuicConnection> quic;
+  std::vector<uint32_t> numbers;
+  // Arrived within Receive(); taken up once it has returned, since the library
+  // must not be called from its own callbacks.
+  std::vector<std::pair<int64_t, Http3Request>> arrived;
+  std::vector<int64_t> cancelled;
+  // Requests that the executor has not finished.
+  std::set<int64_t> open;
+  std::set<int64_t> begun;
+  std::set<int64_t> paused;
+  bool has_ended = false;
+  std::optional<TimePoint> told_at;
+};
+
+QuicTransport::QuicTransport(AgentIdentity identity, uint32_t first_flow_number,
+                             std::unique_ptr<TlsCredentials> credentials,
+                             ThinTransportPorts ports,
+                             CallerRequestHandler& handler, Metrics& metrics)
+    : identity_(std::move(identity)),
+      boot_tag_(BootTag(identity_.boot)),
+      credentials_(std::move(credentials)),
+      ports_(std::move(ports)),
+      handler_(handler),
+      metrics_(metrics),
+      next_number_(first_flow_number | kQuicFlowBit) {}
+
+QuicTransport::~QuicTransport() = default;
+
+void QuicTransport::Count(const char* reason) {
+  metrics_.Add("medlarwinch_malformed_packets_total", {{"reason", reason}});
+}
+
+QuicTransport::Connection* QuicTransport::Find(uint32_t number) {
+  const auto found = connections_.find(number);
+  return found == connections_.end() ? nullptr : found->second.get();
+}
+
+std::vector<QuicTransport::ConnectionPtr> QuicTransport::AllConnections()
+    const {
+  std::vector<ConnectionPtr> all;
+  all.reserve(connections_.size());
+  for (const auto& entry : connections_) all.push_back(entry.second);
+  return all;
+}
+
+void QuicTransport::OnPacket(ForwardedPacket packet, TimePoint now) {
+  if (packet.service != identity_.service) {
+    Count("other_service");
+    return;
+  }
+  const Result<PacketHeader> parsed = ParsePacketHeader(packet.payload);
+  if (!IsOk(parsed)) {
+    Count("header");
+    return;
+  }
+  const PacketHeader& header = ValueOf(parsed);
+  const std::optional<FlowIdentifier> identifier = VerifyFlowIdentifier(
+      *ports_.keys(), identity_.service, header.destination);
+  if (identifier.has_value()) {
+    const auto found = connection_of_number_.find(identifier->flow_number);
+    const bool is_mine = identifier->agent == identity_.data &&
+                         identifier->boot_tag == boot_tag_ &&
+                         found != connection_of_number_.end();
+    if (!is_mine) {
+      SendReset(packet, header);
+      return;
+    }
+    OnOwnPacket(*connections_.at(found->second), std::move(packet), now);
+    return;
+  }
+  const auto known = connection_of_caller_.find(
+      {packet.caller,
+       Bytes(header.destination.begin(), header.destination.end())});
+  if (known != connection_of_caller_.end()) {
+    OnOwnPacket(*connections_.at(known->second), std::move(packet), now);
+    return;
+  }
+  if (!header.is_long) {
+    Count("identifier");
+    return;
+  }
+  OnNewConnection(std::move(packet), header, now);
+}
+
+void QuicTransport::OnOwnPacket(Connection& connection, ForwardedPacket packet,
+                                TimePoint now) {
+  connection.fabric = packet.fabric;
+  connection.caller = packet.caller;
+  const Result<Ok> received = connection.quic->Receive(packet.payload, now);
+  connection.has_ended = connection.has_ended || !IsOk(received);
+  Settle(connection, now);
+}
+
+void QuicTransport::OnNewConnection(ForwardedPacket packet,
+                                    const PacketHeader& header, TimePoint now) {
+  const FlowDecision decision = ports_.decide_flow(packet);
+  if (decision.action == FlowAction::kPassOn) {
+    PassOn(std::move(packet));
+    return;
+  }
+  // A QUIC caller that gets no answer tries again on its own; there is no
+  // refusal that is safe from forgery before the handshake.
+  if (decision.action != FlowAction::kAccept) return;
+  const ConnectionPtr connection = std::make_shared<Connection>();
+  connection->service_address = packet.service_address;
+  connection->caller = packet.caller;
+  connection->fabric = packet.fabric;
+  connection->first_key = {packet.caller, Bytes(header.destination.begin(),
+                                                header.destination.end())};
+  connection->number = next_number_;
+  connections_[connection->number] = connection;
+  Result<std::unique_ptr<QuicConnection>> accepted = QuicConnection::Accept(
+      *credentials_, packet.payload, EventsOf(*connection), now);
+  if (!IsOk(accepted)) {
+    Count("quic_initial");
+    Remove(connection->number);
+    return;
+  }
+  connection->quic = TakeValue(std::move(accepted));
+  connection_of_caller_[connection->first_key] = connection->number;
+  OnOwnPacket(*connection, std::move(packet), now);
+}
+
+FlowIdentifierBytes QuicTransport::IssueIdentifier(Connection& connection) {
+  const uint32_t number = next_number_;
+  next_number_ = (next_number_ + 1) | kQuicFlowBit;
+  connection_of_number_[number] = connection.number;
+  connection.numbers.push_back(number);
+  const std::shared_ptr<const KeySet> keys = ports_.keys();
+  return IssueFlowIdentifier(
+      *keys, identity_.service,
+      FlowIdentifier{keys->current_epoch(), identity_.data, boot_tag_, number});
+}
+
+QuicConnectionEvents QuicTransport::EventsOf(Connection& connection) {
+  QuicConnectionEvents events;
+  events.send = [this, &connection](ByteView packet) {
+    FabricPacket answer;
+    answer.service_address = connection.service_address;
+    answer.caller = connection.caller;
+    answer.payload.assign(packet.begin(), packet.end());
+    ports_.send(connection.fabric, EncodeFabricPacket(answer));
+  };
+  events.issue_identifier = [this, &connection] {
+    return IssueIdentifier(connection);
+  };
+  events.reset_secret = [this] { return ByteView(ports_.keys()->seal_key()); };
+  events.on_request = [&connection](int64_t stream,
+                                    const Http3Request& request) {
+    connection.arrived.emplace_back(stream, request);
+  };
+  events.on_cancelled = [&connection](int64_t stream) {
+    connection.cancelled.push_back(stream);
+  };
+  return events;
+}
+
+void QuicTransport::Settle(Connection& connection, TimePoint now) {
+  const ConnectionPtr kept = connections_.at(connection.number);
+  std::vector<std::pair<int64_t, Http3Request>> arrived;
+  arrived.swap(connection.arrived);
+  for (auto& [stream, request] : arrived) {
+    connection.open.insert(stream);
+    const uint32_t number = static_cast<uint32_t>(stream / kStreamsPerRequest);
+    const std::string unique_key = "quic-" + std::to_string(identity_.boot) +
+                                   "-" + std::to_string(connection.number) +
+                                   "-" + std::to_string(number);
+    handler_.OnRequest(CallerRequestId{connection.number, number},
+                       ToRequestFrame(request, number, unique_key));
+  }
+  std::vector<int64_t> cancelled;
+  cancelled.swap(connection.cancelled);
+  if (connection.has_ended) {
+    cancelled.assign(connection.open.begin(), connection.open.end());
+  }
+  for (const int64_t stream : cancelled) {
+    if (connection.open.erase(stream) == 0) continue;
+    handler_.OnCancelled(CallerRequestId{
+        connection.number, static_cast<uint32_t>(stream / kStreamsPerRequest)});
+  }
+  if (!connection.has_ended) {
+    connection.has_ended = !IsOk(connection.quic->Flush(now));
+  }
+  if (connection.has_ended) {
+    if (connection.open.empty()) Remove(connection.number);
+    return;
+  }
+  const std::vector<int64_t> paused(connection.paused.begin(),
+                                    connection.paused.end());
+  for (const int64_t stream : paused) {
+    if (connection.quic->UnacknowledgedBytes(stream) >=
+        kQuicResponseWindowBytes) {
+      continue;
+    }
+    connection.paused.erase(stream);
+    handler_.OnWritable(CallerRequestId{
+        connection.number, static_cast<uint32_t>(stream / kStreamsPerRequest)});
+  }
+}
+
+void QuicTransport::Begin(const CallerRequestId& id, uint16_t status,
+                          TimePoint now) {
+  Connection* connection = Find(id.flow);
+  if (connection == nullptr || connection->has_ended) return;
+  const int64_t stream = StreamOf(id);
+  if (!connection->begun.insert(stream).second) return;
+  connection->quic->SubmitResponse(stream, Http3ResponseHead{status, {}});
+  connection->has_ended = !IsOk(connection->quic->Flush(now));
+}
+
+bool QuicTransport::Write(const CallerRequestId& id, ByteView data,
+                          TimePoint now) {
+  Connection* connection = Find(id.flow);
+  if (connection == nullptr || connection->has_ended) return true;
+  const int64_t stream = StreamOf(id);
+  if (!connection->begun.contains(stream)) return true;
+  connection->quic->AppendBody(stream, data, false);
+  connection->has_ended = !IsOk(connection->quic->Flush(now));
+  if (connection->quic->UnacknowledgedBytes(stream) <
+      kQuicResponseWindowBytes) {
+    return true;
+  }
+  connection->paused.insert(stream);
+  return false;
+}
+
+void QuicTransport::Finish(const CallerRequestId& id, uint16_t status,
+                           Verdict verdict, TimePoint now) {
+  Connection* connection = Find(id.flow);
+  if (connection == nullptr) return;
+  const int64_t stream = StreamOf(id);
+  connection->open.erase(stream);
+  connection->paused.erase(stream);
+  const bool has_begun = connection->begun.erase(stream) > 0;
+  if (connection->has_ended) return;
+  if (verdict == Verdict::kNotRun && !has_begun) {
+    connection->quic->ResetStream(stream, kH3RequestRejected);
+  } else if (verdict == Verdict::kRan || !has_begun) {
+    if (!has_begun) {
+      connection->quic->SubmitResponse(
+          stream,
+          Http3ResponseHead{status, {{"x-verdict", VerdictName(verdict)}}});
+    }
+    connection->quic->AppendBody(stream, {}, true);
+  } else {
+    connection->quic->ResetStream(stream, kH3InternalError);
+  }
+  connection->has_ended = !IsOk(connection->quic->Flush(now));
+}
+
+size_t QuicTransport::responses() const {
+  size_t count = 0;
+  for (const auto& entry : connections_) {
+    count += entry.second->open.size();
+    if (!entry.second->has_ended && entry.second->quic != nullptr) {
+      count += entry.second->quic->unfinished_streams();
+    }
+  }
+  return count;
+}
+
+void QuicTransport::StartDrain(TimePoint now) {
+  draining_ = true;
+  Tick(now);
+}
+
+bool QuicTransport::IsDrained() const {
+  return draining_ && connections_.empty();
+}
+
+void QuicTransport::Tick(TimePoint now) {
+  for (const ConnectionPtr& connection : AllConnections()) {
+    if (!connection->has_ended && connection->quic->NextTimer() <= now) {
+      connection->has_ended = !IsOk(connection->quic->OnTimer(now));
+    }
+    if (draining_ && !connection->has_ended) {
+      if (!connection->told_at.has_value()) {
+        connection->quic->GoAway();
+        connection->told_at = now;
+      }
+      const bool is_idle = connection->open.empty() &&
+                           connection->quic->unfinished_streams() == 0;
+      if (is_idle && now - *connection->told_at >= kCloseAfterGoAway) {
+        connection->quic->Close(now);
+        connection->has_ended = true;
+      }
+    }
+    Settle(*connection, now);
+  }
+}
+
+void QuicTransport::Remove(uint32_t number) {
+  const auto found = connections_.find(number);
+  if (found == connections_.end()) return;
+  for (const uint32_t issued : found->second->numbers) {
+    connection_of_number_.erase(issued);
+  }
+  connection_of_caller_.erase(found->second->first_key);
+  connections_.erase(found);
+}
+
+void QuicTransport::PassOn(ForwardedPacket packet) {
+  ++packet.hop;
+  const Endpoint next = packet.candidates[packet.hop];
+  ports_.send(next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
+}
+
+void QuicTransport::SendReset(const ForwardedPacket& packet,
+                              const PacketHeader& header) {
+  const Bytes reset =
+      MakeStatelessReset(ByteView(ports_.keys()->seal_key()),
+                         header.destination, packet.payload.size());
+  if (header.is_long || reset.empty()) return;
+  FabricPacket answer;
+  answer.service_address = packet.service_address;
+  answer.caller = packet.caller;
+  answer.payload = reset;
+  ports_.send(packet.fabric, EncodeFabricPacket(answer));
+  metrics_.Add("medlarwinch_resets_total", {{"reason", "unknown_connection"}});
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/request_executor.cc
+++ b/packages/daemon/src/request_executor.cc
@@ -188,6 +188,8 @@
   active->not_run = not_run;
   active->head_arrived = true;
   --unanswered_;
+  // A request that the upstream refused is answered with its verdict alone.
+  if (!not_run) transport_->Begin(id, active->status, ports_.now());
 }
 
 bool RequestExecutor::OnData(const CallerRequestId& id, uint64_t exchange,
@@ -269,6 +271,7 @@
 
 void RequestExecutor::Relay(const CallerRequestId& id, uint16_t status,
                             const StoredAnswer& answer) {
+  transport_->Begin(id, status, ports_.now());
   transport_->Write(id, *answer, ports_.now());
   Finish(id, status, Verdict::kRan);
 }
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -17,6 +17,11 @@
   agent.slots =
       static_cast<uint32_t>(section.Integer("slots", 1, 1, kMaxSlots));
   agent.upstream = section.RequiredEndpoint("upstream");
+  agent.certificate_file = section.String("certificate_file", "");
+  agent.private_key_file = section.String("private_key_file", "");
+  if (agent.certificate_file.empty() != agent.private_key_file.empty()) {
+    section.Fail("", "certificate_file and private_key_file go together");
+  }
   return agent;
 }
 
--- a/packages/quic/include/medlarwinch/quic/quic_connection.h
+++ b/packages/quic/include/medlarwinch/quic/quic_connection.h
@@ -23,6 +23,10 @@
   /// connection. A server issues flow identifiers, so that every balancer can
   /// route the packets.
   std::function<FlowIdentifierBytes()> issue_identifier;
+  /// Returns the secret from which the stateless reset token of an identifier
+  /// is derived, so that a restarted process can still end the connection; a
+  /// random token is used when it is not set.
+  std::function<ByteView()> reset_secret;
   /// An identifier from issue_identifier is no longer used.
   std::function<void(ByteView identifier)> retire_identifier;
 
@@ -43,14 +47,20 @@
   std::function<void(int64_t first_unprocessed)> on_go_away;
 };
 
+/// Makes the packet that ends a connection whose state is lost. `identifier` is
+/// the destination of the packet that it answers. Returns nothing when that
+/// packet of `answered_size` bytes is too short to answer without a loop.
+Bytes MakeStatelessReset(ByteView secret, ByteView identifier,
+                         size_t answered_size);
+
 /// One QUIC connection that carries HTTP/3, without a socket or a clock:
 /// packets and time are handed in, packets are handed out. Used by one thread
 /// at a time.
 class QuicConnection {
  public:
-  /// Accepts the connection that `initial_packet` opens. `retry_secret` makes
-  /// stateless reset tokens. Fails with kInvalidInput when the packet does not
-  /// open a connection. The packet itself is given to Receive() afterwards.
+  /// Accepts the connection that `initial_packet` opens. Fails with
+  /// kInvalidInput when the packet does not open a connection. The packet
+  /// itself is given to Receive() afterwards.
   static Result<std::unique_ptr<QuicConnection>> Accept(
       const TlsCredentials& credentials, ByteView initial_packet,
       QuicConnectionEvents events, TimePoint now);
@@ -94,10 +104,16 @@
   /// Server: bytes of a response that the other side has not acknowledged.
   size_t UnacknowledgedBytes(int64_t stream) const;
 
+  /// Streams of requests whose end the other side has not acknowledged.
+  size_t unfinished_streams() const;
+
   /// Server: announces that no more requests are processed on this connection;
   /// requests in progress end normally.
   void GoAway();
 
+  /// Ends the connection and tells the other side.
+  void Close(TimePoint now);
+
   bool is_connected() const;
 
  private:
--- a/packages/quic/src/http3_session.h
+++ b/packages/quic/src/http3_session.h
@@ -40,6 +40,7 @@
   bool SubmitResponse(int64_t stream, const Http3ResponseHead& head);
   void AppendBody(int64_t stream, ByteView piece, bool is_last);
   size_t UnacknowledgedBytes(int64_t stream) const;
+  size_t streams() const { return streams_.size(); }
   void GoAway();
   void CloseStream(int64_t stream, uint64_t code);
 
--- a/packages/quic/src/quic_connection.cc
+++ b/packages/quic/src/quic_connection.cc
@@ -108,7 +108,8 @@
   bool StartHttp3();
   bool ReceiveStreamData(int64_t stream, ByteView data, bool is_last);
   ngtcp2_callbacks Callbacks() const;
-  ngtcp2_cid NewIdentifier();
+  ngtcp2_cid NewIdentifier() const;
+  void FillResetToken(const ngtcp2_cid& identifier, uint8_t* token) const;
   Result<Ok> WritePackets(TimePoint now);
 
   bool is_server;
@@ -120,7 +121,18 @@
   bool has_ended = false;
 };
 
-ngtcp2_cid QuicConnection::State::NewIdentifier() {
+void QuicConnection::State::FillResetToken(const ngtcp2_cid& identifier,
+                                           uint8_t* token) const {
+  if (!events.reset_secret) {
+    randombytes_buf(token, NGTCP2_STATELESS_RESET_TOKENLEN);
+    return;
+  }
+  const ByteView secret = events.reset_secret();
+  ngtcp2_crypto_generate_stateless_reset_token(token, secret.data(),
+                                               secret.size(), &identifier);
+}
+
+ngtcp2_cid QuicConnection::State::NewIdentifier() const {
   ngtcp2_cid identifier{};
   if (events.issue_identifier) {
     const FlowIdentifierBytes bytes = events.issue_identifier();
@@ -209,8 +221,9 @@
   callbacks.get_new_connection_id = [](ngtcp2_conn*, ngtcp2_cid* identifier,
                                        uint8_t* token, size_t,
                                        void* user_data) {
-    *identifier = From(user_data).NewIdentifier();
-    randombytes_buf(token, NGTCP2_STATELESS_RESET_TOKENLEN);
+    const State& state = From(user_data);
+    *identifier = state.NewIdentifier();
+    state.FillResetToken(*identifier, token);
     return 0;
   };
   callbacks.remove_connection_id =
@@ -290,6 +303,30 @@
   return callbacks;
 }
 
+Bytes MakeStatelessReset(ByteView secret, ByteView identifier,
+                         size_t answered_size) {
+  // RFC 9000: a reset is shorter than the packet that it answers, so that two
+  // endpoints without state do not answer each other for ever.
+  constexpr size_t kMinAnswered = 43;
+  constexpr size_t kResetBytes = 42;
+  if (answered_size < kMinAnswered || identifier.size() > NGTCP2_MAX_CIDLEN) {
+    return {};
+  }
+  ngtcp2_cid native{};
+  ngtcp2_cid_init(&native, identifier.data(), identifier.size());
+  std::array<uint8_t, NGTCP2_STATELESS_RESET_TOKENLEN> token{};
+  ngtcp2_crypto_generate_stateless_reset_token(token.data(), secret.data(),
+                                               secret.size(), &native);
+  std::array<uint8_t, kResetBytes> random{};
+  randombytes_buf(random.data(), random.size());
+  Bytes packet(kResetBytes);
+  const ngtcp2_ssize size = ngtcp2_pkt_write_stateless_reset(
+      packet.data(), packet.size(), token.data(), random.data(),
+      packet.size() - NGTCP2_STATELESS_RESET_TOKENLEN - 1);
+  packet.resize(size > 0 ? static_cast<size_t>(size) : 0);
+  return packet;
+}
+
 Result<std::unique_ptr<QuicConnection>> QuicConnection::Accept(
     const TlsCredentials& credentials, ByteView initial_packet,
     QuicConnectionEvents events, TimePoint now) {
@@ -309,10 +346,9 @@
   settings.no_pmtud = 1;
   ngtcp2_transport_params parameters = TransportParameters();
   parameters.original_dcid = header.dcid;
-  parameters.stateless_reset_token_present = 1;
-  randombytes_buf(parameters.stateless_reset_token,
-                  sizeof(parameters.stateless_reset_token));
   const ngtcp2_cid identifier = state->NewIdentifier();
+  parameters.stateless_reset_token_present = 1;
+  state->FillResetToken(identifier, parameters.stateless_reset_token);
   const ngtcp2_callbacks callbacks = state->Callbacks();
   const ngtcp2_path path = FixedPath();
   const int created = ngtcp2_conn_server_new(
@@ -487,10 +523,31 @@
                                   : state_->http3->UnacknowledgedBytes(stream);
 }
 
+size_t QuicConnection::unfinished_streams() const {
+  return state_->http3 == nullptr ? 0 : state_->http3->streams();
+}
+
 void QuicConnection::GoAway() {
   if (state_->http3 != nullptr) state_->http3->GoAway();
 }
 
+void QuicConnection::Close(TimePoint now) {
+  if (state_->has_ended) return;
+  state_->has_ended = true;
+  ngtcp2_connection_close_error reason{};
+  ngtcp2_connection_close_error_default(&reason);
+  ngtcp2_connection_close_error_set_application_error(&reason, kH3NoError,
+                                                      nullptr, 0);
+  std::array<uint8_t, kMaxSendBytes> packet{};
+  ngtcp2_pkt_info info{};
+  const ngtcp2_ssize size = ngtcp2_conn_write_connection_close(
+      state_->native, nullptr, &info, packet.data(), packet.size(), &reason,
+      ToTimestamp(now));
+  if (size > 0) {
+    state_->events.send(ByteView(packet.data(), static_cast<size_t>(size)));
+  }
+}
+
 bool QuicConnection::is_connected() const {
   return state_->http3 != nullptr &&
          ngtcp2_conn_get_handshake_completed(state_->native) != 0;
