Prove 'not run' over attempts, and match key answers to the boot asked about

A simulation of four key services over a network that loses, repeats and delays, with one change of the roster and one crash, found two faults: a late KeyQueryReply about a restarted agent counted for its earlier boot, so that a request ran twice; and 'not run' was said of a third attempt while the packet of an earlier attempt without an answer was still on its way and ran later.

--- a/packages/coordination/include/medlarwinch/coordination/key_attempt.h
+++ b/packages/coordination/include/medlarwinch/coordination/key_attempt.h
@@ -31,6 +31,8 @@
   AgentBoot self;
   /// 1 for the first attempt.
   uint32_t attempt = 1;
+  /// Highest attempt that the caller knows as "not run"; 0 when there is none.
+  uint32_t resolved = 0;
   /// Agent of the earlier attempt, when the request names one and its
   /// identifier could be verified.
   std::optional<AgentBoot> earlier;
@@ -60,11 +62,16 @@
   /// them.
   std::map<Endpoint, KeyHolder> superseded;
   std::set<AgentBoot> cancelled;
-  bool conflict_seen = false;
   TimePoint next_send;
   TimePoint stage_ends;
 };
 
+/// True when no attempt before this one ran or ever will: the caller knows all
+/// of them as "not run", or all but the last one, whose agent has said that it
+/// never runs the key.
+bool IsEarlierResolved(const KeyAttemptStart& start,
+                       const std::set<AgentBoot>& cancelled);
+
 /// Sends KeyQuery to `to`.
 struct SendKeyQuery {
   AgentBoot to;
--- a/packages/coordination/src/key_attempt.cc
+++ b/packages/coordination/src/key_attempt.cc
@@ -24,6 +24,13 @@
   return End(std::move(attempt), RefuseKey{verdict, std::move(reason)});
 }
 
+// The verdict of an attempt that is not handed over.
+Verdict RefusalVerdict(const KeyAttempt& attempt) {
+  return IsEarlierResolved(attempt.start, attempt.cancelled)
+             ? Verdict::kNotRun
+             : Verdict::kMayHaveRun;
+}
+
 KeyAttemptStep Ask(KeyAttempt attempt, const AgentBoot& agent, TimePoint now) {
   attempt.stage = KeyAttemptStage::kAsking;
   attempt.asked = agent;
@@ -50,20 +57,13 @@
 KeyAttemptStep Reserve(KeyAttempt attempt, const DocumentContext& context,
                        TimePoint now) {
   if (attempt.start.refusal.has_value()) {
-    // The earlier attempt is proven not to have run only when it is the only
-    // one before this, and its agent has said so.
-    const bool is_proof =
-        attempt.start.attempt == 1 ||
-        (attempt.start.attempt == 2 && !attempt.cancelled.empty());
+    const Verdict verdict = RefusalVerdict(attempt);
     Reason reason = *attempt.start.refusal;
-    return Refuse(std::move(attempt),
-                  is_proof ? Verdict::kNotRun : Verdict::kMayHaveRun,
-                  std::move(reason));
+    return Refuse(std::move(attempt), verdict, std::move(reason));
   }
   if (attempt.start.homes.empty()) {
-    const bool is_first = attempt.start.attempt == 1;
-    return Refuse(std::move(attempt),
-                  is_first ? Verdict::kNotRun : Verdict::kMayHaveRun,
+    const Verdict verdict = RefusalVerdict(attempt);
+    return Refuse(std::move(attempt), verdict,
                   MakeReason(context, "no_key_home", ""));
   }
   attempt.stage = KeyAttemptStage::kReserving;
@@ -73,17 +73,10 @@
   return step;
 }
 
-// The verdict when the key could not be reserved: after an attempt elsewhere, a
-// home that does not answer may hold the record of a request that ran.
-Verdict UnreservedVerdict(const KeyAttempt& attempt) {
-  const bool is_proof = attempt.start.attempt == 1 && !attempt.conflict_seen;
-  return is_proof ? Verdict::kNotRun : Verdict::kMayHaveRun;
-}
-
 KeyAttemptStep EndStage(KeyAttempt attempt, const DocumentContext& context,
                         const char* rule, const char* path) {
   const Verdict verdict = attempt.stage == KeyAttemptStage::kReserving
-                              ? UnreservedVerdict(attempt)
+                              ? RefusalVerdict(attempt)
                               : Verdict::kMayHaveRun;
   return Refuse(std::move(attempt), verdict, MakeReason(context, rule, path));
 }
@@ -92,7 +85,6 @@
                           const KeyHolder& holder, uint16_t holder_tag,
                           const DocumentContext& context, TimePoint now) {
   const AgentBoot boot{holder.agent, holder_tag};
-  attempt.conflict_seen = true;
   if (holder.agent == attempt.start.self.agent) {
     // An earlier boot of this agent held the key; what it did is unknown.
     return Refuse(std::move(attempt), Verdict::kMayHaveRun,
@@ -109,6 +101,15 @@
 
 }  // namespace
 
+bool IsEarlierResolved(const KeyAttemptStart& start,
+                       const std::set<AgentBoot>& cancelled) {
+  const uint32_t known = std::min(start.resolved, start.attempt - 1);
+  const uint32_t unresolved = start.attempt - 1 - known;
+  if (unresolved == 0) return true;
+  return unresolved == 1 && start.earlier.has_value() &&
+         cancelled.contains(*start.earlier);
+}
+
 KeyAttemptStep StartKeyAttempt(KeyAttemptStart start,
                                const DocumentContext& context, TimePoint now) {
   KeyAttempt attempt;
--- a/packages/daemon/include/medlarwinch/daemon/key_service.h
+++ b/packages/daemon/include/medlarwinch/daemon/key_service.h
@@ -24,7 +24,9 @@
 struct KeyServicePorts {
   std::function<void(const Endpoint& to, const DataMessage& message)> send;
   /// All homes have granted the key and the ledger says that it runs.
-  std::function<void(const CallerRequestId& id)> hand_over;
+  /// `earlier_resolved` is IsEarlierResolved() of the attempt.
+  std::function<void(const CallerRequestId& id, bool earlier_resolved)>
+      hand_over;
   /// The request ran elsewhere or in an earlier attempt; its answer is known.
   std::function<void(const CallerRequestId& id, uint16_t status,
                      const StoredAnswer& answer)>
@@ -39,6 +41,8 @@
 struct KeyedRequest {
   KeyHash key;
   uint32_t attempt = 1;
+  /// See RequestFrame::resolved.
+  uint32_t resolved = 0;
   Millis age{0};
   /// Identifier of the earlier attempt's flow as the request carried it.
   Bytes earlier_flow;
--- a/packages/daemon/include/medlarwinch/daemon/request_executor.h
+++ b/packages/daemon/include/medlarwinch/daemon/request_executor.h
@@ -65,6 +65,9 @@
     uint64_t exchange = 0;
     bool head_arrived = false;
     bool not_run = false;
+    /// False when an attempt before this one may have run, so that nothing that
+    /// happens to this one proves "not run".
+    bool earlier_resolved = true;
     uint16_t status = 0;
     /// The response so far, while it may still be stored in the ledger.
     Bytes answer;
--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -16,6 +16,14 @@
 constexpr uint64_t kHighSeed = 1;
 constexpr uint64_t kLowSeed = 2;
 
+// The verdict of a refusal when no other agent was asked.
+Verdict UnaskedVerdict(const KeyedRequest& request) {
+  KeyAttemptStart start;
+  start.attempt = request.attempt;
+  start.resolved = request.resolved;
+  return IsEarlierResolved(start, {}) ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
 std::optional<KeyHolder> Superseded(const KeyReserve& message) {
   if (message.superseded.port == 0) return std::nullopt;
   return KeyHolder{message.superseded, message.superseded_boot};
@@ -45,8 +53,7 @@
     return;
   }
   if (begun.result == BeginResult::kFull) {
-    const bool is_first = request.attempt == 1;
-    ports_.refuse(id, is_first ? Verdict::kNotRun : Verdict::kMayHaveRun,
+    ports_.refuse(id, UnaskedVerdict(request),
                   MakeReason(context, "ledger_full", "idempotency.max_keys"));
     return;
   }
@@ -54,6 +61,7 @@
   start.key = request.key;
   start.self = AgentBoot{identity_.data, BootTag(identity_.boot)};
   start.attempt = request.attempt;
+  start.resolved = request.resolved;
   start.homes = ChooseKeyHomes(request.key, situation_.ready);
   start.refusal = request.refusal;
   start.deadline = request.deadline;
@@ -108,9 +116,8 @@
     case LedgerState::kWithdrawn:
       // The proof covers this agent only; what attempts before this one did at
       // other agents is not known here.
-      ports_.refuse(
-          id, request.attempt == 1 ? Verdict::kNotRun : Verdict::kMayHaveRun,
-          MakeReason(context, "attempt_withdrawn", ""));
+      ports_.refuse(id, UnaskedVerdict(request),
+                    MakeReason(context, "attempt_withdrawn", ""));
       return;
     case LedgerState::kCancelled:
       ports_.refuse(id, Verdict::kMayHaveRun,
@@ -241,6 +248,7 @@
   KeyQueryReply reply;
   reply.query = message.query;
   reply.key = message.key;
+  reply.boot_tag = message.boot_tag;
   reply.state = KeyState::kOtherBoot;
   if (message.boot_tag == BootTag(identity_.boot)) {
     QueryStep step =
@@ -272,7 +280,7 @@
   OpenAttempt& open = attempts_[id];
   const std::optional<AgentBoot> asked = open.attempt.asked;
   const bool is_ours = open.attempt.start.key == message.key &&
-                       asked.has_value() && asked->agent == from;
+                       asked == AgentBoot{from, message.boot_tag};
   if (!is_ours) return;
   relayed_status_ = message.status;
   relayed_answer_ =
@@ -413,7 +421,8 @@
       HandOverRequest(std::move(ledger_), open.attempt.start.key);
   ledger_ = std::move(step.ledger);
   if (step.may_run) {
-    ports_.hand_over(id);
+    ports_.hand_over(
+        id, IsEarlierResolved(open.attempt.start, open.attempt.cancelled));
     return;
   }
   ports_.refuse(
--- a/packages/daemon/src/request_executor.cc
+++ b/packages/daemon/src/request_executor.cc
@@ -59,7 +59,11 @@
       keys_(
           identity, situation,
           KeyServicePorts{
-              ports_.send, [this](const CallerRequestId& id) { HandOver(id); },
+              ports_.send,
+              [this](const CallerRequestId& id, bool earlier_resolved) {
+                requests_[id].earlier_resolved = earlier_resolved;
+                HandOver(id);
+              },
               [this](const CallerRequestId& id, uint16_t status,
                      const StoredAnswer& answer) { Relay(id, status, answer); },
               [this](const CallerRequestId& id, Verdict verdict,
@@ -92,11 +96,11 @@
   // Without a key there is nothing to look up, and what an attempt before this
   // one did is unknown.
   const bool has_key = !active.frame.idempotency_key.empty();
-  if (admission.refusal.has_value() &&
-      (active.frame.attempt <= 1 || !has_key)) {
+  const bool is_resolved = active.frame.resolved + 1 >= active.frame.attempt;
+  if (admission.refusal.has_value() && (is_resolved || !has_key)) {
     ports_.decide("shed_request", SubjectOf(id), *admission.refusal);
     Finish(id, admission.status,
-           active.frame.attempt <= 1 ? Verdict::kNotRun : Verdict::kMayHaveRun);
+           is_resolved ? Verdict::kNotRun : Verdict::kMayHaveRun);
     return;
   }
   active.key =
@@ -104,6 +108,7 @@
   KeyedRequest keyed;
   keyed.key = active.key;
   keyed.attempt = active.frame.attempt;
+  keyed.resolved = active.frame.resolved;
   keyed.age = Millis{active.frame.age_ms};
   keyed.earlier_flow = active.frame.earlier_flow;
   keyed.refusal = std::move(admission.refusal);
@@ -254,7 +259,8 @@
   if (verdict == Verdict::kNotRun) {
     const bool is_proof =
         keys_.Withdraw(request.key, request.frame.attempt, now);
-    return is_proof ? verdict : Verdict::kMayHaveRun;
+    return is_proof && request.earlier_resolved ? verdict
+                                                : Verdict::kMayHaveRun;
   }
   const bool ran = verdict == Verdict::kRan;
   StoredAnswer answer;
--- /dev/null
+++ b/packages/daemon/tests/key_service_test.cc
@@ -0,0 +1,279 @@
+#include "medlarwinch/daemon/key_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <set>
+
+#include "../../coordination/tests/property_check.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr const char* kService = "probe-hub";
+constexpr size_t kAgents = 4;
+constexpr int kSteps = 600;
+
+struct Datagram {
+  size_t from = 0;
+  size_t to = 0;
+  DataMessage message;
+};
+
+// One attempt of the caller at one agent. Its packet may arrive at any time
+// after it was sent, and at most once.
+struct Attempt {
+  size_t agent = 0;
+  int64_t boot = 0;
+  uint32_t resolved = 0;
+  bool arrived = false;
+  bool told = false;
+  Verdict verdict = Verdict::kMayHaveRun;
+  int runs = 0;
+};
+
+// Agents that exchange key messages over a network that loses, repeats and
+// reorders, and a caller that retries one request.
+class Simulation {
+ public:
+  explicit Simulation(uint32_t seed) : random_(seed), keys_(FleetKey{}, {}) {
+    for (size_t index = 0; index < kAgents; ++index) {
+      situations_[index].keys = std::make_shared<KeySet>(keys_);
+      situations_[index].ready = Ready(false);
+      StartAgent(index);
+    }
+  }
+
+  void Run() {
+    SendAttempt();
+    for (int step = 0; step < kSteps; ++step) Step();
+    for (size_t index = 0; index < 2'000 && !network_.empty(); ++index) {
+      Deliver();
+    }
+  }
+
+  int runs() const {
+    int sum = 0;
+    for (const Attempt& attempt : attempts_) sum += attempt.runs;
+    return sum;
+  }
+
+  // True when an attempt, or one before it, ran although it was answered
+  // "not run".
+  bool HasFalseNotRun() const {
+    int runs = 0;
+    for (const Attempt& attempt : attempts_) {
+      runs += attempt.runs;
+      const bool is_not_run =
+          attempt.told && attempt.verdict == Verdict::kNotRun;
+      if (is_not_run && runs > 0) return true;
+    }
+    return false;
+  }
+
+ private:
+  static Endpoint AddressOf(size_t index) {
+    return Endpoint{0x7f000001 + static_cast<uint32_t>(index), 7'000};
+  }
+
+  static std::vector<Endpoint> Ready(bool last_has_left) {
+    std::vector<Endpoint> ready;
+    for (size_t index = 0; index < kAgents - (last_has_left ? 1 : 0); ++index) {
+      ready.push_back(AddressOf(index));
+    }
+    return ready;
+  }
+
+  uint32_t Any(uint32_t bound) { return random_() % bound; }
+
+  void StartAgent(size_t index) {
+    KeyServicePorts ports;
+    ports.send = [this, index](const Endpoint& to, const DataMessage& message) {
+      const size_t receiver = to.ip - 0x7f000001;
+      network_.push_back(Datagram{index, receiver, message});
+    };
+    ports.hand_over = [this](const CallerRequestId& id, bool resolved) {
+      HandOver(id, resolved);
+    };
+    ports.relay = [this](const CallerRequestId& id, uint16_t,
+                         const StoredAnswer&) { Tell(id, Verdict::kRan); };
+    ports.refuse = [this](const CallerRequestId& id, Verdict verdict,
+                          const Reason&) { Tell(id, verdict); };
+    services_[index] = std::make_unique<KeyService>(
+        AgentIdentity{kService, AddressOf(index), boots_[index]},
+        situations_[index], ports);
+  }
+
+  void Step() {
+    const uint32_t kind = Any(100);
+    if (kind < 55) {
+      Deliver();
+    } else if (kind < 80) {
+      now_ = now_ + Millis{static_cast<int64_t>(Any(120))};
+      services_[Any(kAgents)]->Tick(now_);
+    } else if (kind < 90) {
+      ArriveOne();
+    } else if (kind < 94) {
+      EndRunning();
+    } else if (kind < 97) {
+      ChangeRoster(Any(kAgents));
+    } else if (kind < 98 && !crashed_) {
+      Crash(Any(kAgents));
+    } else {
+      SendAttempt();
+    }
+  }
+
+  // Delivers a message, but loses one of ten and leaves a copy of two of ten in
+  // the network.
+  void Deliver() {
+    if (network_.empty()) return;
+    const size_t index = Any(static_cast<uint32_t>(network_.size()));
+    const Datagram datagram = network_[index];
+    const uint32_t fate = Any(10);
+    if (fate > 1)
+      network_.erase(network_.begin() + static_cast<ptrdiff_t>(index));
+    if (fate == 2) return;
+    services_[datagram.to]->OnMessage(AddressOf(datagram.from),
+                                      datagram.message, now_);
+  }
+
+  // The caller tries again after "not run", or when it gave up waiting.
+  void SendAttempt() {
+    if (attempts_.size() >= 6) return;
+    if (!attempts_.empty()) {
+      const Attempt& last = attempts_.back();
+      if (last.told && last.verdict != Verdict::kNotRun) return;
+      if (!last.told && Any(3) != 0) return;
+    }
+    Attempt attempt;
+    attempt.agent = Any(kAgents);
+    attempt.boot = boots_[attempt.agent];
+    for (size_t index = 0; index < attempts_.size(); ++index) {
+      const Attempt& earlier = attempts_[index];
+      const bool is_not_run =
+          earlier.told && earlier.verdict == Verdict::kNotRun;
+      if (is_not_run) attempt.resolved = static_cast<uint32_t>(index + 1);
+    }
+    attempts_.push_back(attempt);
+  }
+
+  void ArriveOne() {
+    const uint32_t index = Any(static_cast<uint32_t>(attempts_.size()));
+    Attempt& attempt = attempts_[index];
+    if (attempt.arrived || attempt.boot != boots_[attempt.agent]) return;
+    attempt.arrived = true;
+
+    KeyedRequest request;
+    request.key = HashIdempotencyKey(kService, "k");
+    request.attempt = index + 1;
+    request.resolved = attempt.resolved;
+    if (index > 0) {
+      const Attempt& earlier = attempts_[index - 1];
+      const FlowIdentifierBytes flow =
+          IssueFlowIdentifier(keys_, kService,
+                              FlowIdentifier{0, AddressOf(earlier.agent),
+                                             BootTag(earlier.boot), 1});
+      request.earlier_flow.assign(flow.begin(), flow.end());
+    }
+    if (Any(5) == 0) request.refusal = Reason{};
+    request.deadline = now_ + Millis{3'000};
+    if (request.refusal.has_value() && request.resolved == index) {
+      Tell(CallerRequestId{index, 0}, Verdict::kNotRun);
+      return;
+    }
+    services_[attempt.agent]->Begin(CallerRequestId{index, 0}, request, now_);
+  }
+
+  // The upstream proves that it shed the request, or runs it.
+  void HandOver(const CallerRequestId& id, bool resolved) {
+    Attempt& attempt = attempts_[id.flow];
+    if (Any(4) == 0) {
+      const bool is_proof = services_[attempt.agent]->Withdraw(
+          HashIdempotencyKey(kService, "k"), id.flow + 1, now_);
+      Tell(id, is_proof && resolved ? Verdict::kNotRun : Verdict::kMayHaveRun);
+      return;
+    }
+    ++attempt.runs;
+    running_.insert(id.flow);
+  }
+
+  void EndRunning() {
+    if (running_.empty()) return;
+    const uint32_t index = *running_.begin();
+    running_.erase(running_.begin());
+    const Attempt& attempt = attempts_[index];
+    if (attempt.boot != boots_[attempt.agent]) return;
+    const bool ran = Any(2) == 0;
+    services_[attempt.agent]->End(
+        HashIdempotencyKey(kService, "k"),
+        ran ? LedgerState::kRan : LedgerState::kMayHaveRun, 200,
+        std::make_shared<const std::vector<uint8_t>>(3, 'x'), now_);
+    Tell(CallerRequestId{index, 0}, ran ? Verdict::kRan : Verdict::kMayHaveRun);
+  }
+
+  // One change: the last agent drains. Each agent sees it at its own time.
+  void ChangeRoster(size_t index) {
+    if (changed_.contains(index)) return;
+    changed_.insert(index);
+    AgentSituation& situation = situations_[index];
+    const std::vector<Endpoint> before = situation.ready;
+    situation.ready = Ready(true);
+    situation.draining = index == kAgents - 1;
+    services_[index]->OnReadyChanged(before, situation.ready, now_);
+  }
+
+  void Crash(size_t index) {
+    crashed_ = true;
+    ++boots_[index];
+    StartAgent(index);
+  }
+
+  void Tell(const CallerRequestId& id, Verdict verdict) {
+    attempts_[id.flow].told = true;
+    attempts_[id.flow].verdict = verdict;
+  }
+
+  std::mt19937 random_;
+  KeySet keys_;
+  TimePoint now_{1'000};
+  std::array<int64_t, kAgents> boots_{10, 20, 30, 40};
+  std::array<AgentSituation, kAgents> situations_;
+  std::array<std::unique_ptr<KeyService>, kAgents> services_;
+  std::vector<Datagram> network_;
+  std::vector<Attempt> attempts_;
+  std::set<uint32_t> running_;
+  std::set<size_t> changed_;
+  bool crashed_ = false;
+};
+
+BOOST_AUTO_TEST_SUITE(KeyServicesOverLossyNetwork)
+
+// Guards against a request that runs twice and against a false "not run", over
+// losses, repetitions, delays, one change of the roster and one crash.
+BOOST_AUTO_TEST_CASE(RetriedRequest_AnySchedule_RunsAtMostOnce) {
+  CheckProperty("a request that may not be repeated runs at most once", [] {
+    const uint32_t seed = static_cast<uint32_t>(AnyNumber(0, 1'000'000'000));
+    for (uint32_t index = 0; index < 40; ++index) {
+      Simulation simulation(seed + index);
+      simulation.Run();
+      RC_ASSERT(simulation.runs() <= 1);
+      RC_ASSERT(!simulation.HasFalseNotRun());
+    }
+  });
+}
+
+// Guards against a protocol that is safe because it never runs anything.
+BOOST_AUTO_TEST_CASE(RetriedRequest_ManySchedules_UsuallyRuns) {
+  int runs = 0;
+  for (uint32_t seed = 0; seed < 500; ++seed) {
+    Simulation simulation(seed);
+    simulation.Run();
+    runs += simulation.runs();
+  }
+  BOOST_TEST(runs > 250);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- a/packages/protocol/include/medlarwinch/protocol/data_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/data_messages.h
@@ -93,6 +93,9 @@
 struct KeyQueryReply {
   uint64_t query = 0;
   KeyHash key;
+  /// Repeats the boot that was asked about, since a late answer about another
+  /// boot of the same agent must not count.
+  uint16_t boot_tag = 0;
   KeyState state = KeyState::kMayHaveRun;
   uint16_t status = 0;
   /// The stored answer when the state is kRan and `has_answer` is set.
@@ -188,7 +191,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, KeyQueryReply& message) {
-  archive(message.query, message.key,
+  archive(message.query, message.key, message.boot_tag,
           Checked(message.state, KeyState::kOtherBoot), message.status,
           message.has_answer, Bounded(message.answer, kMaxStoredAnswerBytes));
 }
--- a/packages/protocol/include/medlarwinch/protocol/frames.h
+++ b/packages/protocol/include/medlarwinch/protocol/frames.h
@@ -44,6 +44,10 @@
   uint32_t age_ms = 0;
   /// Flow identifier of the earlier attempt; empty for the first.
   Bytes earlier_flow;
+  /// Highest attempt that was answered "not run", so that it and those before
+  /// it never run; 0 when there is none. What an agent says of a later attempt
+  /// depends on whether attempts between the two are without an answer.
+  uint32_t resolved = 0;
   /// Milliseconds that remain to answer; 0 uses the service's timeout.
   uint32_t deadline_ms = 0;
   Bytes body;
@@ -142,7 +146,8 @@
       frame.repeatable, Bounded(frame.idempotency_key, kMaxKeyBytes),
       frame.attempt, frame.age_ms,
       Bounded(frame.earlier_flow, static_cast<uint32_t>(kFlowIdentifierBytes)),
-      frame.deadline_ms, Bounded(frame.body, kMaxFrameBodyBytes));
+      frame.resolved, frame.deadline_ms,
+      Bounded(frame.body, kMaxFrameBodyBytes));
 }
 
 template <typename Archive>
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -70,7 +70,7 @@
   CheckMutations(
       DataMessage(KeyReserve{1, "probe-hub", {1, 2}, {3, 4}, 5, {6, 7}, 8}));
   CheckMutations(DataMessage(
-      KeyQueryReply{1, {1, 2}, KeyState::kRan, 200, true, Bytes(50, 1)}));
+      KeyQueryReply{1, {1, 2}, 3, KeyState::kRan, 200, true, Bytes(50, 1)}));
   CheckMutations(FabricPacket{{1, 2}, {3, 4}, Bytes(80, 5)});
 }
 
--- a/packages/transport/src/flow_shard.h
+++ b/packages/transport/src/flow_shard.h
@@ -98,6 +98,8 @@
     uint32_t number = 0;
     bool part_arrived = false;
     bool may_have_run = false;
+    /// Highest attempt that was answered "not run".
+    uint32_t resolved = 0;
     /// True while the last attempt was lost without a verdict.
     bool is_unresolved = false;
     Bytes earlier_flow;
--- a/packages/transport/src/flow_shard_requests.cc
+++ b/packages/transport/src/flow_shard_requests.cc
@@ -65,6 +65,7 @@
   frame.attempt = request.outcome.attempts;
   frame.age_ms = static_cast<uint32_t>((now - request.first_sent).value);
   frame.earlier_flow = request.earlier_flow;
+  frame.resolved = request.resolved;
   if (request.request.deadline.value > 0) {
     const Millis remaining = request.request.deadline - (now - request.created);
     frame.deadline_ms =
@@ -151,6 +152,9 @@
     return;
   }
   if (verdict == Verdict::kMayHaveRun) request.may_have_run = true;
+  // For a request that may be repeated, "not run" speaks of one attempt only.
+  const bool is_proof = verdict == Verdict::kNotRun && !request.may_have_run;
+  if (is_proof) request.resolved = request.outcome.attempts;
   const bool may_retry =
       verdict == Verdict::kNotRun || request.request.repeatable;
   if (!may_retry || request.outcome.attempts >= request.request.max_attempts) {
