Add the imbalance model

One seeded program compares plain hashing, least loaded and two choices by reports, and acceptance at the agent with the library's own tables and acceptance decision.

--- /dev/null
+++ b/bench/src/imbalance_cases.cc
@@ -0,0 +1,113 @@
+#include <array>
+#include <cstdio>
+
+#include "medlarwinch/bench/imbalance_model.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kEventAt{120'000};
+
+ImbalanceCase MakeCase(const std::string& name, std::vector<uint32_t> slots) {
+  ImbalanceCase model;
+  model.name = name;
+  model.slots = std::move(slots);
+  return model;
+}
+
+// One of the services of the design's section 1: about 2,000 flows for each
+// host.
+ImbalanceCase MakeService(const std::string& name, size_t hosts,
+                          uint32_t slots) {
+  constexpr double kFlowsPerHost = 2'000;
+  ImbalanceCase model = MakeCase(name, std::vector<uint32_t>(hosts, slots));
+  model.new_flows_per_second =
+      kFlowsPerHost * static_cast<double>(hosts) / model.mean_lifetime_seconds;
+  return model;
+}
+
+// Each host in turn drains for 8 s, is away for 2 s, starts cold and has 12 s
+// before the next one drains.
+ImbalanceCase MakeRollingDeploy() {
+  constexpr Millis kDownAfter{10'000};
+  constexpr Millis kPeriod{22'000};
+  ImbalanceCase model = MakeCase("rolling deploy", std::vector<uint32_t>(7, 4));
+  for (size_t host = 0; host < model.slots.size(); ++host) {
+    const Millis start = kEventAt + kPeriod * static_cast<int64_t>(host);
+    model.events.push_back(HostEvent{start, HostEventKind::kDrain, host, 1});
+    model.events.push_back(
+        HostEvent{start + kDownAfter, HostEventKind::kJoin, host, 1});
+  }
+  model.duration = kEventAt + kPeriod * static_cast<int64_t>(7);
+  return model;
+}
+
+}  // namespace
+
+std::string Placement::Name() const {
+  std::array<char, 96> text{};
+  switch (policy) {
+    case PlacementPolicy::kPlainHash:
+      return "plain hash";
+    case PlacementPolicy::kLeastLoaded:
+      std::snprintf(text.data(), text.size(), "least loaded, reports of %d s",
+                    static_cast<int>(report_interval.value / 1'000));
+      break;
+    case PlacementPolicy::kTwoChoices:
+      std::snprintf(text.data(), text.size(), "two choices, reports of %d s",
+                    static_cast<int>(report_interval.value / 1'000));
+      break;
+    case PlacementPolicy::kAcceptance:
+      std::snprintf(text.data(), text.size(),
+                    "acceptance, %u candidates, margin %.1f %%", candidates,
+                    margin_percent);
+      break;
+  }
+  return text.data();
+}
+
+std::vector<ImbalanceCase> ImbalanceCases() {
+  std::vector<ImbalanceCase> cases;
+  cases.push_back(MakeCase("steady", std::vector<uint32_t>(7, 4)));
+  cases.push_back(MakeService("probe-hub", 7, 4));
+  cases.push_back(MakeService("report-desk", 3, 4));
+  cases.push_back(MakeService("kiosk-desk", 7, 3));
+  cases.push_back(MakeService("depot-manifest", 4, 3));
+  cases.push_back(MakeCase("unequal slots", {1, 2, 2, 4, 4, 8, 8}));
+  ImbalanceCase cold = MakeCase("cold start", std::vector<uint32_t>(7, 4));
+  cold.events = {HostEvent{kEventAt, HostEventKind::kJoin, 6, 1}};
+  cases.push_back(cold);
+  cases.push_back(MakeRollingDeploy());
+  ImbalanceCase misleading =
+      MakeCase("one reports half", std::vector<uint32_t>(7, 4));
+  misleading.events = {HostEvent{Millis{0}, HostEventKind::kMisreport, 0, 0.5}};
+  cases.push_back(misleading);
+  ImbalanceCase silent =
+      MakeCase("one reports none", std::vector<uint32_t>(7, 4));
+  silent.events = {HostEvent{Millis{0}, HostEventKind::kMisreport, 0, 0}};
+  cases.push_back(silent);
+  ImbalanceCase leaving = MakeCase("one leaves", std::vector<uint32_t>(7, 4));
+  leaving.events = {HostEvent{kEventAt, HostEventKind::kDrain, 3, 1}};
+  cases.push_back(leaving);
+  return cases;
+}
+
+std::vector<Placement> ImbalancePlacements() {
+  std::vector<Placement> placements = {
+      Placement{PlacementPolicy::kPlainHash, Millis{1'000}, 0, 1}};
+  for (const Millis interval : {Millis{2'000}, Millis{5'000}}) {
+    placements.push_back(
+        Placement{PlacementPolicy::kLeastLoaded, interval, 0, 1});
+    placements.push_back(
+        Placement{PlacementPolicy::kTwoChoices, interval, 0, 2});
+  }
+  for (const double margin : {0.5, 1.0, 2.0, 5.0}) {
+    placements.push_back(
+        Placement{PlacementPolicy::kAcceptance, Millis{1'000}, margin, 2});
+  }
+  placements.push_back(
+      Placement{PlacementPolicy::kAcceptance, Millis{1'000}, 0.5, 3});
+  return placements;
+}
+
+}  // namespace medlarwinch
