Count a request as interrupted only when an upstream received it

A request that was received and has no answer, and one without any answer until its deadline, still count; the tests plant each case.

--- a/standins/include/medlarwinch/standins/invariant_checks.h
+++ b/standins/include/medlarwinch/standins/invariant_checks.h
@@ -52,11 +52,17 @@
 CheckResult CheckLeavingUpstreams(const RunLogs& logs,
                                   const RunHistory& history);
 
-/// Invariant 7: a planned stop interrupts no request. Counts requests in
-/// progress that ended without an answer although their upstream was neither
-/// killed nor frozen.
+/// Invariant 7: a planned stop interrupts no request. Counts requests that an
+/// upstream received and that ended without its answer, and requests without
+/// any answer until their deadline, although their upstream was neither killed
+/// nor frozen.
 CheckResult CheckGracefulStops(const RunLogs& logs, const RunHistory& history);
 
+/// Counts requests that ended with "may have run" although no upstream received
+/// them. They are not interrupted; the verdict is true, but not as good as it
+/// could be.
+uint64_t CountUnprovenNotRun(const RunLogs& logs);
+
 /// Invariant 8: an accepted configuration is in force on every balancer within
 /// `limit_ms` and never reverts.
 CheckResult CheckConfiguration(const RunLogs& logs, int64_t limit_ms);
--- a/standins/include/medlarwinch/standins/scenario_run.h
+++ b/standins/include/medlarwinch/standins/scenario_run.h
@@ -86,6 +86,8 @@
   Result<Ok> StartUpstream(HostUnit& host);
   Result<Ok> StartAgent(HostUnit& host);
   Result<Ok> WaitUntilReady();
+  // A daemon or upstream that ended by itself; empty when there is none.
+  std::string NameOfEndedDaemon() const;
   Result<Ok> WaitFor(const std::string& what, std::chrono::milliseconds limit,
                      const std::function<bool()>& is_done);
   void PlanSteps();
--- a/standins/tests/invariant_checks_test.cc
+++ b/standins/tests/invariant_checks_test.cc
@@ -240,13 +240,29 @@
 }
 
 BOOST_AUTO_TEST_CASE(RequestCut_ByPlannedStop_IsCounted) {
+  AddUpstream(
+      "time=6100 event=start service=probe-hub upstream=probe-hub/2 "
+      "path=/samples token=t4 copy=1");
   AddStep(
       "time=6000 event=upstream_leaving upstream=probe-hub/2 limit_ms=2000");
   AddCaller(Verdict("6200", "f2", "t4", "k4", "may_have_run", kCut));
   BOOST_TEST(Metric("cut_requests") == 1.0);
 }
 
+// Guards against calling a request interrupted that was never handed over; the
+// agent refuses it when it can't reserve its key.
+BOOST_AUTO_TEST_CASE(RequestNeverReceived_MayHaveRun_IsCountedApart) {
+  AddCaller(Verdict("6200", "f2", "t4", "k4", "may_have_run",
+                    "complete=1 whole=0 fault= ended_by=answer status=503 "
+                    "bytes=0 ms=500"));
+  BOOST_TEST(Metric("cut_requests") == 0.0);
+  BOOST_TEST(Metric("unproven_not_run") == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(RequestCut_ByKill_IsNotCounted) {
+  AddUpstream(
+      "time=5900 event=start service=probe-hub upstream=probe-hub/2 "
+      "path=/samples token=t4 copy=1");
   AddStep("time=6000 event=upstream_killed upstream=probe-hub/2");
   AddCaller(Verdict("6200", "f2", "t4", "k4", "may_have_run", kCut));
   BOOST_TEST(Metric("cut_requests") == 0.0);
