--- a/standins/include/medlarwinch/standins/load_caller.h
+++ b/standins/include/medlarwinch/standins/load_caller.h
@@ -19,7 +19,8 @@
 /// Holds many flows of several classes open, sends requests on them, checks
 /// every answer and logs what happened, one line for each event:
 /// flow_opened, flow_go_away, flow_broken, flow_shed, flow_open_timeout,
-/// request, head (first line of an answer), wrong_answer, feed_gap, verdict,
+/// request, head (first line of an answer), answer_fault, feed_gap (a feed went
+/// on after a silence), feed_stalled (a feed was silent at the end), verdict,
 /// flow_closed, stopping, counters.
 class LoadCaller {
  public:
@@ -63,7 +64,8 @@
     std::unique_ptr<AnswerChecker> checker;
     bool is_head_logged = false;
     bool is_fault_logged = false;
-    TimePoint last_part{-1};
+    // Time of the last piece of the answer, at first that of sending.
+    std::atomic<int64_t> last_part_ms{-1};
     // Set when the tool itself ends the request.
     std::atomic<bool> is_cancelled{false};
   };
@@ -91,6 +93,7 @@
   void LogVerdict(const LoadRequest& request,
                   const FlowRequestOutcome& outcome);
   void ScheduleNext(const std::shared_ptr<LoadFlow>& flow);
+  void LogStalledFeeds();
   void EndFeed(const std::shared_ptr<LoadFlow>& flow);
   void LogCounters();
   std::string AgentOf(FlowHandle handle) const;
--- a/standins/src/invariant_checks.cc
+++ b/standins/src/invariant_checks.cc
@@ -52,13 +52,17 @@
 FlowLosses FindLosses(const RunLogs& logs, const RunHistory& history) {
   FlowLosses losses;
   for (const EventRecord& record : logs.callers) {
-    const bool is_broken = record.event == "flow_broken";
+    // A feed that is silent at the end of the run has stopped, even if nothing
+    // told the caller.
+    const bool is_stalled = record.event == "feed_stalled";
+    const bool is_broken = record.event == "flow_broken" || is_stalled;
     const bool is_cut = record.event == "verdict" && IsCut(record);
     if (!is_broken && !is_cut) continue;
     const std::string& flow = record.Field("flow");
     const int64_t from =
-        is_cut ? record.time - std::max<int64_t>(0, record.Number("ms"))
-               : record.time;
+        is_cut || is_stalled
+            ? record.time - std::max<int64_t>(0, record.Number("ms"))
+            : record.time;
     const std::string key = OpeningKey(history, flow, from);
     if (history.WasOnLostUpstream(flow, from, record.time)) {
       losses.with_upstream.insert(key);
--- a/standins/src/load_caller.cc
+++ b/standins/src/load_caller.cc
@@ -265,6 +265,7 @@
     OnEnd(request, outcome);
   };
   ++in_progress_;
+  request->last_part_ms = MonotonicNow().value;
   const FlowRequestHandle handle = client_->SendRequest(
       request->handle, std::move(message), std::move(events));
   if (handle == 0) {
@@ -279,8 +280,8 @@
 void LoadCaller::OnPart(LoadRequest& request, uint64_t offset, ByteView data) {
   const TimePoint now = MonotonicNow();
   const bool is_feed = request.flow->flow_class == FlowClass::kFeed;
-  if (is_feed && request.last_part.value >= 0) {
-    const Millis silence = now - request.last_part;
+  if (is_feed) {
+    const Millis silence = now - TimePoint{request.last_part_ms};
     if (silence.value > settings_.feed_interval_ms + kFeedGapMs) {
       log_->Write("feed_gap", {{"service", settings_.service},
                                {"flow", request.flow_name},
@@ -288,7 +289,7 @@
                                {"ms", std::to_string(silence.value)}});
     }
   }
-  request.last_part = now;
+  request.last_part_ms = now.value;
   AnswerChecker& checker = *request.checker;
   checker.OnPart(offset, data);
   if (checker.head().has_value() && !request.is_head_logged) {
@@ -387,8 +388,22 @@
   client_->Cancel(feed);
 }
 
+void LoadCaller::LogStalledFeeds() {
+  const TimePoint now = MonotonicNow();
+  const std::lock_guard<std::mutex> lock(flows_mutex_);
+  for (const auto& [handle, request] : feeds_) {
+    const Millis silence = now - TimePoint{request->last_part_ms};
+    if (silence.value <= settings_.feed_interval_ms + kFeedGapMs) continue;
+    log_->Write("feed_stalled", {{"service", settings_.service},
+                                 {"flow", request->flow_name},
+                                 {"token", request->token},
+                                 {"ms", std::to_string(silence.value)}});
+  }
+}
+
 void LoadCaller::Stop(milliseconds wait) {
   log_->Write("stopping", {{"service", settings_.service}});
+  LogStalledFeeds();
   stopping_ = true;
   std::vector<FlowRequestHandle> feeds;
   {
--- a/standins/tests/invariant_checks_test.cc
+++ b/standins/tests/invariant_checks_test.cc
@@ -121,6 +121,14 @@
   BOOST_TEST(Metric("broken_flows") == 1.0);
 }
 
+// Guards against a feed that stops without anybody being told.
+BOOST_AUTO_TEST_CASE(FeedSilentAtTheEnd_UpstreamAlive_IsBroken) {
+  AddCaller(
+      "time=9000 event=feed_stalled service=probe-hub flow=f1 token=t1 "
+      "ms=5000");
+  BOOST_TEST(Metric("broken_flows") == 1.0);
+}
+
 // Guards against blaming the system for what no system can keep.
 BOOST_AUTO_TEST_CASE(FlowLost_UpstreamKilled_IsCountedApart) {
   AddStep("time=5500 event=upstream_killed upstream=probe-hub/1");
