Recognize a closed connection to the stand-in upstream by a read

A wait for readability can be completed by an event for data that was already read. It now peeks and waits again when there is nothing to read.

--- a/standins/src/upstream_session.cc
+++ b/standins/src/upstream_session.cc
@@ -1,9 +1,12 @@
 #include "medlarwinch/standins/upstream_session.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <charconv>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -130,8 +133,16 @@
       asio::ip::tcp::socket::wait_read,
       [self = shared_from_this()](const boost::system::error_code& error) {
         if (error || !self->is_working_) return;
-        boost::system::error_code ignored;
-        if (self->stream_.socket().available(ignored) > 0) return;
+        // The event may belong to data that was read before the wait began, so
+        // only a read tells whether the other side has closed.
+        char byte = 0;
+        const ssize_t size = recv(self->stream_.socket().native_handle(), &byte,
+                                  1, MSG_PEEK | MSG_DONTWAIT);
+        if (size > 0) return;
+        if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+          self->WatchForCancellation();
+          return;
+        }
         self->LeaveWork();
         self->LogEvent("cancelled");
         ++self->state_->cancelled;
