--- a/packages/cli/app/main.cc
+++ b/packages/cli/app/main.cc
@@ -1,7 +1,8 @@
-#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "medlarwinch/cli/command_line.h"
 
 int main(int argc, char** argv) {
-  CLI::App app{"medlarwinch"};
-  CLI11_PARSE(app, argc, argv);
-  return 0;
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return medlarwinch::RunCommandLine(arguments, std::cout, std::cerr);
 }
--- a/packages/cli/include/medlarwinch/cli/daemon_status.h
+++ b/packages/cli/include/medlarwinch/cli/daemon_status.h
@@ -39,6 +39,9 @@
   std::vector<SeenMember> members;
   /// Mean flows per slot by service.
   std::map<std::string, double> means;
+  /// What began the drain of an agent; empty when it is not draining.
+  std::string drain_trigger;
+  Millis drain_elapsed;
   /// Numbers that the daemon gives of itself, such as "flows".
   std::map<std::string, double> numbers;
 
--- a/packages/cli/include/medlarwinch/cli/status_command.h
+++ b/packages/cli/include/medlarwinch/cli/status_command.h
@@ -16,6 +16,9 @@
   /// Flows and requests in progress, when the agent itself was asked.
   std::optional<double> flows;
   std::optional<double> requests;
+  /// What began the drain and how long ago, when the agent itself was asked.
+  std::string drain_trigger;
+  Millis drain_elapsed;
   /// Daemons that hold another phase of it than the newest.
   size_t differing_daemons = 0;
 
--- /dev/null
+++ b/packages/cli/src/command_line.cc
@@ -0,0 +1,140 @@
+#include "medlarwinch/cli/command_line.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+
+#include "medlarwinch/cli/command_registry.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr const char* kFooter =
+    "Exit codes: 0 done; 1 the answer is negative, such as an invalid\n"
+    "document; 2 wrong command line; 3 another writer was first; 4 the\n"
+    "platform or a daemon did not answer.\n"
+    "Example:\n"
+    "  medlarwinch --platform 127.0.9.1:8080 get probe-hub";
+
+// Values of the options that all commands share.
+struct SharedOptions {
+  std::string platform;
+  std::vector<std::string> admin;
+  uint16_t admin_port = 0;
+  std::string output = "text";
+  std::string operator_name = "unknown";
+  int64_t timeout_ms = 5'000;
+};
+
+std::string CheckEndpoint(const std::string& text) {
+  const Result<Endpoint> endpoint = ParseEndpoint(text);
+  return IsOk(endpoint) ? "" : ErrorOf(endpoint).message;
+}
+
+void AddSharedOptions(CLI::App& app, SharedOptions& options) {
+  app.add_option("--platform", options.platform,
+                 "Address of the platform's object API, IPv4:port")
+      ->envname("MEDLARWINCH_PLATFORM")
+      ->check(CheckEndpoint);
+  app.add_option("--admin", options.admin,
+                 "Admin addresses of daemons, IPv4:port,...")
+      ->delimiter(',')
+      ->allow_extra_args(false)
+      ->envname("MEDLARWINCH_ADMIN")
+      ->check(CheckEndpoint);
+  app.add_option("--admin-port", options.admin_port,
+                 "Without --admin: ask the balancers of the platform's "
+                 "bootstrap lists at this port of their control address")
+      ->check(CLI::Range(1, 65'535));
+  app.add_option("--output", options.output, "text or json")
+      ->check(CLI::IsMember({"text", "json"}))
+      ->capture_default_str();
+  app.add_option("--operator", options.operator_name,
+                 "Name that the history shows for a change")
+      ->envname("USER")
+      ->capture_default_str();
+  app.add_option("--timeout-ms", options.timeout_ms,
+                 "Time in which failed calls are tried again")
+      ->check(CLI::Range(1, 600'000))
+      ->capture_default_str();
+}
+
+// The addresses were checked when they were parsed.
+CommandContext MakeContext(const SharedOptions& options) {
+  CommandContext context;
+  const Result<Endpoint> platform = ParseEndpoint(options.platform);
+  if (IsOk(platform)) context.platform = ValueOf(platform);
+  for (const std::string& text : options.admin) {
+    const Result<Endpoint> admin = ParseEndpoint(text);
+    if (IsOk(admin)) context.admin.push_back(ValueOf(admin));
+  }
+  context.admin_port = options.admin_port;
+  context.operator_name = options.operator_name;
+  context.timeout = Millis{options.timeout_ms};
+  context.now = WallNow();
+  return context;
+}
+
+int PrintOutput(const Result<CommandOutput>& result, const std::string& command,
+                bool is_json, std::ostream& out, std::ostream& err) {
+  if (IsOk(result)) {
+    const CommandOutput& output = ValueOf(result);
+    if (is_json) {
+      out << output.json.dump(2, ' ', false,
+                              nlohmann::json::error_handler_t::replace)
+          << "\n";
+    } else {
+      out << output.text;
+    }
+    return output.code;
+  }
+  const Error& error = ErrorOf(result);
+  if (is_json) {
+    const nlohmann::json json = {{"error",
+                                  {{"command", command},
+                                   {"code", ErrorCodeName(error.code)},
+                                   {"message", error.message}}}};
+    out << json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)
+        << "\n";
+  } else {
+    err << "medlarwinch " << command << ": " << ErrorCodeName(error.code)
+        << ": " << error.message << "\n";
+  }
+  return ExitCodeFor(error);
+}
+
+}  // namespace
+
+int RunCommandLine(const std::vector<std::string>& arguments, std::ostream& out,
+                   std::ostream& err) {
+  if (sodium_init() < 0) {
+    err << "medlarwinch: can't initialize libsodium\n";
+    return kExitFailed;
+  }
+  CLI::App app{"Operates the medlarwinch load balancer", "medlarwinch"};
+  SharedOptions options;
+  ChosenCommand chosen;
+  app.require_subcommand(1);
+  app.fallthrough();
+  app.footer(kFooter);
+  AddSharedOptions(app, options);
+  AddDocumentCommands(app, chosen);
+  AddSystemCommands(app, chosen);
+  std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+  try {
+    app.parse(std::move(reversed));
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error, out, err);
+    return code == 0 ? kExitOk : kExitUsage;
+  }
+  if (chosen.needs_platform && options.platform.empty()) {
+    err << "medlarwinch " << chosen.name
+        << ": set --platform or MEDLARWINCH_PLATFORM\n";
+    return kExitUsage;
+  }
+  return PrintOutput(chosen.action(MakeContext(options)), chosen.name,
+                     options.output == "json", out, err);
+}
+
+}  // namespace medlarwinch
--- a/packages/cli/src/daemon_status.cc
+++ b/packages/cli/src/daemon_status.cc
@@ -135,6 +135,12 @@
     const auto self = control->find("self");
     if (self != control->end() && self->is_object()) ReadSelf(*self, status);
   }
+  const auto drain = json.find("drain");
+  if (drain != json.end() && drain->is_object()) {
+    status.drain_trigger = TextOf(*drain, "trigger");
+    status.drain_elapsed =
+        Millis{static_cast<int64_t>(NumberOf(*drain, "elapsed_ms", 0))};
+  }
   for (const auto& [name, value] : json.items()) {
     if (value.is_number()) status.numbers[name] = value.get<double>();
   }
--- /dev/null
+++ b/packages/cli/src/document_commands.cc
@@ -0,0 +1,144 @@
+#include <memory>
+#include <optional>
+
+#include "medlarwinch/cli/apply_command.h"
+#include "medlarwinch/cli/command_registry.h"
+#include "medlarwinch/cli/drain_command.h"
+#include "medlarwinch/cli/get_command.h"
+#include "medlarwinch/cli/history_command.h"
+#include "medlarwinch/cli/validate_command.h"
+
+namespace medlarwinch {
+namespace {
+
+// Values that the options of one command are read into.
+struct DocumentArguments {
+  std::string file;
+  std::string service;
+  std::string upstream;
+  std::optional<uint64_t> if_version;
+  size_t count = 10;
+  bool is_return = false;
+};
+using SharedArguments = std::shared_ptr<DocumentArguments>;
+
+void AddValidate(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<DocumentArguments>();
+  CLI::App* command =
+      app.add_subcommand("validate", "Check a document without any call");
+  command->add_option("FILE", arguments->file, "Document to check")->required();
+  command->footer(
+      "Example:\n  medlarwinch validate docs/examples/probe-hub.yaml");
+  command->callback([arguments, &chosen] {
+    chosen = {"validate", false, [arguments](const CommandContext&) {
+                return ToOutput(RunValidate(arguments->file));
+              }};
+  });
+}
+
+void AddApply(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<DocumentArguments>();
+  CLI::App* command = app.add_subcommand(
+      "apply", "Put a document in force if nobody changed it since");
+  command->add_option("FILE", arguments->file, "Document to apply")->required();
+  command->add_option(
+      "--if-version", arguments->if_version,
+      "Version that the change was made for; 0: there is no document yet. "
+      "Default: the version in the first line that `get` printed, or the "
+      "current one");
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 --admin 127.0.1.1:7300 \\\n"
+      "    apply docs/examples/probe-hub.yaml --if-version 12");
+  command->callback([arguments, &chosen] {
+    chosen = {"apply", true, [arguments](const CommandContext& context) {
+                return ToOutput(
+                    RunApply(context, arguments->file, arguments->if_version));
+              }};
+  });
+}
+
+void AddGet(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<DocumentArguments>();
+  CLI::App* command =
+      app.add_subcommand("get", "Print the document of a service");
+  command->add_option("SERVICE", arguments->service, "Name of the service")
+      ->required();
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 get probe-hub > probe-hub.yaml");
+  command->callback([arguments, &chosen] {
+    chosen = {"get", true, [arguments](const CommandContext& context) {
+                return ToOutput(RunGet(context, arguments->service));
+              }};
+  });
+}
+
+void AddHistory(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<DocumentArguments>();
+  CLI::App* command = app.add_subcommand(
+      "history", "Print the last versions of a document, newest first");
+  command->add_option("SERVICE", arguments->service, "Name of the service")
+      ->required();
+  command->add_option("--count", arguments->count, "Versions to print")
+      ->capture_default_str();
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 history probe-hub --count 3");
+  command->callback([arguments, &chosen] {
+    chosen = {"history", true, [arguments](const CommandContext& context) {
+                return ToOutput(
+                    RunHistory(context, arguments->service, arguments->count));
+              }};
+  });
+}
+
+// Returns the address of the argument or an error that names it.
+Result<CommandOutput> Drain(const CommandContext& context,
+                            const DocumentArguments& arguments) {
+  const Result<Endpoint> upstream = ParseEndpoint(arguments.upstream);
+  if (!IsOk(upstream)) return ErrorOf(upstream);
+  return ToOutput(RunDrain(context, arguments.service, ValueOf(upstream),
+                           arguments.is_return));
+}
+
+std::string CheckEndpoint(const std::string& text) {
+  const Result<Endpoint> endpoint = ParseEndpoint(text);
+  return IsOk(endpoint) ? "" : ErrorOf(endpoint).message;
+}
+
+void AddDrain(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<DocumentArguments>();
+  CLI::App* command = app.add_subcommand(
+      "drain", "Add an upstream to drain.upstreams of a document");
+  command->add_option("SERVICE", arguments->service, "Name of the service")
+      ->required();
+  command
+      ->add_option("UPSTREAM", arguments->upstream,
+                   "Listener of the upstream, IPv4:port")
+      ->required()
+      ->check(CheckEndpoint);
+  command->add_flag("--return", arguments->is_return,
+                    "Remove the upstream from the list instead");
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 --admin 127.0.1.1:7300 \\\n"
+      "    drain probe-hub 127.0.2.1:9000");
+  command->callback([arguments, &chosen] {
+    chosen = {"drain", true, [arguments](const CommandContext& context) {
+                return Drain(context, *arguments);
+              }};
+  });
+}
+
+}  // namespace
+
+void AddDocumentCommands(CLI::App& app, ChosenCommand& chosen) {
+  AddValidate(app, chosen);
+  AddApply(app, chosen);
+  AddGet(app, chosen);
+  AddHistory(app, chosen);
+  AddDrain(app, chosen);
+}
+
+}  // namespace medlarwinch
--- a/packages/cli/src/status_command.cc
+++ b/packages/cli/src/status_command.cc
@@ -27,7 +27,9 @@
     for (const DaemonStatus& daemon : daemons) {
       if (daemon.id == ToString(member.entry.id)) {
         upstream.flows = NumberOf(daemon, "flows");
-        upstream.requests = NumberOf(daemon, "requests_in_progress");
+        upstream.requests = NumberOf(daemon, "requests_in_flight");
+        upstream.drain_trigger = daemon.drain_trigger;
+        upstream.drain_elapsed = daemon.drain_elapsed;
       }
       for (const SeenMember& seen : daemon.members) {
         const bool differs =
@@ -84,7 +86,12 @@
 std::string FormatDrain(const UpstreamStatus& upstream) {
   if (upstream.member.entry.version.phase != MemberPhase::kDraining) return "-";
   if (!upstream.requests.has_value()) return "in progress";
-  return FormatNumber(*upstream.requests) + " requests left";
+  std::string text = FormatNumber(*upstream.requests) + " requests left";
+  if (!upstream.drain_trigger.empty()) {
+    text += " after " + std::to_string(upstream.drain_elapsed.value) +
+            " ms, by " + upstream.drain_trigger;
+  }
+  return text;
 }
 
 std::string FormatDaemons(const StatusReport& report) {
@@ -155,6 +162,8 @@
           {"phase", MemberPhaseName(entry.version.phase)},
           {"doubtful", upstream.member.is_doubtful},
           {"differing_daemons", upstream.differing_daemons},
+          {"drain_trigger", upstream.drain_trigger},
+          {"drain_elapsed_ms", upstream.drain_elapsed.value},
           {"flows", OptionalJson(upstream.flows)},
           {"requests", OptionalJson(upstream.requests)}};
 }
--- /dev/null
+++ b/packages/cli/src/system_commands.cc
@@ -0,0 +1,162 @@
+#include <memory>
+
+#include "medlarwinch/cli/command_registry.h"
+#include "medlarwinch/cli/explain_command.h"
+#include "medlarwinch/cli/metrics_command.h"
+#include "medlarwinch/cli/report_text.h"
+#include "medlarwinch/cli/rotate_keys_command.h"
+#include "medlarwinch/cli/status_command.h"
+
+namespace medlarwinch {
+namespace {
+
+// Values that the options of one command are read into.
+struct SystemArguments {
+  std::string subject;
+  std::string service;
+  std::string at;
+  std::string since;
+  std::string until;
+  std::string last = "15m";
+  std::string address;
+};
+using SharedArguments = std::shared_ptr<SystemArguments>;
+
+// Time around `--at` that is explained; a decision and its causes lie within
+// seconds of each other.
+constexpr Millis kAround{60'000};
+
+std::string CheckEndpoint(const std::string& text) {
+  const Result<Endpoint> endpoint = ParseEndpoint(text);
+  return IsOk(endpoint) ? "" : ErrorOf(endpoint).message;
+}
+
+std::string CheckTime(const std::string& text) {
+  const Result<TimePoint> time = ParseTime(text, TimePoint{0});
+  return IsOk(time) ? "" : ErrorOf(time).message;
+}
+
+std::string CheckSpan(const std::string& text) {
+  const Result<Millis> span = ParseSpan(text);
+  return IsOk(span) ? "" : ErrorOf(span).message;
+}
+
+// The texts were checked when they were parsed.
+TimePoint TimeOf(const std::string& text, TimePoint now, TimePoint fallback) {
+  const Result<TimePoint> time = ParseTime(text, now);
+  return IsOk(time) ? ValueOf(time) : fallback;
+}
+
+ExplainQuery MakeQuery(const SystemArguments& arguments, TimePoint now) {
+  const Result<Millis> last = ParseSpan(arguments.last);
+  const Millis span = IsOk(last) ? ValueOf(last) : kAround;
+  ExplainQuery query;
+  query.subject = arguments.subject;
+  query.service = arguments.service;
+  query.until = TimeOf(arguments.until, now, now);
+  query.since = TimeOf(arguments.since, now, query.until - span);
+  if (arguments.at.empty()) return query;
+  const TimePoint at = TimeOf(arguments.at, now, now);
+  query.since = at - kAround;
+  query.until = at + kAround;
+  return query;
+}
+
+void AddExplain(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<SystemArguments>();
+  CLI::App* command = app.add_subcommand(
+      "explain", "Say what the system did, when, why, and by which document");
+  command
+      ->add_option("SUBJECT", arguments->subject,
+                   "Service, address of an upstream or balancer, or identifier "
+                   "of a flow or request")
+      ->required();
+  command->add_option("--service", arguments->service,
+                      "Read the account of this service only");
+  CLI::Option* at = command->add_option(
+      "--at", arguments->at, "Time (UTC), with one minute before and after it");
+  at->check(CheckTime);
+  command->add_option("--since", arguments->since, "Begin of the span (UTC)")
+      ->check(CheckTime)
+      ->excludes(at);
+  command->add_option("--until", arguments->until, "End of the span (UTC)")
+      ->check(CheckTime)
+      ->excludes(at);
+  command
+      ->add_option("--last", arguments->last,
+                   "Span before --until, when --since is not given")
+      ->check(CheckSpan)
+      ->excludes(at)
+      ->capture_default_str();
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 explain 127.0.2.1:9000 \\\n"
+      "    --since 2026-01-31T12:00:00Z --until 2026-01-31T12:05:00Z");
+  command->callback([arguments, &chosen] {
+    chosen = {"explain", true, [arguments](const CommandContext& context) {
+                return ToOutput(
+                    RunExplain(context, MakeQuery(*arguments, context.now)));
+              }};
+  });
+}
+
+void AddStatus(CLI::App& app, ChosenCommand& chosen) {
+  CLI::App* command = app.add_subcommand(
+      "status", "Print what the daemons have in force and know of upstreams");
+  command->footer(
+      "Example:\n"
+      "  medlarwinch --platform 127.0.9.1:8080 \\\n"
+      "    --admin 127.0.1.1:7300,127.0.2.1:7300 status");
+  command->callback([&chosen] {
+    chosen = {"status", false, [](const CommandContext& context) {
+                return ToOutput(RunStatus(context));
+              }};
+  });
+}
+
+Result<CommandOutput> ReadMetrics(const CommandContext& context,
+                                  const std::string& address) {
+  const Result<Endpoint> admin = ParseEndpoint(address);
+  if (!IsOk(admin)) return ErrorOf(admin);
+  return ToOutput(RunMetrics(context, ValueOf(admin)));
+}
+
+void AddMetrics(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<SystemArguments>();
+  CLI::App* command =
+      app.add_subcommand("metrics", "Print the metrics of one daemon");
+  command->add_option("ADDRESS", arguments->address, "Admin address, IPv4:port")
+      ->required()
+      ->check(CheckEndpoint);
+  command->footer("Example:\n  medlarwinch metrics 127.0.1.1:7300");
+  command->callback([arguments, &chosen] {
+    chosen = {"metrics", false, [arguments](const CommandContext& context) {
+                return ReadMetrics(context, arguments->address);
+              }};
+  });
+}
+
+void AddKeys(CLI::App& app, ChosenCommand& chosen) {
+  CLI::App* keys = app.add_subcommand("keys", "Manage the key ring");
+  keys->require_subcommand(1);
+  CLI::App* command = keys->add_subcommand(
+      "rotate", "Add an epoch to keys/ring and make it the current one");
+  command->footer(
+      "Example:\n  medlarwinch --platform 127.0.9.1:8080 keys rotate");
+  command->callback([&chosen] {
+    chosen = {"keys rotate", true, [](const CommandContext& context) {
+                return ToOutput(RunRotateKeys(context));
+              }};
+  });
+}
+
+}  // namespace
+
+void AddSystemCommands(CLI::App& app, ChosenCommand& chosen) {
+  AddStatus(app, chosen);
+  AddExplain(app, chosen);
+  AddMetrics(app, chosen);
+  AddKeys(app, chosen);
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/control_plane.cc
+++ b/packages/daemon/src/control_plane.cc
@@ -134,7 +134,8 @@
                         {"service", entry.service},
                         {"domain", entry.failure_domain},
                         {"slots", entry.slots},
-                        {"data", ToString(entry.data)}};
+                        {"data", ToString(entry.data)},
+                        {"upstream", ToString(entry.upstream)}};
 }
 
 MemberEntry OwnEntry(const Settings& settings, MemberKind kind,
