--- a/standins/include/medlarwinch/standins/scenario.h
+++ b/standins/include/medlarwinch/standins/scenario.h
@@ -41,6 +41,9 @@
   /// Connections for each upstream host.
   int64_t connections = 40;
   int64_t duration_ms = 20'000;
+  /// Time between the readiness of all daemons and the start of the load. It
+  /// covers the slow start of the documents that the scenarios use.
+  int64_t warmup_ms = 4'000;
   /// Time between the end of the ramp and time 0 of the steps.
   int64_t settle_ms = 2'000;
   /// Bound of invariant 8.
--- a/standins/include/medlarwinch/standins/scenario_run.h
+++ b/standins/include/medlarwinch/standins/scenario_run.h
@@ -82,6 +82,7 @@
   Result<Ok> WriteDocuments();
   Result<Ok> StartFabric();
   Result<Ok> StartCallers();
+  void Pause(std::chrono::milliseconds time) const;
   Result<Ok> StartBalancer(uint32_t number);
   Result<Ok> StartUpstream(HostUnit& host);
   Result<Ok> StartAgent(HostUnit& host);
--- a/standins/src/scenario.cc
+++ b/standins/src/scenario.cc
@@ -106,6 +106,7 @@
     }
     int64_t* const target = name == "duration" ? &scenario_.duration_ms
                             : name == "settle" ? &scenario_.settle_ms
+                            : name == "warmup" ? &scenario_.warmup_ms
                             : name == "config_limit"
                                 ? &scenario_.config_limit_ms
                                 : nullptr;
