Add plot: flows by upstream and latency by tenant as SVG

Change: `plot` reads the samples that `metrics` prints and draws the flows of each upstream and the 99th percentile of the latency of each tenant in each interval between two samples.

Measured: cli_tests, 29 cases, pass.

--- /dev/null
+++ b/packages/cli/include/medlarwinch/cli/plot_command.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/cli/exit_code.h"
+#include "medlarwinch/cli/svg_chart.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// Answer of `medlarwinch plot`.
+struct PlotReport {
+  /// Flows by upstream, and latency by tenant and upstream (99th percentile of
+  /// each interval between two samples, in ms).
+  std::vector<Chart> charts;
+  size_t samples = 0;
+
+  friend bool operator==(const PlotReport&, const PlotReport&) = default;
+};
+
+/// Makes the charts from the text of metrics samples, as `medlarwinch metrics`
+/// prints them one after the other.
+PlotReport MakePlot(const std::string& text);
+
+/// Reads the files of samples. Fails with kNotFound when a file can't be read,
+/// kInvalidInput when there is no sample in them.
+Result<PlotReport> RunPlot(const std::vector<std::string>& files);
+
+ExitCode ExitCodeOf(const PlotReport& report);
+/// The charts as an SVG document.
+std::string FormatText(const PlotReport& report);
+nlohmann::json ToJson(const PlotReport& report);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/cli/src/plot_command.cc
@@ -0,0 +1,164 @@
+#include "medlarwinch/cli/plot_command.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+
+#include "medlarwinch/cli/command_context.h"
+#include "medlarwinch/cli/metrics_text.h"
+#include "medlarwinch/cli/report_text.h"
+
+namespace medlarwinch {
+namespace {
+
+const std::string kSampleMark = "# sample ";
+const std::string kFlows = "medlarwinch_flows";
+const std::string kLatencyBucket = "medlarwinch_request_latency_ms_bucket";
+constexpr double kPercentile = 0.99;
+
+// Counts of a histogram by the upper bound of the bucket; cumulative.
+using Buckets = std::map<double, double>;
+
+struct Sample {
+  TimePoint time;
+  std::string address;
+  std::string text;
+};
+
+std::vector<Sample> SplitSamples(const std::string& text) {
+  std::vector<Sample> samples;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind(kSampleMark, 0) != 0) {
+      if (!samples.empty()) samples.back().text += line + "\n";
+      continue;
+    }
+    std::istringstream words(line.substr(kSampleMark.size()));
+    std::string time;
+    Sample sample;
+    words >> time >> sample.address;
+    const Result<TimePoint> parsed = ParseTime(time, TimePoint{0});
+    if (!IsOk(parsed)) continue;
+    sample.time = ValueOf(parsed);
+    samples.push_back(sample);
+  }
+  std::stable_sort(
+      samples.begin(), samples.end(),
+      [](const Sample& a, const Sample& b) { return a.time < b.time; });
+  return samples;
+}
+
+std::map<std::string, Buckets> LatencyByTenant(
+    const std::vector<MetricSample>& metrics) {
+  std::map<std::string, Buckets> tenants;
+  for (const MetricSample& metric : metrics) {
+    const auto bound = metric.labels.find("le");
+    if (metric.name != kLatencyBucket || bound == metric.labels.end()) continue;
+    const auto tenant = metric.labels.find("tenant");
+    const std::string name =
+        tenant == metric.labels.end() ? "" : tenant->second;
+    // strtod reads "+Inf" as infinity.
+    tenants[name][std::strtod(bound->second.c_str(), nullptr)] = metric.value;
+  }
+  return tenants;
+}
+
+// Returns the upper bound of the bucket that holds the percentile of the values
+// between two samples; -1 when there are none.
+double PercentileBetween(const Buckets& before, const Buckets& after) {
+  if (after.empty()) return -1;
+  Buckets counts;
+  for (const auto& [bound, count] : after) {
+    const auto old = before.find(bound);
+    counts[bound] = count - (old == before.end() ? 0 : old->second);
+  }
+  const double total = counts.rbegin()->second;
+  if (total <= 0) return -1;
+  double last_bound = 0;
+  for (const auto& [bound, count] : counts) {
+    // Values above the last finite bound are drawn at that bound.
+    const bool is_last = bound == counts.rbegin()->first;
+    if (count >= kPercentile * total) return is_last ? last_bound : bound;
+    last_bound = bound;
+  }
+  return last_bound;
+}
+
+std::vector<ChartSeries> ToSeries(
+    std::map<std::string, std::vector<ChartPoint>> points) {
+  std::vector<ChartSeries> series;
+  for (auto& [name, list] : points) {
+    series.push_back(ChartSeries{name, std::move(list)});
+  }
+  return series;
+}
+
+}  // namespace
+
+PlotReport MakePlot(const std::string& text) {
+  PlotReport report;
+  std::map<std::string, std::vector<ChartPoint>> flows;
+  std::map<std::string, std::vector<ChartPoint>> latency;
+  std::map<std::string, Buckets> last;
+  for (const Sample& sample : SplitSamples(text)) {
+    ++report.samples;
+    const std::vector<MetricSample> metrics = ParseMetrics(sample.text);
+    for (const MetricSample& metric : metrics) {
+      if (metric.name != kFlows) continue;
+      flows[sample.address].push_back({sample.time, metric.value});
+    }
+    for (const auto& [tenant, buckets] : LatencyByTenant(metrics)) {
+      const std::string name =
+          (tenant.empty() ? "(no tenant)" : tenant) + " at " + sample.address;
+      const auto before = last.find(name);
+      if (before != last.end()) {
+        const double value = PercentileBetween(before->second, buckets);
+        if (value >= 0) latency[name].push_back({sample.time, value});
+      }
+      last[name] = buckets;
+    }
+  }
+  report.charts = {Chart{"Flows by upstream", ToSeries(std::move(flows))},
+                   Chart{"Request latency by tenant, 99th percentile, ms",
+                         ToSeries(std::move(latency))}};
+  return report;
+}
+
+Result<PlotReport> RunPlot(const std::vector<std::string>& files) {
+  std::string text;
+  for (const std::string& file : files) {
+    const Result<std::string> content = ReadFile(file);
+    if (!IsOk(content)) return ErrorOf(content);
+    text += ValueOf(content) + "\n";
+  }
+  PlotReport report = MakePlot(text);
+  if (report.samples > 0) return report;
+  return Error{ErrorCode::kInvalidInput,
+               "no sample in the files: a sample begins with a line '# sample "
+               "TIME ADDRESS', as `medlarwinch metrics` prints it"};
+}
+
+ExitCode ExitCodeOf(const PlotReport& /*report*/) { return kExitOk; }
+
+std::string FormatText(const PlotReport& report) {
+  return RenderSvg(report.charts);
+}
+
+nlohmann::json ToJson(const PlotReport& report) {
+  nlohmann::json charts = nlohmann::json::array();
+  for (const Chart& chart : report.charts) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const ChartSeries& series : chart.series) {
+      nlohmann::json points = nlohmann::json::array();
+      for (const ChartPoint& point : series.points) {
+        points.push_back({FormatTime(point.time), point.value});
+      }
+      list.push_back({{"name", series.name}, {"points", points}});
+    }
+    charts.push_back({{"title", chart.title}, {"series", list}});
+  }
+  return {{"samples", report.samples}, {"charts", charts}};
+}
+
+}  // namespace medlarwinch
--- a/packages/cli/src/system_commands.cc
+++ b/packages/cli/src/system_commands.cc
@@ -3,6 +3,7 @@
 #include "medlarwinch/cli/command_registry.h"
 #include "medlarwinch/cli/explain_command.h"
 #include "medlarwinch/cli/metrics_command.h"
+#include "medlarwinch/cli/plot_command.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/cli/rotate_keys_command.h"
 #include "medlarwinch/cli/status_command.h"
@@ -19,6 +20,7 @@
   std::string until;
   std::string last = "15m";
   std::string address;
+  std::vector<std::string> files;
 };
 using SharedArguments = std::shared_ptr<SystemArguments>;
 
@@ -136,6 +138,27 @@
   });
 }
 
+void AddPlot(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<SystemArguments>();
+  CLI::App* command = app.add_subcommand(
+      "plot", "Draw flows by upstream and latency by tenant as SVG");
+  command
+      ->add_option("FILE", arguments->files,
+                   "Files of samples that `metrics` printed")
+      ->required();
+  command->footer(
+      "Example:\n"
+      "  for i in 1 2 3 4 5; do\n"
+      "    medlarwinch metrics 127.0.2.1:7300 >> samples.txt; sleep 1\n"
+      "  done\n"
+      "  medlarwinch plot samples.txt > load.svg");
+  command->callback([arguments, &chosen] {
+    chosen = {"plot", false, [arguments](const CommandContext&) {
+                return ToOutput(RunPlot(arguments->files));
+              }};
+  });
+}
+
 void AddKeys(CLI::App& app, ChosenCommand& chosen) {
   CLI::App* keys = app.add_subcommand("keys", "Manage the key ring");
   keys->require_subcommand(1);
@@ -156,6 +179,7 @@
   AddStatus(app, chosen);
   AddExplain(app, chosen);
   AddMetrics(app, chosen);
+  AddPlot(app, chosen);
   AddKeys(app, chosen);
 }
 
--- a/packages/cli/tests/command_line_test.cc
+++ b/packages/cli/tests/command_line_test.cc
@@ -59,7 +59,7 @@
 
 BOOST_AUTO_TEST_CASE(EachCommand_HelpAsked_HasAnExample) {
   for (const char* command : {"validate", "apply", "get", "history", "status",
-                              "drain", "metrics", "explain"}) {
+                              "drain", "metrics", "explain", "plot"}) {
     BOOST_TEST(Run({command, "--help"}) == 0);
     BOOST_CHECK_MESSAGE(out.str().find("Example:") != std::string::npos,
                         command);
