--- /dev/null
+++ b/packages/coordination/tests/property_check.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+
+namespace medlarwinch {
+
+/// Checks a property; `body` uses the RC_ macros. The inputs are the same on
+/// every run, see cmake/test_main.cc.
+template <typename Body>
+void CheckProperty(const char* description, const Body& body) {
+  BOOST_TEST(rc::check(description, body));
+}
+
+/// A whole number from `low` to `high`.
+inline int64_t AnyNumber(int64_t low, int64_t high) {
+  return *rc::gen::inRange<int64_t>(low, high + 1);
+}
+
+}  // namespace medlarwinch
