--- a/packages/cli/src/plot_command.cc
+++ b/packages/cli/src/plot_command.cc
@@ -88,6 +88,7 @@
 std::vector<ChartSeries> ToSeries(
     std::map<std::string, std::vector<ChartPoint>> points) {
   std::vector<ChartSeries> series;
+  series.reserve(points.size());
   for (auto& [name, list] : points) {
     series.push_back(ChartSeries{name, std::move(list)});
   }
--- /dev/null
+++ b/packages/protocol/tests/documentation_test.cc
@@ -0,0 +1,67 @@
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/protocol/document_parser.h"
+
+namespace medlarwinch {
+namespace {
+
+std::string ReadSource(const std::string& path) {
+  std::ifstream stream(std::string(MEDLARWINCH_SOURCE_DIR) + "/" + path);
+  BOOST_REQUIRE_MESSAGE(stream.good(), path);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+std::string JoinRow(const std::vector<std::string>& cells) {
+  std::string row = "|";
+  for (const std::string& cell : cells) row += " " + cell + " |";
+  return row;
+}
+
+BOOST_AUTO_TEST_SUITE(Documentation)
+
+// Guards against a page that states other defaults or bounds than the parser
+// applies, and against fields that the page leaves out or invents.
+BOOST_AUTO_TEST_CASE(ConfigurationPage_Compared_HasTheRowsOfTheTable) {
+  const std::string page = ReadSource("docs/configuration.md");
+  std::vector<std::string> expected = {
+      "| path | unit | default | allowed | description |",
+      "| --- | --- | --- | --- | --- |"};
+  for (const DocumentField& field : DocumentFields()) {
+    expected.push_back(JoinRow(DocumentationRow(field)));
+    if (field.path != "limits.tenants") continue;
+    for (const TenantField& tenant : TenantFields()) {
+      expected.push_back(JoinRow(DocumentationRow(tenant)));
+    }
+  }
+  std::vector<std::string> rows;
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("|", 0) == 0) rows.push_back(line);
+  }
+  BOOST_CHECK_EQUAL_COLLECTIONS(rows.begin(), rows.end(), expected.begin(),
+                                expected.end());
+}
+
+// Guards against examples that can't be applied.
+BOOST_AUTO_TEST_CASE(Examples_Parsed_AreValidAndOnThePage) {
+  const std::string page = ReadSource("docs/configuration.md");
+  for (const std::string service :
+       {"probe-hub", "report-desk", "kiosk-desk", "depot-manifest"}) {
+    const std::string file = "docs/examples/" + service + ".yaml";
+    const std::string text = ReadSource(file);
+    const Result<ServiceDocument> document = ParseServiceDocument(file, text);
+    BOOST_REQUIRE_MESSAGE(IsOk(document), file);
+    BOOST_TEST(ValueOf(document).service == service);
+    BOOST_TEST(page.find("```yaml\n" + text + "```\n") != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
