--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,12 @@
 
 lint: configure
 	@clang-format --dry-run -Werror $(SOURCES)
+	@bash tools/reference --check
 	@bash .ci/tidy $(BUILD_DIR) $(JOBS)
 
 format:
 	@clang-format -i $(SOURCES)
+	@bash tools/reference
 
 test: build
 	@cd $(BUILD_DIR) && ctest --output-on-failure -j 4
