Hold requests that may not be repeated until the roster has settled

An agent now begins such a request once it has had a roster for 2.5 s and has seen at most two changes within that time; until then the request waits, and its deadline ends it as 'not run'.

--- a/packages/daemon/include/medlarwinch/daemon/agent_engine.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -26,6 +27,10 @@
   FleetKey fleet_key{};
   /// Seed of the first flow number.
   uint32_t seed = 1;
+  /// Time within which every agent learns of a change of the roster: a
+  /// heartbeat interval of the agent and one of the changed member, and a
+  /// margin.
+  Millis roster_settling{2'500};
   /// Certificate and key for HTTP/3 in PEM form; empty for none.
   CertificatePair certificate;
 };
@@ -92,6 +97,7 @@
               const Reason& reason);
   void Emit(AccountEntry entry);
   void SetReadyAgents(std::vector<Endpoint> ready);
+  void SettleRoster(TimePoint now);
   void StepDrainNow(TimePoint now);
   void StepOutlierNow(TimePoint now);
   void SetGauges();
@@ -104,6 +110,10 @@
   mutable std::mutex mutex_;
   AgentSituation situation_;
   std::vector<RosterEntry> roster_;
+  /// When the first roster arrived; negative before.
+  TimePoint first_roster_{-1};
+  /// Times of the latest arrivals and departures of ready agents.
+  std::deque<TimePoint> roster_changes_;
   double mean_flows_per_slot_ = -1;
   TimePoint warm_since_;
   MemberPhase phase_ = MemberPhase::kStarting;
--- a/packages/daemon/include/medlarwinch/daemon/agent_situation.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_situation.h
@@ -29,6 +29,9 @@
   std::vector<Endpoint> ready;
   uint32_t slots = 1;
   bool draining = false;
+  /// False while this agent's roster may differ from that of another agent by
+  /// more than two changes, so that the homes of a key need not meet.
+  bool is_roster_settled = false;
 };
 
 /// Takes a decision for the record and the log. `subject` names the flow,
--- a/packages/daemon/include/medlarwinch/daemon/key_service.h
+++ b/packages/daemon/include/medlarwinch/daemon/key_service.h
@@ -117,6 +117,9 @@
   void Handle(const Endpoint& from, const KeyTransferReply& message,
               TimePoint now);
 
+  void BeginSettled(const CallerRequestId& id, const KeyedRequest& request,
+                    TimePoint now);
+  void BeginPostponed(TimePoint now);
   void Apply(const CallerRequestId& id, KeyAttemptStep step, TimePoint now);
   void Perform(const CallerRequestId& id, const SendKeyQuery& action,
                TimePoint now);
@@ -149,6 +152,8 @@
   std::map<KeyHash, CallerRequestId> attempts_by_key_;
   std::map<uint64_t, CallerRequestId> attempts_by_query_;
   std::map<CallerRequestId, Waiter> waiters_;
+  /// Requests that wait for the roster to settle.
+  std::map<CallerRequestId, KeyedRequest> postponed_;
   std::map<uint64_t, Transfer> transfers_;
   /// Answer that a RelayStoredAnswer action relays.
   uint16_t relayed_status_ = 0;
--- a/packages/daemon/src/agent_engine.cc
+++ b/packages/daemon/src/agent_engine.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/daemon/agent_engine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr Millis kSecond{1'000};
+// Each change replaces at most one of a key's three homes, so that rosters two
+// changes apart still share a home.
+constexpr size_t kToleratedRosterChanges = 2;
 
 const char* DrainTriggerName(DrainTrigger trigger) {
   switch (trigger) {
@@ -152,6 +156,9 @@
   const auto mean = view.means.find(service);
   mean_flows_per_slot_ = mean == view.means.end() ? -1 : mean->second;
   roster_ = view.roster;
+  if (!roster_.empty() && first_roster_.value < 0) {
+    first_roster_ = MonotonicNow();
+  }
   std::vector<Endpoint> ready;
   for (const RosterEntry& entry : roster_) {
     const bool is_self = entry.data == options_.identity.data;
@@ -167,7 +174,25 @@
   if (ready == situation_.ready) return;
   const std::vector<Endpoint> before =
       std::exchange(situation_.ready, std::move(ready));
-  executor_.keys().OnReadyChanged(before, situation_.ready, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  std::vector<Endpoint> changed;
+  std::set_symmetric_difference(
+      before.begin(), before.end(), situation_.ready.begin(),
+      situation_.ready.end(), std::back_inserter(changed));
+  roster_changes_.insert(roster_changes_.end(), changed.size(), now);
+  SettleRoster(now);
+  executor_.keys().OnReadyChanged(before, situation_.ready, now);
+}
+
+void AgentEngine::SettleRoster(TimePoint now) {
+  const Millis settling = options_.roster_settling;
+  while (!roster_changes_.empty() &&
+         now - roster_changes_.front() >= settling) {
+    roster_changes_.pop_front();
+  }
+  situation_.is_roster_settled =
+      first_roster_.value >= 0 && now - first_roster_ >= settling &&
+      roster_changes_.size() <= kToleratedRosterChanges;
 }
 
 void AgentEngine::ProbeUpstream() {
@@ -205,6 +230,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const TimePoint now = MonotonicNow();
   transport_.Tick(now);
+  SettleRoster(now);
   executor_.Tick(now);
   StepDrainNow(now);
   if (now < next_second_) return;
--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -44,6 +44,35 @@
 
 void KeyService::Begin(const CallerRequestId& id, const KeyedRequest& request,
                        TimePoint now) {
+  // A refused request is not run by this agent, whatever its homes are.
+  if (!situation_.is_roster_settled && !request.refusal.has_value()) {
+    postponed_[id] = request;
+    return;
+  }
+  BeginSettled(id, request, now);
+}
+
+void KeyService::BeginPostponed(TimePoint now) {
+  std::vector<std::pair<CallerRequestId, KeyedRequest>> ready;
+  for (const auto& [id, request] : postponed_) {
+    if (situation_.is_roster_settled || now >= request.deadline) {
+      ready.emplace_back(id, request);
+    }
+  }
+  for (const auto& [id, request] : ready) {
+    postponed_.erase(id);
+    if (situation_.is_roster_settled) {
+      BeginSettled(id, request, now);
+      continue;
+    }
+    ports_.refuse(id, UnaskedVerdict(request),
+                  MakeReason(situation_.context, "roster_not_settled",
+                             "requests.timeout_ms"));
+  }
+}
+
+void KeyService::BeginSettled(const CallerRequestId& id,
+                              const KeyedRequest& request, TimePoint now) {
   BeginStep begun = BeginRequest(std::move(ledger_), request.key,
                                  request.attempt, ledger_limits(), now);
   ledger_ = std::move(begun.ledger);
@@ -159,6 +188,7 @@
 
 void KeyService::Abandon(const CallerRequestId& id, TimePoint now) {
   waiters_.erase(id);
+  postponed_.erase(id);
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
   const KeyAttemptStart start = found->second.attempt.start;
@@ -341,6 +371,7 @@
 }
 
 void KeyService::Tick(TimePoint now) {
+  BeginPostponed(now);
   std::vector<CallerRequestId> open;
   open.reserve(attempts_.size());
   for (const auto& entry : attempts_) open.push_back(entry.first);
--- a/packages/daemon/tests/key_service_test.cc
+++ b/packages/daemon/tests/key_service_test.cc
@@ -39,6 +39,7 @@
     for (size_t index = 0; index < kAgents; ++index) {
       situations_[index].keys = std::make_shared<KeySet>(keys_);
       situations_[index].ready = Ready(false);
+      situations_[index].is_roster_settled = true;
       StartAgent(index);
     }
   }
