--- /dev/null
+++ b/bench/agent_flow_memory.cc
@@ -0,0 +1,92 @@
+// Measures the resident memory and the time of an open flow: 300,000 flows are
+// opened at one agent engine, and each is pinged once.
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+#include "medlarwinch/daemon/agent_engine.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kFlows = 300'000;
+constexpr const char* kService = "probe-hub";
+
+// Resident bytes of this process.
+uint64_t ResidentBytes() {
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  while (status >> word) {
+    if (word != "VmRSS:") continue;
+    uint64_t kibibytes = 0;
+    status >> kibibytes;
+    return kibibytes * 1'024;
+  }
+  return 0;
+}
+
+Bytes PacketOfCaller(const KeySet& keys, uint32_t caller, const Frame& frame) {
+  ForwardedPacket packet;
+  packet.service = kService;
+  packet.service_address = Endpoint{0x0a630001, 443};
+  packet.caller = Endpoint{0x0a000000 + caller / 50'000,
+                           static_cast<uint16_t>(1'024 + caller % 50'000)};
+  packet.fabric = Endpoint{0x7f000001, 9};
+  Bytes identifier(kCallerIdentifierBytes);
+  for (size_t index = 0; index < sizeof(caller); ++index) {
+    identifier[index] = static_cast<uint8_t>(caller >> (8 * index));
+  }
+  AppendLongHeader(kThinProtocolVersion, Bytes(8, 1), identifier,
+                   packet.payload);
+  EncodeTo(frame, packet.payload);
+  return EncodeDataMessage(keys.seal_key(), packet);
+}
+
+double Seconds(std::chrono::steady_clock::time_point since) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - since)
+      .count();
+}
+
+int Run() {
+  boost::asio::io_context context;
+  Metrics metrics;
+  AgentEngineOptions options;
+  options.identity = AgentIdentity{kService, Endpoint{0x7f000001, 7'000}, 1};
+  options.slots = 100;
+  uint64_t answers = 0;
+  AgentEnginePorts ports;
+  ports.send = [&answers](const Endpoint&, ByteView) { ++answers; };
+  ports.set_phase = [](MemberPhase) {};
+  ports.account = [](AccountEntry) {};
+  AgentEngine engine(options, ports, context, metrics);
+  const KeySet keys(FleetKey{}, KeyRing{});
+  const Endpoint from{0x7f000001, 8'000};
+  const uint64_t before = ResidentBytes();
+  const auto start = std::chrono::steady_clock::now();
+  for (uint32_t caller = 0; caller < kFlows; ++caller) {
+    engine.OnDatagram(from, PacketOfCaller(keys, caller, OpenFrame{}));
+  }
+  const double open_seconds = Seconds(start);
+  const uint64_t after = ResidentBytes();
+  const uint32_t flows = engine.TakeLoad().flows;
+  const auto again = std::chrono::steady_clock::now();
+  for (uint32_t caller = 0; caller < kFlows; ++caller) {
+    engine.OnDatagram(from, PacketOfCaller(keys, caller, OpenFrame{}));
+  }
+  const double repeat_seconds = Seconds(again);
+  std::printf("flows %u answers %llu\n", flows,
+              static_cast<unsigned long long>(answers));
+  std::printf("bytes_per_flow %.0f\n",
+              static_cast<double>(after - before) / kFlows);
+  std::printf("open_us %.2f repeated_open_us %.2f (packet included)\n",
+              open_seconds * 1e6 / kFlows, repeat_seconds * 1e6 / kFlows);
+  return flows == kFlows ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace medlarwinch
+
+int main() { return medlarwinch::Run(); }
