Let one of two agents that reserve the same key win

Two copies of a request that met at the homes cancelled each other, and both were answered 'may have run' though neither ran. The agent with the lower address now goes on, and the other one relays its answer.

--- a/packages/coordination/include/medlarwinch/coordination/key_attempt.h
+++ b/packages/coordination/include/medlarwinch/coordination/key_attempt.h
@@ -62,6 +62,8 @@
   /// them.
   std::map<Endpoint, KeyHolder> superseded;
   std::set<AgentBoot> cancelled;
+  /// True once another agent was told that the key never runs here.
+  bool aborted = false;
   TimePoint next_send;
   TimePoint stage_ends;
 };
@@ -123,9 +125,14 @@
 KeyAttemptStep OnKeyAttemptTick(KeyAttempt attempt,
                                 const DocumentContext& context, TimePoint now);
 
-/// Ends the attempt because another agent was told that the key is cancelled
-/// here, and may run it now.
-KeyAttemptStep AbortKeyAttempt(KeyAttempt attempt,
-                               const DocumentContext& context);
+/// True when this agent goes on reserving although `asker` reserves the same
+/// key: of two agents that meet, the one with the lower address wins, so that
+/// one of them runs the key.
+bool WinsReservation(const KeyAttempt& attempt, const AgentBoot& asker);
+
+/// Stops reserving because `asker` was told that the key never runs here, and
+/// may run it now; the attempt relays what becomes of it there.
+KeyAttemptStep AbortKeyAttempt(KeyAttempt attempt, const AgentBoot& asker,
+                               TimePoint now);
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/key_attempt.cc
+++ b/packages/coordination/src/key_attempt.cc
@@ -56,6 +56,10 @@
 
 KeyAttemptStep Reserve(KeyAttempt attempt, const DocumentContext& context,
                        TimePoint now) {
+  if (attempt.aborted) {
+    return Refuse(std::move(attempt), Verdict::kMayHaveRun,
+                  MakeReason(context, "cancelled_by_later_attempt", ""));
+  }
   if (attempt.start.refusal.has_value()) {
     const Verdict verdict = RefusalVerdict(attempt);
     Reason reason = *attempt.start.refusal;
@@ -209,10 +213,15 @@
   return step;
 }
 
-KeyAttemptStep AbortKeyAttempt(KeyAttempt attempt,
-                               const DocumentContext& context) {
-  return Refuse(std::move(attempt), Verdict::kMayHaveRun,
-                MakeReason(context, "cancelled_by_later_attempt", ""));
+bool WinsReservation(const KeyAttempt& attempt, const AgentBoot& asker) {
+  return attempt.stage != KeyAttemptStage::kEnded && !attempt.aborted &&
+         attempt.start.self.agent < asker.agent;
+}
+
+KeyAttemptStep AbortKeyAttempt(KeyAttempt attempt, const AgentBoot& asker,
+                               TimePoint now) {
+  attempt.aborted = true;
+  return Ask(std::move(attempt), asker, now);
 }
 
 }  // namespace medlarwinch
--- a/packages/daemon/include/medlarwinch/daemon/key_service.h
+++ b/packages/daemon/include/medlarwinch/daemon/key_service.h
@@ -139,7 +139,7 @@
                           TimePoint now);
   void StartTransfers(const std::map<Endpoint, std::vector<MovedKey>>& plan,
                       TimePoint now);
-  void AbortAttempt(const KeyHash& key, TimePoint now);
+  KeyAttempt* FindAttempt(const KeyHash& key);
   LedgerLimits ledger_limits() const;
   KeyHomeLimits home_limits() const;
 
--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -280,26 +280,35 @@
   reply.key = message.key;
   reply.boot_tag = message.boot_tag;
   reply.state = KeyState::kOtherBoot;
-  if (message.boot_tag == BootTag(identity_.boot)) {
-    QueryStep step =
-        QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
-    ledger_ = std::move(step.ledger);
-    reply.state = step.state;
-    reply.status = step.status;
-    reply.has_answer = step.answer != nullptr;
-    if (step.answer != nullptr) reply.answer = *step.answer;
-    if (step.aborted) AbortAttempt(message.key, now);
+  const AgentBoot asker{from, message.asker_tag};
+  const KeyAttempt* own = FindAttempt(message.key);
+  if (message.boot_tag != BootTag(identity_.boot)) {
+    ports_.send(from, reply);
+    return;
+  }
+  if (own != nullptr && WinsReservation(*own, asker)) {
+    // This promises nothing; the asker asks again.
+    reply.state = KeyState::kRunning;
+    ports_.send(from, reply);
+    return;
   }
+  QueryStep step =
+      QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
+  ledger_ = std::move(step.ledger);
+  reply.state = step.state;
+  reply.status = step.status;
+  reply.has_answer = step.answer != nullptr;
+  if (step.answer != nullptr) reply.answer = *step.answer;
   ports_.send(from, reply);
+  if (!step.aborted || own == nullptr) return;
+  const CallerRequestId id = attempts_by_key_[message.key];
+  Apply(id, AbortKeyAttempt(std::move(attempts_[id].attempt), asker, now), now);
 }
 
-void KeyService::AbortAttempt(const KeyHash& key, TimePoint now) {
+KeyAttempt* KeyService::FindAttempt(const KeyHash& key) {
   const auto found = attempts_by_key_.find(key);
-  if (found == attempts_by_key_.end()) return;
-  const CallerRequestId id = found->second;
-  Apply(id,
-        AbortKeyAttempt(std::move(attempts_[id].attempt), situation_.context),
-        now);
+  return found == attempts_by_key_.end() ? nullptr
+                                         : &attempts_[found->second].attempt;
 }
 
 void KeyService::Handle(const Endpoint& from, const KeyQueryReply& message,
@@ -416,7 +425,7 @@
   const OpenAttempt& open = attempts_[id];
   ports_.send(action.to.agent,
               KeyQuery{open.query, identity_.service, open.attempt.start.key,
-                       action.to.boot_tag});
+                       action.to.boot_tag, BootTag(identity_.boot)});
 }
 
 void KeyService::Perform(const CallerRequestId& id,
--- a/packages/protocol/include/medlarwinch/protocol/data_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/data_messages.h
@@ -86,6 +86,8 @@
   std::string service;
   KeyHash key;
   uint16_t boot_tag = 0;
+  /// Boot tag of the sender.
+  uint16_t asker_tag = 0;
 
   friend bool operator==(const KeyQuery&, const KeyQuery&) = default;
 };
@@ -186,7 +188,7 @@
 template <typename Archive>
 void serialize(Archive& archive, KeyQuery& message) {
   archive(message.query, Bounded(message.service, kMaxNameBytes), message.key,
-          message.boot_tag);
+          message.boot_tag, message.asker_tag);
 }
 
 template <typename Archive>
