--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -44,6 +44,35 @@
 
 void KeyService::Begin(const CallerRequestId& id, const KeyedRequest& request,
                        TimePoint now) {
+  // A refused request is not run by this agent, whatever its homes are.
+  if (!situation_.is_roster_settled && !request.refusal.has_value()) {
+    postponed_[id] = request;
+    return;
+  }
+  BeginSettled(id, request, now);
+}
+
+void KeyService::BeginPostponed(TimePoint now) {
+  std::vector<std::pair<CallerRequestId, KeyedRequest>> ready;
+  for (const auto& [id, request] : postponed_) {
+    if (situation_.is_roster_settled || now >= request.deadline) {
+      ready.emplace_back(id, request);
+    }
+  }
+  for (const auto& [id, request] : ready) {
+    postponed_.erase(id);
+    if (situation_.is_roster_settled) {
+      BeginSettled(id, request, now);
+      continue;
+    }
+    ports_.refuse(id, UnaskedVerdict(request),
+                  MakeReason(situation_.context, "roster_not_settled",
+                             "requests.timeout_ms"));
+  }
+}
+
+void KeyService::BeginSettled(const CallerRequestId& id,
+                              const KeyedRequest& request, TimePoint now) {
   BeginStep begun = BeginRequest(std::move(ledger_), request.key,
                                  request.attempt, ledger_limits(), now);
   ledger_ = std::move(begun.ledger);
@@ -159,6 +188,7 @@
 
 void KeyService::Abandon(const CallerRequestId& id, TimePoint now) {
   waiters_.erase(id);
+  postponed_.erase(id);
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
   const KeyAttemptStart start = found->second.attempt.start;
@@ -250,26 +280,35 @@
   reply.key = message.key;
   reply.boot_tag = message.boot_tag;
   reply.state = KeyState::kOtherBoot;
-  if (message.boot_tag == BootTag(identity_.boot)) {
-    QueryStep step =
-        QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
-    ledger_ = std::move(step.ledger);
-    reply.state = step.state;
-    reply.status = step.status;
-    reply.has_answer = step.answer != nullptr;
-    if (step.answer != nullptr) reply.answer = *step.answer;
-    if (step.aborted) AbortAttempt(message.key, now);
+  const AgentBoot asker{from, message.asker_tag};
+  const KeyAttempt* own = FindAttempt(message.key);
+  if (message.boot_tag != BootTag(identity_.boot)) {
+    ports_.send(from, reply);
+    return;
+  }
+  if (own != nullptr && WinsReservation(*own, asker)) {
+    // This promises nothing; the asker asks again.
+    reply.state = KeyState::kRunning;
+    ports_.send(from, reply);
+    return;
   }
+  QueryStep step =
+      QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
+  ledger_ = std::move(step.ledger);
+  reply.state = step.state;
+  reply.status = step.status;
+  reply.has_answer = step.answer != nullptr;
+  if (step.answer != nullptr) reply.answer = *step.answer;
   ports_.send(from, reply);
+  if (!step.aborted || own == nullptr) return;
+  const CallerRequestId id = attempts_by_key_[message.key];
+  Apply(id, AbortKeyAttempt(std::move(attempts_[id].attempt), asker, now), now);
 }
 
-void KeyService::AbortAttempt(const KeyHash& key, TimePoint now) {
+KeyAttempt* KeyService::FindAttempt(const KeyHash& key) {
   const auto found = attempts_by_key_.find(key);
-  if (found == attempts_by_key_.end()) return;
-  const CallerRequestId id = found->second;
-  Apply(id,
-        AbortKeyAttempt(std::move(attempts_[id].attempt), situation_.context),
-        now);
+  return found == attempts_by_key_.end() ? nullptr
+                                         : &attempts_[found->second].attempt;
 }
 
 void KeyService::Handle(const Endpoint& from, const KeyQueryReply& message,
@@ -341,6 +380,7 @@
 }
 
 void KeyService::Tick(TimePoint now) {
+  BeginPostponed(now);
   std::vector<CallerRequestId> open;
   open.reserve(attempts_.size());
   for (const auto& entry : attempts_) open.push_back(entry.first);
@@ -385,7 +425,7 @@
   const OpenAttempt& open = attempts_[id];
   ports_.send(action.to.agent,
               KeyQuery{open.query, identity_.service, open.attempt.start.key,
-                       action.to.boot_tag});
+                       action.to.boot_tag, BootTag(identity_.boot)});
 }
 
 void KeyService::Perform(const CallerRequestId& id,
