--- a/standins/src/scenario_run.cc
+++ b/standins/src/scenario_run.cc
@@ -375,6 +375,8 @@
   if (found == balancers_.end()) return UnknownName(name);
   BalancerUnit& unit = found->second;
   if (verb == "freeze") {
+    log_->Write(is_undone ? "balancer_thawed" : "balancer_frozen",
+                {{"balancer", name}});
     unit.process->Signal(is_undone ? SIGCONT : SIGSTOP);
     return Ok{};
   }
--- a/standins/tests/invariant_checks_test.cc
+++ b/standins/tests/invariant_checks_test.cc
@@ -295,6 +295,20 @@
   BOOST_TEST(Metric("config_faults") == 1.0);
 }
 
+// Guards against a freeze that excuses more than its own time.
+BOOST_AUTO_TEST_CASE(VersionInForce_AfterThaw_CountsFromThaw) {
+  AddStep("time=6000 event=balancer_frozen balancer=b1");
+  AddStep("time=6500 event=config_applied service=probe-hub version=3");
+  AddStep("time=12000 event=balancer_thawed balancer=b1");
+  AddStep(
+      "time=13000 event=config_seen balancer=b1 service=probe-hub version=3");
+  BOOST_TEST(Metric("config_faults") == 0.0);
+  AddStep("time=14000 event=config_applied service=probe-hub version=4");
+  AddStep(
+      "time=18100 event=config_seen balancer=b1 service=probe-hub version=4");
+  BOOST_TEST(Metric("config_faults") == 1.0);
+}
+
 // Guards against blaming a balancer that was killed before the limit.
 BOOST_AUTO_TEST_CASE(VersionNeverInForce_OnGoneBalancer_IsNoFault) {
   AddStep("time=6000 event=config_applied service=probe-hub version=3");
