Keep the status table narrow when a daemon does not answer

Cause: in a trial with two balancers and two agents on loopback, the text of the connection error widened the second column of all rows.

Change: the error stands in the last column.

--- a/packages/cli/src/status_command.cc
+++ b/packages/cli/src/status_command.cc
@@ -99,7 +99,8 @@
       {"ADMIN", "DAEMON", "PHASE", "PLATFORM AGE", "KEYS", "DOCUMENTS"}};
   for (const DaemonStatus& daemon : report.daemons) {
     if (!daemon.error.empty()) {
-      rows.push_back({ToString(daemon.admin), "no answer: " + daemon.error});
+      rows.push_back(
+          {ToString(daemon.admin), "-", "no answer", "-", "-", daemon.error});
       continue;
     }
     rows.push_back({ToString(daemon.admin), daemon.id, daemon.phase,
--- a/packages/protocol/tests/documentation_test.cc
+++ b/packages/protocol/tests/documentation_test.cc
@@ -41,7 +41,7 @@
   std::vector<std::string> rows;
   std::istringstream lines(page);
   for (std::string line; std::getline(lines, line);) {
-    if (line.rfind("|", 0) == 0) rows.push_back(line);
+    if (line.rfind('|', 0) == 0) rows.push_back(line);
   }
   BOOST_CHECK_EQUAL_COLLECTIONS(rows.begin(), rows.end(), expected.begin(),
                                 expected.end());
