--- a/packages/cli/include/medlarwinch/cli/apply_command.h
+++ b/packages/cli/include/medlarwinch/cli/apply_command.h
@@ -55,8 +55,12 @@
 std::optional<uint64_t> TakeVersionLine(const std::string& service,
                                         std::string& text);
 
+/// kExitFailed for a refused change, kExitConflict when another writer was
+/// first.
 ExitCode ExitCodeOf(const ApplyReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const ApplyReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const ApplyReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/explain_command.h
+++ b/packages/cli/include/medlarwinch/cli/explain_command.h
@@ -62,7 +62,9 @@
 
 /// kExitFailed when nothing was found.
 ExitCode ExitCodeOf(const ExplainReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const ExplainReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const ExplainReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/get_command.h
+++ b/packages/cli/include/medlarwinch/cli/get_command.h
@@ -24,9 +24,11 @@
 Result<GetReport> RunGet(const CommandContext& context,
                          const std::string& service);
 
+/// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const GetReport& report);
 /// The text alone, so that it can be edited and applied.
 std::string FormatText(const GetReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const GetReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/history_command.h
+++ b/packages/cli/include/medlarwinch/cli/history_command.h
@@ -24,8 +24,11 @@
 Result<HistoryReport> RunHistory(const CommandContext& context,
                                  const std::string& service, size_t count);
 
+/// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const HistoryReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const HistoryReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const HistoryReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/metrics_command.h
+++ b/packages/cli/include/medlarwinch/cli/metrics_command.h
@@ -24,9 +24,11 @@
 Result<MetricsReport> RunMetrics(const CommandContext& context,
                                  const Endpoint& admin);
 
+/// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const MetricsReport& report);
 /// The text after a line "# sample TIME ADDRESS", which `plot` reads.
 std::string FormatText(const MetricsReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const MetricsReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/plot_command.h
+++ b/packages/cli/include/medlarwinch/cli/plot_command.h
@@ -28,9 +28,11 @@
 /// kInvalidInput when there is no sample in them.
 Result<PlotReport> RunPlot(const std::vector<std::string>& files);
 
+/// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const PlotReport& report);
 /// The charts as an SVG document.
 std::string FormatText(const PlotReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const PlotReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/report_json.h
+++ b/packages/cli/include/medlarwinch/cli/report_json.h
@@ -7,7 +7,9 @@
 
 namespace medlarwinch {
 
+/// The element of a report for `--output json`.
 nlohmann::json ToJson(const FieldChange& change);
+/// The element of a report for `--output json`.
 nlohmann::json ToJson(const ChangeRefusal& refusal);
 
 /// Formats each element with ToJson().
--- a/packages/cli/include/medlarwinch/cli/rotate_keys_command.h
+++ b/packages/cli/include/medlarwinch/cli/rotate_keys_command.h
@@ -28,8 +28,11 @@
 /// one. Fails with kConflict when another operator rotates at the same time.
 Result<RotateKeysReport> RunRotateKeys(const CommandContext& context);
 
+/// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const RotateKeysReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const RotateKeysReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const RotateKeysReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/status_command.h
+++ b/packages/cli/include/medlarwinch/cli/status_command.h
@@ -45,7 +45,9 @@
 
 /// kExitUnavailable when a daemon did not answer.
 ExitCode ExitCodeOf(const StatusReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const StatusReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const StatusReport& report);
 
 }  // namespace medlarwinch
--- a/packages/cli/include/medlarwinch/cli/validate_command.h
+++ b/packages/cli/include/medlarwinch/cli/validate_command.h
@@ -24,8 +24,11 @@
 /// file can't be read.
 Result<ValidateReport> RunValidate(const std::string& file);
 
+/// kExitFailed when there are mistakes.
 ExitCode ExitCodeOf(const ValidateReport& report);
+/// The report as lines for a terminal.
 std::string FormatText(const ValidateReport& report);
+/// The report for `--output json`.
 nlohmann::json ToJson(const ValidateReport& report);
 
 }  // namespace medlarwinch
