Follow the mean in a ramp, and ignore Resets that name another flow

Change: agents extrapolate the mean by its rate over at most 2 s; the client checks the service address and the whole identifier of a Reset; a draining agent keeps flows until 1 s after the last Pong.

--- a/packages/daemon/include/medlarwinch/daemon/agent_engine.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/agent_drain.h"
+#include "medlarwinch/coordination/mean_trend.h"
 #include "medlarwinch/daemon/agent_situation.h"
 #include "medlarwinch/daemon/control_view.h"
 #include "medlarwinch/daemon/decision_log.h"
@@ -114,7 +115,7 @@
   TimePoint first_roster_{-1};
   /// Times of the latest arrivals and departures of ready agents.
   std::deque<TimePoint> roster_changes_;
-  double mean_flows_per_slot_ = -1;
+  MeanTrend mean_trend_;
   TimePoint warm_since_;
   MemberPhase phase_ = MemberPhase::kStarting;
   DrainState drain_;
--- a/packages/daemon/include/medlarwinch/daemon/thin_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/thin_transport.h
@@ -89,6 +89,9 @@
   bool draining_ = false;
   TimePoint next_sweep_;
   TimePoint next_go_aways_;
+  TimePoint ticked_at_;
+  // The drain ends no earlier.
+  TimePoint linger_until_;
 };
 
 }  // namespace medlarwinch
--- a/packages/daemon/src/agent_engine.cc
+++ b/packages/daemon/src/agent_engine.cc
@@ -113,9 +113,8 @@
   AcceptanceState state;
   state.flows = static_cast<uint32_t>(transport_.flows());
   state.slots = options_.slots;
-  state.mean_flows_per_slot = mean_flows_per_slot_ >= 0
-                                  ? mean_flows_per_slot_
-                                  : packet.mean_flows_per_slot;
+  const double mean = EstimateMean(mean_trend_, MonotonicNow());
+  state.mean_flows_per_slot = mean >= 0 ? mean : packet.mean_flows_per_slot;
   const OutlierState& outlier = executor_.outlier();
   TimePoint warm_since = warm_since_;
   if (outlier.returned_at.has_value()) {
@@ -154,7 +153,9 @@
   }
   if (view.keys != nullptr) situation_.keys = view.keys;
   const auto mean = view.means.find(service);
-  mean_flows_per_slot_ = mean == view.means.end() ? -1 : mean->second;
+  mean_trend_ =
+      ObserveMean(mean_trend_, mean == view.means.end() ? -1 : mean->second,
+                  MonotonicNow());
   roster_ = view.roster;
   if (!roster_.empty() && first_roster_.value < 0) {
     first_roster_ = MonotonicNow();
@@ -366,7 +367,7 @@
   status["ledger_keys"] = executor_.keys().ledger_size();
   status["key_home_records"] = executor_.keys().home_records();
   status["document_version"] = situation_.context.version;
-  status["mean_flows_per_slot"] = mean_flows_per_slot_;
+  status["mean_flows_per_slot"] = mean_trend_.mean;
   status["drain"]["active"] = situation_.draining;
   if (situation_.draining) {
     status["drain"]["trigger"] = DrainTriggerName(drain_.trigger);
--- a/packages/daemon/src/thin_transport.cc
+++ b/packages/daemon/src/thin_transport.cc
@@ -20,6 +20,8 @@
 constexpr Millis kGoAwayInterval{500};
 constexpr Millis kGoAwaySliceInterval{20};
 constexpr size_t kGoAwayParts = 10;
+// Packets overtake each other by less than this time.
+constexpr Millis kLingerAfterPong{1'000};
 
 CandidatePosition PositionOf(const ForwardedPacket& packet) {
   return CandidatePosition{packet.hop, packet.candidates.size(),
@@ -194,7 +196,9 @@
     // The answer to GoAway: the caller has opened another flow.
     if (flow.go_aways == 0) return;
     flow.go_aways = kMaxGoAways;
-    if (flow.requests_in_progress == 0) table_.Remove(number);
+    // A request that the caller sent before GoAway reached it may arrive after
+    // the Pong; the flow stays known to answer it with "not run".
+    linger_until_ = now + kLingerAfterPong;
   } else {
     CountMalformed("frame_of_agent");
   }
@@ -269,12 +273,15 @@
 }
 
 bool ThinTransport::IsDrained() const {
-  return draining_ && streams_.empty() && table_.AllOf([](const Flow& flow) {
-    return flow.go_aways >= kMaxGoAways;
-  });
+  if (!draining_ || !streams_.empty() || ticked_at_ < linger_until_) {
+    return false;
+  }
+  return table_.AllOf(
+      [](const Flow& flow) { return flow.go_aways >= kMaxGoAways; });
 }
 
 void ThinTransport::Tick(TimePoint now) {
+  ticked_at_ = now;
   ResendOverdue(now);
   if (draining_ && now >= next_go_aways_) {
     next_go_aways_ = now + kGoAwaySliceInterval;
--- a/packages/transport/src/flow_shard.cc
+++ b/packages/transport/src/flow_shard.cc
@@ -161,6 +161,14 @@
       ++counters_.datagrams_unknown;
       return;
     }
+    // An agent of another service that gets a stray packet answers in the name
+    // of its own service; that says nothing about this flow.
+    const Flow* flow = FindFlow(session->flow);
+    if (flow != nullptr &&
+        flow->options.service_address != ValueOf(packet).service_address) {
+      ++counters_.datagrams_unknown;
+      return;
+    }
     const Result<PacketHeader> header =
         ParsePacketHeader(ValueOf(packet).payload);
     const bool is_ours = IsOk(header) && ValueOf(header).is_long &&
@@ -276,10 +284,11 @@
     Schedule(TimerKind::kFlow, handle, flow->reopen_at);
     return;
   }
-  const bool is_current =
-      session.caller_identifier.empty()
-          ? header.source.empty()
-          : IsEqual(OwnerOf(session.identifier), OwnerOf(header.source));
+  // A Reset repeats the identifier that it refuses. One for a corrupted
+  // identifier shares only some bytes with that of the flow.
+  const bool is_current = session.caller_identifier.empty()
+                              ? header.source.empty()
+                              : IsEqual(session.identifier, header.source);
   if (is_current) BreakSession(key, now);
 }
 
