Return a new flow to the less loaded of its candidates

Cause: the last candidate took a flow without regard to its own load.

Change: a candidate above the mean sends its exact load along; the last one takes the flow only if its own load is not higher, and otherwise returns it. The table changes of a service are recorded by its three keepers instead of by every balancer, and the account learns the number of daemons.

Conclusion: exact loads of two candidates replace trust in the mean where it is wrong.

--- a/bench/src/imbalance_model.cc
+++ b/bench/src/imbalance_model.cc
@@ -257,6 +257,8 @@
   }
 
   size_t OfferInTurn(const std::vector<size_t>& candidates) {
+    CandidatePosition position{0, candidates.size(), candidates.size()};
+    size_t best = 0;
     for (size_t hop = 0; hop < candidates.size(); ++hop) {
       const Host& host = hosts_[candidates[hop]];
       AcceptanceState state;
@@ -265,10 +267,17 @@
       state.mean_flows_per_slot = host.mean;
       state.warm_for = now_ - host.ready_since;
       state.draining = host.state == HostState::kDraining;
-      const FlowDecision decision = DecideNewFlow(
-          state, CandidatePosition{hop, candidates.size(), candidates.size()},
-          context_);
+      position.hop = hop;
+      const FlowDecision decision = DecideNewFlow(state, position, context_);
       if (decision.action == FlowAction::kAccept) return candidates[hop];
+      if (decision.action == FlowAction::kReturn) return candidates[best];
+      const bool is_best =
+          decision.load >= 0 &&
+          (position.best_load < 0 || decision.load < position.best_load);
+      if (is_best) {
+        position.best_load = decision.load;
+        best = hop;
+      }
       if (hop == 0 && now_ >= TimePoint{0} + model_.warm_up) ++passed_on_;
     }
     return candidates.back();
--- a/packages/cli/include/medlarwinch/cli/report_text.h
+++ b/packages/cli/include/medlarwinch/cli/report_text.h
@@ -11,9 +11,6 @@
 
 namespace medlarwinch {
 
-/// Formats a wall-clock time as "2026-01-31T12:00:00.000Z".
-std::string FormatTime(TimePoint time);
-
 /// Parses "2026-01-31T12:00:00Z", with or without milliseconds, or "12:00:00"
 /// or "12:00" for the day of `now`, all in UTC. Fails with kInvalidInput.
 Result<TimePoint> ParseTime(std::string_view text, TimePoint now);
--- a/packages/cli/src/explain_command.cc
+++ b/packages/cli/src/explain_command.cc
@@ -10,6 +10,7 @@
 #include "medlarwinch/cli/history_object.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/transport/account_json.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/cli/src/history_command.cc
+++ b/packages/cli/src/history_command.cc
@@ -4,6 +4,7 @@
 
 #include "medlarwinch/cli/report_json.h"
 #include "medlarwinch/cli/report_text.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 
--- a/packages/cli/src/metrics_command.cc
+++ b/packages/cli/src/metrics_command.cc
@@ -2,6 +2,7 @@
 
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/transport/http_client.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/cli/src/plot_command.cc
+++ b/packages/cli/src/plot_command.cc
@@ -8,6 +8,7 @@
 #include "medlarwinch/cli/command_context.h"
 #include "medlarwinch/cli/metrics_text.h"
 #include "medlarwinch/cli/report_text.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/cli/src/report_text.cc
+++ b/packages/cli/src/report_text.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 #include <ctime>
 
 namespace medlarwinch {
@@ -73,19 +72,6 @@
 
 }  // namespace
 
-std::string FormatTime(TimePoint time) {
-  const std::time_t seconds = time.value / kMillisPerSecond;
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  char text[32];
-  const size_t size =
-      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-  char millis[8];
-  std::snprintf(millis, sizeof(millis), ".%03dZ",
-                static_cast<int>(time.value % kMillisPerSecond));
-  return std::string(text, size) + millis;
-}
-
 Result<TimePoint> ParseTime(std::string_view text, TimePoint now) {
   std::string_view rest = text;
   int64_t midnight = now.value - now.value % kMillisPerDay;
--- a/packages/cli/src/svg_chart.cc
+++ b/packages/cli/src/svg_chart.cc
@@ -5,6 +5,7 @@
 
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/cli/tests/explain_command_test.cc
+++ b/packages/cli/tests/explain_command_test.cc
@@ -6,6 +6,7 @@
 #include "medlarwinch/cli/apply_command.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/transport/account_json.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/include/medlarwinch/coordination/flow_acceptance.h
+++ b/packages/coordination/include/medlarwinch/coordination/flow_acceptance.h
@@ -30,6 +30,11 @@
   size_t candidates = 1;
   /// Candidates from the front that may accept a new flow.
   size_t accepting = 1;
+  /// Lowest load of the candidates that passed the flow on because they were
+  /// above the mean; negative without one.
+  double best_load = -1;
+  /// True when a later candidate sent the flow back to this one.
+  bool must_accept = false;
 
   friend bool operator==(const CandidatePosition&,
                          const CandidatePosition&) = default;
@@ -38,6 +43,8 @@
 enum class FlowAction {
   kAccept,
   kPassOn,
+  /// Send it back to the earlier candidate with the lowest load.
+  kReturn,
   /// Answer with Reset "shed".
   kShed,
   /// The hop index is out of bounds; drop the packet.
@@ -47,6 +54,9 @@
 struct FlowDecision {
   FlowAction action = FlowAction::kDrop;
   Reason reason;
+  /// With kPassOn: the own load, for the comparison at the last candidate;
+  /// negative when the agent can't take the flow back.
+  double load = -1;
 
   friend bool operator==(const FlowDecision&, const FlowDecision&) = default;
 };
@@ -57,7 +67,9 @@
 
 /// Decides what happens to a new flow: accepted while the flows per slot
 /// are at most mean * (1 + margin), else passed on; the last
-/// candidate that may accept takes what its hard limits allow. A draining agent
+/// candidate that may accept compares its own exact load with the lowest of the
+/// earlier ones, and takes the flow or returns it. So the flow goes to the less
+/// loaded of the candidates even while the mean lags behind. A draining agent
 /// never accepts.
 FlowDecision DecideNewFlow(const AcceptanceState& state,
                            const CandidatePosition& position,
--- a/packages/coordination/src/flow_acceptance.cc
+++ b/packages/coordination/src/flow_acceptance.cc
@@ -6,6 +6,9 @@
 namespace medlarwinch {
 namespace {
 
+// Keeps the load finite for an upstream without any share of its slots.
+constexpr double kMinSlots = 0.01;
+
 bool HasNextCandidate(const CandidatePosition& position) {
   return position.hop + 1 < position.candidates;
 }
@@ -13,16 +16,14 @@
 FlowDecision PassOnOrShed(const CandidatePosition& position, Reason reason) {
   const FlowAction action =
       HasNextCandidate(position) ? FlowAction::kPassOn : FlowAction::kShed;
-  return FlowDecision{action, std::move(reason)};
+  return FlowDecision{action, std::move(reason), -1};
 }
 
-// Flows up to which the upstream takes another one.
-double BalancedFlows(const AcceptanceState& state,
-                     const DocumentContext& context) {
-  const double margin = context.document.balance.margin_percent / 100.0;
+// Flows per slot, where a cold upstream counts a part of its slots only.
+double LoadOf(const AcceptanceState& state, const DocumentContext& context) {
   const double share =
       SlowStartShare(context.document.slow_start, state.warm_for);
-  return state.mean_flows_per_slot * (1 + margin) * state.slots * share;
+  return state.flows / std::max(state.slots * share, kMinSlots);
 }
 
 }  // namespace
@@ -59,22 +60,33 @@
         position, MakeReason(context, "flow_limit", "limits.max_flows_per_slot",
                              {{"flows", std::to_string(state.flows)}}));
   }
+  if (position.must_accept) return FlowDecision{FlowAction::kAccept, {}, -1};
+  const double load = LoadOf(state, context);
   const bool is_last = position.hop + 1 >= position.accepting;
-  if (is_last) return FlowDecision{FlowAction::kAccept, {}};
+  if (is_last) {
+    const bool is_best = position.best_load < 0 ||
+                         (!state.ejected && load <= position.best_load);
+    if (is_best) return FlowDecision{FlowAction::kAccept, {}, -1};
+    return FlowDecision{FlowAction::kReturn,
+                        MakeReason(context, "earlier_candidate_less_loaded",
+                                   "balance.margin_percent"),
+                        -1};
+  }
   if (state.ejected) {
     return PassOnOrShed(position, MakeReason(context, "outlier",
                                              "health.outlier.error_percent"));
   }
-  if (state.mean_flows_per_slot < 0)
-    return FlowDecision{FlowAction::kAccept, {}};
-  if (state.flows <= BalancedFlows(state, context)) {
-    return FlowDecision{FlowAction::kAccept, {}};
-  }
-  return PassOnOrShed(
+  const double margin = context.document.balance.margin_percent / 100.0;
+  const bool is_balanced = state.mean_flows_per_slot < 0 ||
+                           load <= state.mean_flows_per_slot * (1 + margin);
+  if (is_balanced) return FlowDecision{FlowAction::kAccept, {}, -1};
+  FlowDecision decision = PassOnOrShed(
       position,
       MakeReason(context, "above_mean", "balance.margin_percent",
                  {{"flows", std::to_string(state.flows)},
                   {"mean", std::to_string(state.mean_flows_per_slot)}}));
+  decision.load = load;
+  return decision;
 }
 
 FlowAction DecideUnownedPacket(const CandidatePosition& position) {
--- a/packages/coordination/tests/flow_acceptance_test.cc
+++ b/packages/coordination/tests/flow_acceptance_test.cc
@@ -82,6 +82,8 @@
     position.hop = static_cast<size_t>(AnyNumber(0, 6));
     position.candidates = static_cast<size_t>(AnyNumber(1, 6));
     position.accepting = static_cast<size_t>(AnyNumber(1, 4));
+    position.best_load = static_cast<double>(AnyNumber(-1, 30));
+    position.must_accept = AnyNumber(0, 1) == 1;
     const FlowDecision decision = DecideNewFlow(state, position, context);
     if (decision.action == FlowAction::kAccept) {
       RC_ASSERT(!state.draining);
--- a/packages/daemon/include/medlarwinch/daemon/thin_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/thin_transport.h
@@ -65,7 +65,7 @@
   void OnAck(uint32_t flow_number, Flow& flow, const ResponseAckFrame& ack,
              TimePoint now);
   void OnCancel(uint32_t flow_number, Flow& flow, const CancelFrame& cancel);
-  void PassOn(ForwardedPacket packet);
+  void PassOn(ForwardedPacket packet, const FlowDecision& decision);
   void SendFrame(uint32_t flow_number, const Flow& flow, const Frame& frame);
   void SendReset(const ForwardedPacket& packet, const PacketHeader& header,
                  ResetReason reason);
--- a/packages/daemon/src/agent_engine.cc
+++ b/packages/daemon/src/agent_engine.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "medlarwinch/daemon/flow_forwarding.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
@@ -123,14 +124,12 @@
   state.warm_for = MonotonicNow() - warm_since;
   state.draining = situation_.draining;
   state.ejected = outlier.ejected;
-  CandidatePosition position;
-  position.hop = packet.hop;
-  position.candidates = packet.candidates.size();
-  position.accepting = packet.accepting_candidates;
-  if (packet.candidates.empty()) position = CandidatePosition{0, 1, 1};
-  FlowDecision decision = DecideNewFlow(state, position, situation_.context);
+  FlowDecision decision =
+      DecideNewFlow(state, PositionOf(packet), situation_.context);
   if (decision.action == FlowAction::kAccept) {
     metrics_.Add("medlarwinch_flows_accepted_total", {});
+  } else if (decision.action == FlowAction::kReturn) {
+    metrics_.Add("medlarwinch_flows_returned_total", {});
   } else if (decision.action == FlowAction::kPassOn) {
     metrics_.Add("medlarwinch_flows_passed_on_total",
                  {{"reason", decision.reason.rule}});
--- a/packages/daemon/src/balancer.cc
+++ b/packages/daemon/src/balancer.cc
@@ -87,7 +87,8 @@
       system, RoutingActorContext{ValueOf(data_path).get(), &metrics, record});
   ControlPlaneHooks hooks;
   hooks.account = record;
-  hooks.on_view = [routing](std::shared_ptr<const ControlView> view) {
+  hooks.on_view = [routing, &account](std::shared_ptr<const ControlView> view) {
+    account.SetDaemonCount(view->members.size());
     caf::anon_send(routing, ViewMessage{std::move(view)});
   };
   Result<std::unique_ptr<ControlPlane>> control = ControlPlane::Start(
--- /dev/null
+++ b/packages/daemon/src/flow_forwarding.cc
@@ -0,0 +1,36 @@
+#include "medlarwinch/daemon/flow_forwarding.h"
+
+namespace medlarwinch {
+
+CandidatePosition PositionOf(const ForwardedPacket& packet) {
+  CandidatePosition position;
+  // A packet without candidates was sent to its only receiver.
+  if (packet.candidates.empty()) return position;
+  position.hop = packet.hop;
+  position.candidates = packet.candidates.size();
+  position.accepting = packet.accepting_candidates;
+  position.best_load = packet.best_load;
+  position.must_accept = packet.must_accept;
+  return position;
+}
+
+std::optional<Endpoint> NextCandidate(ForwardedPacket& packet,
+                                      const FlowDecision& decision) {
+  if (decision.action == FlowAction::kReturn) {
+    packet.hop = packet.best_hop;
+    packet.must_accept = true;
+  } else {
+    const bool is_best =
+        decision.load >= 0 &&
+        (packet.best_load < 0 || decision.load < packet.best_load);
+    if (is_best) {
+      packet.best_load = decision.load;
+      packet.best_hop = packet.hop;
+    }
+    ++packet.hop;
+  }
+  if (packet.hop >= packet.candidates.size()) return std::nullopt;
+  return packet.candidates[packet.hop];
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/quic_transport.cc
+++ b/packages/daemon/src/quic_transport.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "medlarwinch/daemon/flow_forwarding.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -171,8 +173,9 @@
 void QuicTransport::OnNewConnection(ForwardedPacket packet,
                                     const PacketHeader& header, TimePoint now) {
   const FlowDecision decision = ports_.decide_flow(packet);
-  if (decision.action == FlowAction::kPassOn) {
-    PassOn(std::move(packet));
+  if (decision.action == FlowAction::kPassOn ||
+      decision.action == FlowAction::kReturn) {
+    PassOn(std::move(packet), decision);
     return;
   }
   // A QUIC caller that gets no answer tries again on its own; there is no
@@ -376,10 +379,14 @@
   connections_.erase(found);
 }
 
-void QuicTransport::PassOn(ForwardedPacket packet) {
-  ++packet.hop;
-  const Endpoint next = packet.candidates[packet.hop];
-  ports_.send(next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
+void QuicTransport::PassOn(ForwardedPacket packet,
+                           const FlowDecision& decision) {
+  const std::optional<Endpoint> next = NextCandidate(packet, decision);
+  if (!next.has_value()) {
+    Count("hop");
+    return;
+  }
+  ports_.send(*next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
 }
 
 void QuicTransport::SendReset(const ForwardedPacket& packet,
--- a/packages/daemon/src/routing_actor.cc
+++ b/packages/daemon/src/routing_actor.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "medlarwinch/coordination/keeper_selection.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
@@ -41,7 +42,23 @@
   return documents;
 }
 
-void ReportChange(const RoutingActorContext& context,
+// True when this balancer is a keeper of the service. Every balancer makes the
+// same change of its tables, and one entry for each of thousands would exceed
+// the platform's write rate; the keepers record it.
+bool RecordsChangesOf(const std::string& service, const ControlView& view) {
+  std::vector<Endpoint> ready_balancers;
+  for (const auto& [id, member] : view.members) {
+    const bool is_ready = member.kind == MemberKind::kBalancer &&
+                          member.version.phase == MemberPhase::kReady;
+    if (is_ready) ready_balancers.push_back(id);
+  }
+  MemberEntry agent;
+  agent.kind = MemberKind::kAgent;
+  agent.service = service;
+  return IsKeeperOf(view.self.id, agent, ready_balancers);
+}
+
+void ReportChange(const RoutingActorContext& context, const ControlView& view,
                   const TableChange& change) {
   const Reason& reason = change.reason;
   const auto before = reason.facts.find("before");
@@ -52,7 +69,7 @@
        {"document_version", static_cast<int64_t>(reason.document_version)},
        {"path", reason.path},
        {"before", before != reason.facts.end() ? before->second : ""}});
-  if (!context.account) return;
+  if (!context.account || !RecordsChangesOf(change.service, view)) return;
   AccountEntry entry;
   entry.action = change.action;
   entry.service = change.service;
@@ -83,7 +100,7 @@
                            RoutedDocuments(view), view.means};
   RoutingUpdate update = BuildRoutingTables(input, *state.tables, now);
   for (const TableChange& change : update.changes) {
-    ReportChange(state.context, change);
+    ReportChange(state.context, view, change);
   }
   state.tables = std::make_shared<RoutingTables>(std::move(update.tables));
   state.next_change = update.next_change;
--- a/packages/daemon/src/thin_transport.cc
+++ b/packages/daemon/src/thin_transport.cc
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "medlarwinch/daemon/flow_forwarding.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
@@ -23,11 +24,6 @@
 // Packets overtake each other by less than this time.
 constexpr Millis kLingerAfterPong{1'000};
 
-CandidatePosition PositionOf(const ForwardedPacket& packet) {
-  return CandidatePosition{packet.hop, packet.candidates.size(),
-                           packet.accepting_candidates};
-}
-
 }  // namespace
 
 ThinTransport::ThinTransport(AgentIdentity identity, uint32_t first_flow_number,
@@ -151,7 +147,8 @@
       return;
     }
     case FlowAction::kPassOn:
-      PassOn(std::move(packet));
+    case FlowAction::kReturn:
+      PassOn(std::move(packet), decision);
       return;
     case FlowAction::kShed:
       SendReset(packet, header, ResetReason::kShed);
@@ -165,16 +162,20 @@
 void ThinTransport::OnUnowned(ForwardedPacket packet,
                               const PacketHeader& header) {
   if (DecideUnownedPacket(PositionOf(packet)) == FlowAction::kPassOn) {
-    PassOn(std::move(packet));
+    PassOn(std::move(packet), FlowDecision{FlowAction::kPassOn, {}, -1});
     return;
   }
   SendReset(packet, header, ResetReason::kUnknownFlow);
 }
 
-void ThinTransport::PassOn(ForwardedPacket packet) {
-  ++packet.hop;
-  const Endpoint next = packet.candidates[packet.hop];
-  ports_.send(next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
+void ThinTransport::PassOn(ForwardedPacket packet,
+                           const FlowDecision& decision) {
+  const std::optional<Endpoint> next = NextCandidate(packet, decision);
+  if (!next.has_value()) {
+    CountMalformed("hop");
+    return;
+  }
+  ports_.send(*next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
 }
 
 void ThinTransport::OnFlowFrame(uint32_t number, Flow& flow, Frame frame,
--- /dev/null
+++ b/packages/daemon/tests/flow_forwarding_test.cc
@@ -0,0 +1,62 @@
+#include "medlarwinch/daemon/flow_forwarding.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarwinch {
+namespace {
+
+struct FlowWithTwoCandidates {
+  // Offers the flow to agents with these flows, one slot each, and returns the
+  // index of the agent that takes it.
+  size_t Offer(uint32_t first, uint32_t second) {
+    const uint32_t flows[] = {first, second};
+    DocumentContext context;
+    for (int hops = 0; hops < 4; ++hops) {
+      AcceptanceState state;
+      state.flows = flows[packet.hop];
+      state.mean_flows_per_slot = 10;
+      state.warm_for = Millis{60'000};
+      const FlowDecision decision =
+          DecideNewFlow(state, PositionOf(packet), context);
+      if (decision.action == FlowAction::kAccept) return packet.hop;
+      BOOST_REQUIRE(NextCandidate(packet, decision).has_value());
+    }
+    BOOST_FAIL("the flow goes round");
+    return 2;
+  }
+
+  ForwardedPacket packet = [] {
+    ForwardedPacket made;
+    made.candidates = {Endpoint{1, 1}, Endpoint{2, 2}};
+    made.accepting_candidates = 2;
+    return made;
+  }();
+};
+
+BOOST_FIXTURE_TEST_SUITE(FlowForwarding, FlowWithTwoCandidates)
+
+BOOST_AUTO_TEST_CASE(FirstBelowMean_Offered_FirstTakesIt) {
+  BOOST_TEST(Offer(5, 1) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(FirstAboveMean_Offered_LessLoadedSecondTakesIt) {
+  BOOST_TEST(Offer(20, 15) == 1U);
+}
+
+// Guards against a last candidate that takes flows without regard to its load
+// while the mean lags behind.
+BOOST_AUTO_TEST_CASE(BothAboveMean_Offered_LessLoadedFirstTakesItBack) {
+  BOOST_TEST(Offer(15, 20) == 0U);
+}
+
+// Guards against an index from the network that is out of bounds.
+BOOST_AUTO_TEST_CASE(BestHopOutOfBounds_Returned_NamesNoCandidate) {
+  packet.best_hop = 9;
+  BOOST_CHECK(!NextCandidate(packet, FlowDecision{FlowAction::kReturn, {}, -1})
+                   .has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- a/packages/protocol/include/medlarwinch/protocol/data_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/data_messages.h
@@ -46,6 +46,13 @@
   /// Mean flows per slot of the service as the balancer knows it; negative when
   /// unknown.
   double mean_flows_per_slot = -1;
+  /// Lowest load among the candidates that passed a new flow on, and its index
+  /// in `candidates`; the load is negative without one.
+  double best_load = -1;
+  uint8_t best_hop = 0;
+  /// True when the flow was sent back to the candidate with the lowest load,
+  /// which then takes it.
+  bool must_accept = false;
   Bytes payload;
 
   friend bool operator==(const ForwardedPacket&,
@@ -163,6 +170,7 @@
           packet.caller, packet.fabric,
           Bounded(packet.candidates, kMaxCandidates), packet.hop,
           packet.accepting_candidates, packet.mean_flows_per_slot,
+          packet.best_load, packet.best_hop, packet.must_accept,
           Bounded(packet.payload, static_cast<uint32_t>(kMaxPacketBytes)));
 }
 
--- a/packages/transport/include/medlarwinch/transport/system_clock.h
+++ b/packages/transport/include/medlarwinch/transport/system_clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
@@ -11,4 +13,7 @@
 /// Wall-clock time since 1970.
 TimePoint WallNow();
 
+/// Formats a wall-clock time as "2026-01-31T12:00:00.000Z".
+std::string FormatTime(TimePoint time);
+
 }  // namespace medlarwinch
--- a/packages/transport/src/log.cc
+++ b/packages/transport/src/log.cc
@@ -7,8 +7,6 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
-#include <cstdio>
-#include <ctime>
 #include <iostream>
 
 #include "medlarwinch/transport/system_clock.h"
@@ -20,8 +18,6 @@
 using TextBackend = boost::log::sinks::text_ostream_backend;
 using TextSink = boost::log::sinks::synchronous_sink<TextBackend>;
 
-constexpr int64_t kMillisPerSecond = 1'000;
-
 SeverityLogger& Logger() {
   static SeverityLogger logger;
   return logger;
@@ -46,19 +42,6 @@
   return "unknown";
 }
 
-std::string FormatTime(TimePoint time) {
-  const std::time_t seconds = time.value / kMillisPerSecond;
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  char text[32];
-  const size_t size =
-      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-  char millis[8];
-  std::snprintf(millis, sizeof(millis), ".%03dZ",
-                static_cast<int>(time.value % kMillisPerSecond));
-  return std::string(text, size) + millis;
-}
-
 bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
   for (const char character : value) {
--- a/packages/transport/src/system_clock.cc
+++ b/packages/transport/src/system_clock.cc
@@ -1,8 +1,15 @@
 #include "medlarwinch/transport/system_clock.h"
 
 #include <chrono>
+#include <cstdio>
+#include <ctime>
 
 namespace medlarwinch {
+namespace {
+
+constexpr int64_t kMillisPerSecond = 1'000;
+
+}  // namespace
 
 TimePoint MonotonicNow() {
   return TimePoint{std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -16,4 +23,17 @@
                        .count()};
 }
 
+std::string FormatTime(TimePoint time) {
+  const std::time_t seconds = time.value / kMillisPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[32];
+  const size_t size =
+      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+  char millis[8];
+  std::snprintf(millis, sizeof(millis), ".%03dZ",
+                static_cast<int>(time.value % kMillisPerSecond));
+  return std::string(text, size) + millis;
+}
+
 }  // namespace medlarwinch
--- a/standins/app/standin_platform.cc
+++ b/standins/app/standin_platform.cc
@@ -1,18 +1,12 @@
-#include <iostream>
-
 #include "medlarwinch/standins/platform_service.h"
 #include "medlarwinch/standins/process_main.h"
 
 namespace medlarwinch {
 namespace {
 
-int RunPlatform(const std::string& file) {
-  const Result<std::string> text = ReadTextFile(file);
-  if (!IsOk(text)) {
-    std::cerr << ErrorOf(text).message << "\n";
-    return 2;
-  }
-  YamlReader reader(file, ValueOf(text));
+Result<PlatformSettings> ParsePlatformSettings(const std::string& file,
+                                               const std::string& text) {
+  YamlReader reader(file, text);
   PlatformSettings settings;
   settings.api = reader.RequiredEndpoint("api");
   settings.control = reader.RequiredEndpoint("control");
@@ -21,25 +15,14 @@
   settings.reads_per_second = reader.Number(
       "reads_per_second", settings.reads_per_second, 1, 1'000'000);
   const Result<Ok> finished = reader.Finish();
-  if (!IsOk(finished)) {
-    std::cerr << ErrorOf(finished).message << "\n";
-    return 2;
-  }
-  const Result<std::unique_ptr<PlatformService>> service =
-      PlatformService::Start(settings);
-  if (!IsOk(service)) {
-    std::cerr << ErrorOf(service).message << "\n";
-    return 1;
-  }
-  WaitForTermination();
-  return 0;
+  if (!IsOk(finished)) return ErrorOf(finished);
+  return settings;
 }
 
 }  // namespace
 }  // namespace medlarwinch
 
 int main(int argc, char** argv) {
-  medlarwinch::BlockTerminationSignals();
-  const std::string file = medlarwinch::SettingsArgument(argc, argv);
-  return file.empty() ? 2 : medlarwinch::RunPlatform(file);
+  return medlarwinch::RunStandin(argc, argv, medlarwinch::ParsePlatformSettings,
+                                 medlarwinch::PlatformService::Start);
 }
