Let the deadline test wait for its flow

Cause: the deadline of 300 ms ran from before the flow was open, so on a machine at load 53 it passed before the request was sent; 'not run' was then true and the check failed once. Change: the test waits until the flow is open; the check is unchanged. Measured: the test passes; it was not run again under that load. Conclusion: the check now sees only deadlines that pass at the agent.

--- a/packages/daemon/tests/agent_engine_test.cc
+++ b/packages/daemon/tests/agent_engine_test.cc
@@ -151,7 +151,10 @@
   FlowRequest request = Get("/report?work_ms=5000");
   request.deadline = Millis{300};
   request.max_attempts = 1;
-  const FlowRequestOutcome outcome = Run(Open(), request);
+  // The deadline must not pass before the request is sent.
+  const FlowHandle flow = Open();
+  BOOST_REQUIRE(WaitFor([&] { return client->IsOpen(flow); }));
+  const FlowRequestOutcome outcome = Run(flow, request);
   BOOST_CHECK(outcome.verdict != Verdict::kNotRun);
   BOOST_TEST(
       WaitFor([&] { return agents[0]->upstream->state().in_progress == 0; }));
