--- a/cmake/test_address.h
+++ b/cmake/test_address.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 
+#include "medlarwinch/state/endpoint.h"
+
 namespace medlarwinch {
 
 /// Returns a loopback address that no other test process uses, so that test
@@ -17,4 +19,9 @@
          (static_cast<uint32_t>(getpid()) & kProcessBits);
 }
 
+/// Returns `port` at the loopback address of this process.
+inline Endpoint TestEndpoint(uint16_t port) {
+  return Endpoint{ProcessLoopbackIp(), port};
+}
+
 }  // namespace medlarwinch
--- a/packages/daemon/include/medlarwinch/daemon/flow_forwarding.h
+++ b/packages/daemon/include/medlarwinch/daemon/flow_forwarding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 
 #include "medlarwinch/coordination/flow_acceptance.h"
@@ -16,4 +17,10 @@
 std::optional<Endpoint> NextCandidate(ForwardedPacket& packet,
                                       const FlowDecision& decision);
 
+/// Sends the packet, sealed with `key`, to the candidate of NextCandidate().
+/// Returns false when there is none.
+bool SendToNextCandidate(
+    ForwardedPacket packet, const FlowDecision& decision, const SipKey& key,
+    const std::function<void(const Endpoint& to, ByteView datagram)>& send);
+
 }  // namespace medlarwinch
--- a/packages/daemon/src/flow_forwarding.cc
+++ b/packages/daemon/src/flow_forwarding.cc
@@ -33,4 +33,13 @@
   return packet.candidates[packet.hop];
 }
 
+bool SendToNextCandidate(
+    ForwardedPacket packet, const FlowDecision& decision, const SipKey& key,
+    const std::function<void(const Endpoint& to, ByteView datagram)>& send) {
+  const std::optional<Endpoint> next = NextCandidate(packet, decision);
+  if (!next.has_value()) return false;
+  send(*next, EncodeDataMessage(key, packet));
+  return true;
+}
+
 }  // namespace medlarwinch
--- a/packages/daemon/src/quic_transport.cc
+++ b/packages/daemon/src/quic_transport.cc
@@ -381,12 +381,9 @@
 
 void QuicTransport::PassOn(ForwardedPacket packet,
                            const FlowDecision& decision) {
-  const std::optional<Endpoint> next = NextCandidate(packet, decision);
-  if (!next.has_value()) {
-    Count("hop");
-    return;
-  }
-  ports_.send(*next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
+  const bool is_sent = SendToNextCandidate(
+      std::move(packet), decision, ports_.keys()->seal_key(), ports_.send);
+  if (!is_sent) Count("hop");
 }
 
 void QuicTransport::SendReset(const ForwardedPacket& packet,
--- a/packages/daemon/src/thin_transport.cc
+++ b/packages/daemon/src/thin_transport.cc
@@ -170,12 +170,9 @@
 
 void ThinTransport::PassOn(ForwardedPacket packet,
                            const FlowDecision& decision) {
-  const std::optional<Endpoint> next = NextCandidate(packet, decision);
-  if (!next.has_value()) {
-    CountMalformed("hop");
-    return;
-  }
-  ports_.send(*next, EncodeDataMessage(ports_.keys()->seal_key(), packet));
+  const bool is_sent = SendToNextCandidate(
+      std::move(packet), decision, ports_.keys()->seal_key(), ports_.send);
+  if (!is_sent) CountMalformed("hop");
 }
 
 void ThinTransport::OnFlowFrame(uint32_t number, Flow& flow, Frame frame,
--- a/standins/include/medlarwinch/standins/scenario_run.h
+++ b/standins/include/medlarwinch/standins/scenario_run.h
@@ -78,6 +78,8 @@
   };
 
   Result<Ok> StartAll();
+  /// Waits until a stand-in answers at its control address.
+  Result<Ok> WaitForControl(const std::string& name, const Endpoint& control);
   Result<Ok> StartPlatform();
   Result<Ok> WriteDocuments();
   Result<Ok> StartFabric();
--- a/standins/src/scenario_run.cc
+++ b/standins/src/scenario_run.cc
@@ -100,16 +100,21 @@
   return done;
 }
 
+Result<Ok> ScenarioRun::WaitForControl(const std::string& name,
+                                       const Endpoint& control) {
+  return WaitFor(name, kStartLimit, [&control] {
+    return IsOk(SendHttpRequest(control,
+                                HttpRequest{"GET", "/control/stats", "", {}},
+                                kControlTimeout));
+  });
+}
+
 Result<Ok> ScenarioRun::StartPlatform() {
   Result<std::unique_ptr<ChildProcess>> process =
       Spawn("standin_platform", "platform", writer_.Platform());
   if (!IsOk(process)) return ErrorOf(process);
   platform_ = TakeValue(std::move(process));
-  return WaitFor("the platform", kStartLimit, [this] {
-    return IsOk(SendHttpRequest(topology_.PlatformControl(),
-                                HttpRequest{"GET", "/control/stats", "", {}},
-                                kControlTimeout));
-  });
+  return WaitForControl("the platform", topology_.PlatformControl());
 }
 
 Result<Ok> ScenarioRun::WriteDocuments() {
@@ -140,11 +145,7 @@
       Spawn("standin_fabric", "fabric", writer_.Fabric());
   if (!IsOk(process)) return ErrorOf(process);
   fabric_ = TakeValue(std::move(process));
-  return WaitFor("the fabric", kStartLimit, [this] {
-    return IsOk(SendHttpRequest(topology_.FabricControl(),
-                                HttpRequest{"GET", "/control/stats", "", {}},
-                                kControlTimeout));
-  });
+  return WaitForControl("the fabric", topology_.FabricControl());
 }
 
 Result<Ok> ScenarioRun::StartCallers() {
