--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+
+#include "medlarwinch/coordination/host_flows.h"
+#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/coordination/upstream_host.h"
+
+namespace medlarwinch {
+
+/// Agents that may pass one opening packet on; bounds loops between agents with
+/// different views.
+inline constexpr uint8_t kMaxRelayHops = 4;
+/// An upstream that does not answer an opening packet for this long is taken to
+/// be unresponsive: it answers within a millisecond even when all its slots are
+/// busy.
+inline constexpr Millis kUnansweredOpening{150};
+/// A flow that the agent forgot is not answered as "not held" before the agent
+/// has run for this long: the longest life of a flow on the platform, 60 s.
+inline constexpr Millis kFlowLifetime{60'000};
+
+/// Why an agent did not hand a packet to its upstream.
+enum class RefusalReason : uint8_t {
+  kOtherService = 0,
+  kNotReady = 1,
+  kUnresponsive = 2,
+  kBusy = 3,
+  /// The upstream returned the packet.
+  kBounced = 4,
+};
+inline constexpr size_t kRefusalReasons = 5;
+const char* RefusalReasonName(RefusalReason reason);
+
+struct AgentCounters {
+  uint64_t delivered = 0;
+  uint64_t opened = 0;
+  uint64_t to_callers = 0;
+  uint64_t denied = 0;
+  /// Opening packets that were passed on, by the reason.
+  std::array<uint64_t, kRefusalReasons> passed_on{};
+  /// Opening packets that no other agent could take and that were not reset.
+  uint64_t dropped_openings = 0;
+  std::array<uint64_t, kResetReasons> resets{};
+};
+
+/// The state of an agent's packet path.
+struct AgentRelay {
+  /// An opening packet that was handed to the upstream and not answered yet.
+  struct Opening {
+    RelayHeader header;
+    TimePoint delivered;
+  };
+  /// A packet of an unknown flow that was handed to the upstream to find out
+  /// whether it holds the flow.
+  struct Probe {
+    Endpoint balancer;
+    bool returns_packet = false;
+    TimePoint delivered;
+  };
+
+  ServiceId service;
+  UpstreamHost host;
+  HostFlows flows;
+  std::unordered_map<FlowTuple, Opening, HashOfFlow> openings;
+  std::unordered_map<FlowTuple, Probe, HashOfFlow> probes;
+  /// True when the upstream holds no flow that this agent has not seen.
+  bool knows_all_flows = false;
+  /// True once the agent was told to stop.
+  bool is_stopping = false;
+  /// When the upstream was last heard, by any packet or heartbeat.
+  TimePoint upstream_heard;
+  TimePoint started;
+  AgentCounters counters;
+};
+
+/// Takes a packet that a balancer or another agent relayed.
+void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
+                         const FlowPacket& packet, TimePoint now,
+                         RelayActions& actions);
+
+/// Takes a packet that the upstream sent. `packet.is_bounced` tells that it is
+/// a caller's packet that the upstream returned.
+UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
+                                          const FlowPacket& packet,
+                                          TimePoint now, RelayActions& actions);
+
+/// Takes a heartbeat of the upstream; resets the flows of an incarnation that
+/// is gone.
+BeatEffect HandleBeat(AgentRelay& relay, const UpstreamBeat& beat,
+                      TimePoint now, RelayActions& actions);
+
+/// Takes the upstream's notice that it is gone; returns false when the notice
+/// is not from the current incarnation.
+bool HandleDeregistration(AgentRelay& relay, const std::string& id,
+                          TimePoint now, RelayActions& actions);
+
+/// Renews averages and forgets what is over. Called every 100 ms or so.
+void HandleAgentTick(AgentRelay& relay, TimePoint now);
+
+/// The upstream's phase as the agent reports it: kUnknown while an upstream
+/// that was ready does not answer.
+UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now);
+
+/// Whether the upstream leaves opening packets without an answer.
+bool IsUnresponsive(const AgentRelay& relay, TimePoint now);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <span>
+
+#include "medlarwinch/coordination/flow_cache.h"
+#include "medlarwinch/coordination/owner_search.h"
+#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/coordination/relay_routes.h"
+#include "medlarwinch/coordination/upstream_directory.h"
+
+namespace medlarwinch {
+
+/// Flows that a balancer remembers at most: 80 MB hold about 1.5 million, and
+/// the smallest machines have that much memory for everything.
+inline constexpr size_t kMaxCachedFlows = 262'144;
+
+/// What a balancer counts, for its metrics.
+struct BalancerCounters {
+  uint64_t opened = 0;
+  uint64_t open_copies = 0;
+  uint64_t relayed = 0;
+  uint64_t searches = 0;
+  uint64_t found = 0;
+  /// Opening packets dropped because an upstream may accept soon.
+  uint64_t waiting_for_upstream = 0;
+  /// Packets without a route, before the first configuration or of a flow on an
+  /// address that no configuration of this process named.
+  uint64_t dropped_no_route = 0;
+  /// Searches that ended without an owner and without a proof.
+  uint64_t searches_unresolved = 0;
+  /// Searches refused because kMaxSearches were in progress.
+  uint64_t searches_refused = 0;
+  std::array<uint64_t, kResetReasons> resets{};
+};
+
+/// The state of a balancer's packet path. It routes any packet from this state
+/// alone; what is lost with it is found again at the agents.
+struct BalancerRelay {
+  /// Where agents send their answers.
+  Endpoint self;
+  RouteTable routes;
+  UpstreamDirectory directory;
+  FlowCache cache{kMaxCachedFlows};
+  OwnerSearches searches;
+  Random random;
+  /// False while the store can't be reached, so that an upstream may exist that
+  /// the directory does not name.
+  bool directory_is_current = false;
+  BalancerCounters counters;
+};
+
+/// Decides where a caller's packet goes.
+void HandleCallerPacket(BalancerRelay& relay, const FlowPacket& packet,
+                        std::span<const uint8_t> raw, TimePoint now,
+                        RelayActions& actions);
+
+/// Takes an agent's word that its upstream holds the flow.
+void HandleOwned(BalancerRelay& relay, const Endpoint& agent,
+                 const FlowTuple& flow, TimePoint now);
+
+/// Takes an agent's word that its upstream does not hold the flow. `raw` is the
+/// packet that came back, empty if none did, and `packet` what it says.
+void HandleNotOwned(BalancerRelay& relay, const Endpoint& agent,
+                    const FlowTuple& flow, const FlowPacket& packet,
+                    std::span<const uint8_t> raw, TimePoint now,
+                    RelayActions& actions);
+
+/// Ends searches that have waited long enough and forgets idle flows. Called
+/// every 100 ms or so.
+void HandleBalancerTick(BalancerRelay& relay, TimePoint now,
+                        RelayActions& actions);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/flow_placement.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "medlarwinch/coordination/relay_routes.h"
+#include "medlarwinch/coordination/upstream_directory.h"
+
+namespace medlarwinch {
+
+/// An upstream that could take a new flow.
+struct PlacementCandidate {
+  Endpoint agent;
+  ServiceId service;
+  /// Expected busy slots per slot once the flow is there.
+  double load = 0;
+
+  friend bool operator==(const PlacementCandidate&,
+                         const PlacementCandidate&) = default;
+};
+
+/// Ranks the upstreams for a new flow, best first, at most `max` of them.
+///
+/// Answers the load that long flows bring: a flow stays where it is placed, so
+/// the flows at an upstream weigh as much as the requests that it works on now.
+/// The service is drawn by the route's weights with `draw`; another service of
+/// the route is taken when the drawn one is busy and the other is clearly less
+/// so. Among upstreams of equal load the flow's hash decides, so that balancers
+/// with the same view don't all choose the same one.
+std::vector<PlacementCandidate> RankUpstreams(
+    const UpstreamDirectory& directory, const RelayRoute& route,
+    const FlowTuple& flow, uint64_t draw, size_t max, TimePoint now);
+
+/// Whether an upstream could become able to take flows soon without any change
+/// of the directory: some upstream of the route may be starting or is only just
+/// silent.
+bool MayAcceptSoon(const UpstreamDirectory& directory, const RelayRoute& route,
+                   TimePoint now);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/state/clock.h"
+
+namespace medlarwinch {
+
+/// An agent does not get new flows when its last report is older. Three polls
+/// of kAgentPollInterval may be lost before that.
+inline constexpr Millis kReportFreshness{900};
+/// Time between two polls of an agent by a balancer.
+inline constexpr Millis kAgentPollInterval{250};
+/// An agent that is silent for this long, without having announced a restart,
+/// is taken to hold no flow any more. Longer than kReportFreshness, since a
+/// wrong conclusion resets flows.
+inline constexpr Millis kAgentGoneAfter{1'500};
+/// As kAgentGoneAfter for an agent that announced a restart: the platform's
+/// grace period for a stop, 6 s, plus its start.
+inline constexpr Millis kRestartGoneAfter{8'000};
+
+/// An agent as the platform's store lists it.
+struct DirectoryEntry {
+  Endpoint agent;
+  ServiceId service;
+  std::string failure_domain;
+  /// Revision of the object, for its conditional removal.
+  uint64_t revision = 0;
+
+  friend bool operator==(const DirectoryEntry&,
+                         const DirectoryEntry&) = default;
+};
+
+/// What a balancer knows of one agent and its upstream.
+struct KnownUpstream {
+  DirectoryEntry entry;
+  /// False once the entry has gone from the store.
+  bool is_listed = false;
+  /// In the balancer's own failure domain.
+  bool is_local = false;
+  /// The last report; phase kUnknown before the first.
+  AgentReport report;
+  /// When the last report arrived, or when the entry was first seen.
+  TimePoint heard;
+  /// Flows that this balancer placed there since the last report.
+  uint32_t placed = 0;
+
+  friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
+};
+
+/// The agents that a balancer knows, by their relay address.
+struct UpstreamDirectory {
+  std::string own_failure_domain;
+  std::map<Endpoint, KnownUpstream> upstreams;
+  /// True once the store's whole list was read.
+  bool is_complete = false;
+
+  friend bool operator==(const UpstreamDirectory&,
+                         const UpstreamDirectory&) = default;
+};
+
+/// Replaces the listed entries by `entries`. Agents that are no longer listed
+/// stay known while they answer.
+void ApplyListing(UpstreamDirectory& directory,
+                  const std::vector<DirectoryEntry>& entries, TimePoint now);
+
+/// Adds or updates one listed entry.
+void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
+                TimePoint now);
+
+/// Notes that the store lists `agent` no longer.
+void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent);
+
+/// What a report changed.
+struct ReportEffect {
+  /// The report is from an agent that is known and not older than the last.
+  bool is_taken = false;
+  UpstreamPhase phase_before = UpstreamPhase::kUnknown;
+  bool is_new_process = false;
+};
+
+/// Takes the report of the agent at `from`. What an agent says of itself goes
+/// before what the store lists.
+ReportEffect ApplyReport(UpstreamDirectory& directory, const Endpoint& from,
+                         const AgentReport& report, TimePoint now);
+
+/// Whether new flows may be placed at the upstream.
+bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now);
+
+/// Whether the upstream may hold flows: false only when it said that it is gone
+/// or has been silent for so long that it is taken to be.
+bool MayHoldFlows(const KnownUpstream& upstream, TimePoint now);
+
+/// Removes the unlisted agents that hold no flows any more and returns those
+/// that are listed, and silent for `silence` or longer.
+std::vector<DirectoryEntry> RemoveGone(UpstreamDirectory& directory,
+                                       Millis silence, TimePoint now);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_host.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "medlarwinch/coordination/relay_types.h"
+
+namespace medlarwinch {
+
+/// What an upstream says of itself in a heartbeat.
+struct UpstreamBeat {
+  std::string id;
+  /// Name of the service it belongs to.
+  std::string service;
+  /// Where it receives packets.
+  Endpoint address;
+  uint32_t slots = 0;
+  bool is_draining = false;
+  /// How much longer it is slow after its start.
+  Millis cold_left{0};
+  /// Grows with every heartbeat of one incarnation.
+  uint64_t sequence = 0;
+  /// Wall-clock time of the start of this incarnation; absent in heartbeats of
+  /// platforms that don't send it.
+  std::optional<int64_t> started_ms;
+
+  friend bool operator==(const UpstreamBeat&, const UpstreamBeat&) = default;
+};
+
+/// The upstream beside an agent, as its heartbeats describe it.
+struct UpstreamHost {
+  UpstreamPhase phase = UpstreamPhase::kUnknown;
+  std::string id;
+  int64_t started_ms = 0;
+  uint64_t sequence = 0;
+  uint32_t slots = 0;
+  TimePoint cold_until;
+  TimePoint last_beat;
+
+  friend bool operator==(const UpstreamHost&, const UpstreamHost&) = default;
+};
+
+enum class BeatEffect : uint8_t {
+  /// Late, or from an incarnation before the current one.
+  kIgnored,
+  kUnchanged,
+  /// The first heartbeat this agent hears.
+  kFirst,
+  /// The upstream has started again: every flow of before is gone.
+  kNewIncarnation,
+  /// The upstream has begun to drain.
+  kDraining,
+};
+
+/// Takes a heartbeat.
+BeatEffect ApplyBeat(UpstreamHost& host, const UpstreamBeat& beat,
+                     TimePoint now);
+
+/// Takes the notice that the incarnation `id` is gone; returns false when it is
+/// not the current one.
+bool ApplyDeregistration(UpstreamHost& host, const std::string& id);
+
+/// Highest sequence number of a heartbeat that proves that the upstream has
+/// only just started.
+inline constexpr uint64_t kFirstBeatSequence = 1;
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/agent_relay.cc
@@ -0,0 +1,266 @@
+#include "medlarwinch/coordination/agent_relay.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+// Openings and probes without an answer are forgotten after this time.
+constexpr Millis kPendingTimeout{3'000};
+// Requests beyond its slots that an upstream may have before an opening is
+// passed on to a less busy one.
+constexpr uint32_t kToleratedQueue = 1;
+
+void Reset(AgentRelay& relay, const FlowTuple& flow, uint32_t sequence,
+           ResetReason reason, RelayActions& actions) {
+  ++relay.counters.resets[static_cast<size_t>(reason)];
+  actions.push_back(ResetCaller{flow, sequence, reason});
+}
+
+bool IsAllowed(const AgentRelay& relay, const RelayHeader& header) {
+  return std::find(header.allowed.begin(), header.allowed.end(),
+                   relay.service) != header.allowed.end();
+}
+
+std::optional<RefusalReason> RefuseOpening(const AgentRelay& relay,
+                                           const RelayHeader& header,
+                                           TimePoint now) {
+  if (!IsAllowed(relay, header)) return RefusalReason::kOtherService;
+  if (relay.is_stopping || relay.host.phase != UpstreamPhase::kReady) {
+    return RefusalReason::kNotReady;
+  }
+  if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
+  const bool may_pass_on = header.hops == 0 && !header.alternates.empty();
+  const bool is_busy =
+      relay.flows.outstanding >= relay.host.slots + kToleratedQueue;
+  if (may_pass_on && is_busy) return RefusalReason::kBusy;
+  return std::nullopt;
+}
+
+// Hands an opening to the next agent. Without one the caller is told at once,
+// unless this agent has only just started or another copy of the opening may
+// have been accepted elsewhere.
+void PassOn(AgentRelay& relay, RelayHeader header, const FlowPacket& packet,
+            RefusalReason reason, RelayActions& actions) {
+  if (!header.alternates.empty() && header.hops < kMaxRelayHops) {
+    ++relay.counters.passed_on[static_cast<size_t>(reason)];
+    const Endpoint next = header.alternates.front();
+    header.alternates.erase(header.alternates.begin());
+    ++header.hops;
+    actions.push_back(RelayToAgent{next, std::move(header)});
+    return;
+  }
+  const bool is_copy = packet.acknowledged > 0;
+  const bool is_unsure = relay.host.phase == UpstreamPhase::kUnknown;
+  if (is_copy || is_unsure) {
+    ++relay.counters.dropped_openings;
+    return;
+  }
+  Reset(relay, FlowFromCaller(packet), 0, ResetReason::kNoUpstream, actions);
+}
+
+void HandleOpening(AgentRelay& relay, const RelayHeader& header,
+                   const FlowPacket& packet, TimePoint now,
+                   RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  const auto held = relay.flows.flows.find(flow);
+  const bool is_copy_of_held =
+      packet.acknowledged > 0 && held != relay.flows.flows.end();
+  if (!is_copy_of_held) {
+    const std::optional<RefusalReason> refusal =
+        RefuseOpening(relay, header, now);
+    if (refusal.has_value()) {
+      PassOn(relay, header, packet, *refusal, actions);
+      return;
+    }
+  }
+  relay.openings.insert_or_assign(flow, AgentRelay::Opening{header, now});
+  ++relay.counters.delivered;
+  actions.push_back(DeliverToUpstream{});
+}
+
+void HandleFlowPacket(AgentRelay& relay, const RelayHeader& header,
+                      const FlowPacket& packet, TimePoint now,
+                      RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  const bool is_known = relay.flows.flows.count(flow) != 0;
+  if (IsHeld(relay.flows, packet)) {
+    NoteCallerPacket(relay.flows, packet, now);
+    if (header.purpose == RelayPurpose::kSearch) {
+      actions.push_back(TellOwned{header.balancer, flow});
+    }
+    ++relay.counters.delivered;
+    actions.push_back(DeliverToUpstream{});
+    return;
+  }
+  const bool is_search = header.purpose == RelayPurpose::kSearch;
+  const bool may_hold = !is_known && !relay.knows_all_flows &&
+                        relay.host.phase != UpstreamPhase::kAbsent &&
+                        IsAllowed(relay, header);
+  if (!may_hold) {
+    ++relay.counters.denied;
+    actions.push_back(TellNotOwned{header.balancer, flow, !is_search});
+    return;
+  }
+  relay.probes.insert_or_assign(
+      flow, AgentRelay::Probe{header.balancer, !is_search, now});
+  ++relay.counters.delivered;
+  actions.push_back(DeliverToUpstream{});
+}
+
+void HandleBounced(AgentRelay& relay, const FlowPacket& packet, TimePoint now,
+                   RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  if (packet.is_syn) {
+    const auto opening = relay.openings.find(flow);
+    if (opening == relay.openings.end()) return;
+    RelayHeader header = std::move(opening->second.header);
+    relay.openings.erase(opening);
+    PassOn(relay, std::move(header), packet, RefusalReason::kBounced, actions);
+    return;
+  }
+  const auto probe = relay.probes.find(flow);
+  if (probe != relay.probes.end()) {
+    ++relay.counters.denied;
+    actions.push_back(TellNotOwned{probe->second.balancer, flow,
+                                   probe->second.returns_packet});
+    relay.probes.erase(probe);
+    return;
+  }
+  const auto held = relay.flows.flows.find(flow);
+  if (held == relay.flows.flows.end()) return;
+  const bool had_ended =
+      held->second.caller_finished && held->second.upstream_finished;
+  ForgetFlow(relay.flows, flow, now);
+  if (packet.is_reset || had_ended) return;
+  // The flow was here, so no other upstream has it.
+  Reset(relay, flow, packet.acknowledged, ResetReason::kUpstreamLost, actions);
+}
+
+void ResetAllFlows(AgentRelay& relay, TimePoint now, RelayActions& actions) {
+  std::vector<FlowTuple> gone;
+  for (const auto& [tuple, flow] : relay.flows.flows) {
+    gone.push_back(tuple);
+    if (!flow.is_open) continue;
+    Reset(relay, tuple, flow.upstream_end, ResetReason::kUpstreamRestarted,
+          actions);
+  }
+  for (const FlowTuple& tuple : gone) ForgetFlow(relay.flows, tuple, now);
+  relay.openings.clear();
+  relay.probes.clear();
+}
+
+}  // namespace
+
+const char* RefusalReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kOtherService:
+      return "other_service";
+    case RefusalReason::kNotReady:
+      return "not_ready";
+    case RefusalReason::kUnresponsive:
+      return "unresponsive";
+    case RefusalReason::kBusy:
+      return "busy";
+    case RefusalReason::kBounced:
+      return "bounced";
+  }
+  return "invalid";
+}
+
+bool IsUnresponsive(const AgentRelay& relay, TimePoint now) {
+  return std::any_of(
+      relay.openings.begin(), relay.openings.end(), [&](const auto& entry) {
+        const TimePoint delivered = entry.second.delivered;
+        return now - delivered >= kUnansweredOpening &&
+               relay.upstream_heard < delivered;
+      });
+}
+
+UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now) {
+  if (relay.is_stopping) return UpstreamPhase::kAgentRestarting;
+  if (relay.host.phase == UpstreamPhase::kReady && IsUnresponsive(relay, now)) {
+    return UpstreamPhase::kUnknown;
+  }
+  return relay.host.phase;
+}
+
+void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
+                         const FlowPacket& packet, TimePoint now,
+                         RelayActions& actions) {
+  if (packet.is_syn) {
+    HandleOpening(relay, header, packet, now, actions);
+  } else {
+    HandleFlowPacket(relay, header, packet, now, actions);
+  }
+}
+
+UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
+                                          const FlowPacket& packet,
+                                          TimePoint now,
+                                          RelayActions& actions) {
+  relay.upstream_heard = now;
+  if (packet.is_bounced) {
+    HandleBounced(relay, packet, now, actions);
+    return {};
+  }
+  const FlowTuple flow = FlowFromUpstream(packet);
+  ++relay.counters.to_callers;
+  actions.push_back(DeliverToCaller{flow.caller});
+  const UpstreamPacketEffect effect =
+      NoteUpstreamPacket(relay.flows, packet, now);
+  const auto opening = relay.openings.find(flow);
+  if (opening != relay.openings.end()) {
+    const RelayHeader& header = opening->second.header;
+    ++relay.counters.opened;
+    // The balancer named another agent first.
+    if (header.hops > 0) {
+      actions.push_back(TellOwned{header.balancer, flow});
+    }
+    relay.openings.erase(opening);
+  }
+  const auto probe = relay.probes.find(flow);
+  if (probe != relay.probes.end()) {
+    actions.push_back(TellOwned{probe->second.balancer, flow});
+    relay.probes.erase(probe);
+  }
+  return effect;
+}
+
+BeatEffect HandleBeat(AgentRelay& relay, const UpstreamBeat& beat,
+                      TimePoint now, RelayActions& actions) {
+  const BeatEffect effect = ApplyBeat(relay.host, beat, now);
+  if (effect == BeatEffect::kIgnored) return effect;
+  relay.upstream_heard = now;
+  if (effect == BeatEffect::kNewIncarnation) {
+    ResetAllFlows(relay, now, actions);
+    relay.knows_all_flows = true;
+  }
+  if (effect == BeatEffect::kFirst && beat.sequence <= kFirstBeatSequence) {
+    relay.knows_all_flows = true;
+  }
+  return effect;
+}
+
+bool HandleDeregistration(AgentRelay& relay, const std::string& id,
+                          TimePoint now, RelayActions& actions) {
+  if (!ApplyDeregistration(relay.host, id)) return false;
+  ResetAllFlows(relay, now, actions);
+  relay.knows_all_flows = true;
+  return true;
+}
+
+void HandleAgentTick(AgentRelay& relay, TimePoint now) {
+  RefreshFlows(relay.flows, kFlowLifetime, now);
+  std::erase_if(relay.openings, [&](const auto& entry) {
+    return now - entry.second.delivered >= kPendingTimeout;
+  });
+  std::erase_if(relay.probes, [&](const auto& entry) {
+    return now - entry.second.delivered >= kPendingTimeout;
+  });
+  if (now - relay.started >= kFlowLifetime) relay.knows_all_flows = true;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/balancer_relay.cc
@@ -0,0 +1,224 @@
+#include "medlarwinch/coordination/balancer_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/coordination/flow_placement.h"
+
+namespace medlarwinch {
+namespace {
+
+// Slots of the flow cache that one tick looks through.
+constexpr size_t kSweptSlots = 1'024;
+// Idle time after which a flow is forgotten when the configuration names none.
+constexpr Millis kDefaultFlowIdle{60'000};
+
+void Reset(BalancerRelay& relay, const FlowTuple& flow, uint32_t sequence,
+           ResetReason reason, RelayActions& actions) {
+  ++relay.counters.resets[static_cast<size_t>(reason)];
+  actions.push_back(ResetCaller{flow, sequence, reason});
+}
+
+RelayHeader MakeHeader(const BalancerRelay& relay, RelayPurpose purpose,
+                       std::vector<ServiceId> allowed) {
+  RelayHeader header;
+  header.purpose = purpose;
+  header.balancer = relay.self;
+  header.allowed = std::move(allowed);
+  return header;
+}
+
+void OpenFlow(BalancerRelay& relay, const RelayRoute& route,
+              const FlowPacket& packet, TimePoint now, RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  const uint32_t copies_before = packet.acknowledged;
+  std::vector<PlacementCandidate> ranked =
+      RankUpstreams(relay.directory, route, flow, relay.random(),
+                    kMaxRelayAlternates + 1, now);
+  if (ranked.empty()) {
+    if (MayAcceptSoon(relay.directory, route, now)) {
+      ++relay.counters.waiting_for_upstream;
+      return;
+    }
+    Reset(relay, flow, 0, ResetReason::kNoUpstream, actions);
+    return;
+  }
+  const CachedFlow* earlier = relay.cache.Find(flow);
+  const bool is_copy = copies_before > 0;
+  const bool was_tried = is_copy && earlier != nullptr;
+  if (was_tried && ranked.size() > 1) {
+    // The upstream that was tried first has not answered; try another.
+    const Endpoint tried = earlier->agent;
+    std::stable_partition(ranked.begin(), ranked.end(),
+                          [&](const PlacementCandidate& candidate) {
+                            return candidate.agent != tried;
+                          });
+  }
+  RelayHeader header = MakeHeader(relay, RelayPurpose::kOpen, {});
+  for (const RouteTarget& target : route.targets) {
+    if (header.allowed.size() >= kMaxRelayServices) break;
+    header.allowed.push_back(target.service);
+  }
+  for (size_t index = 1; index < ranked.size(); ++index) {
+    header.alternates.push_back(ranked[index].agent);
+  }
+  const Endpoint first = ranked.front().agent;
+  relay.directory.upstreams.at(first).placed += 1;
+  relay.cache.Put(flow, first, !is_copy, now);
+  ++(is_copy ? relay.counters.open_copies : relay.counters.opened);
+  actions.push_back(RelayToAgent{first, std::move(header)});
+}
+
+// Asks the next agents; with none left, concludes the search.
+void ContinueSearch(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
+                    RelayActions& actions) {
+  const auto found = relay.searches.find(flow);
+  if (found == relay.searches.end()) return;
+  OwnerSearch& search = found->second;
+  if (!IsDeniedByAll(relay.directory, search, now)) return;
+  const RelayRoute* route = FindRoute(relay.routes, flow.service_address);
+  const std::vector<ServiceId> holding =
+      route == nullptr ? std::vector<ServiceId>{} : HoldingServices(*route);
+  const std::vector<Endpoint> next =
+      NextToAsk(relay.directory, search, flow, holding, now);
+  for (const Endpoint& agent : next) {
+    search.asked.push_back(agent);
+    actions.push_back(RelayKeptPacket{
+        agent, MakeHeader(relay, RelayPurpose::kSearch, holding),
+        search.packet});
+  }
+  if (!next.empty()) return;
+  if (relay.directory.is_complete && relay.directory_is_current) {
+    Reset(relay, flow, search.acknowledged, ResetReason::kNobodyHolds, actions);
+  } else {
+    ++relay.counters.searches_unresolved;
+  }
+  relay.searches.erase(found);
+}
+
+void StartSearch(BalancerRelay& relay, const FlowTuple& flow,
+                 const FlowPacket& packet, std::span<const uint8_t> raw,
+                 std::vector<Endpoint> denied, TimePoint now,
+                 RelayActions& actions) {
+  if (relay.searches.size() >= kMaxSearches) {
+    ++relay.counters.searches_refused;
+    return;
+  }
+  OwnerSearch search;
+  search.started = now;
+  search.denied = std::move(denied);
+  search.packet.assign(raw.begin(), raw.end());
+  search.acknowledged = packet.acknowledged;
+  ++relay.counters.searches;
+  relay.searches.insert_or_assign(flow, std::move(search));
+  ContinueSearch(relay, flow, now, actions);
+}
+
+void SearchOwner(BalancerRelay& relay, const RelayRoute& route,
+                 const FlowPacket& packet, std::span<const uint8_t> raw,
+                 TimePoint now, RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  const auto found = relay.searches.find(flow);
+  if (found == relay.searches.end()) {
+    StartSearch(relay, flow, packet, raw, {}, now, actions);
+    return;
+  }
+  OwnerSearch& search = found->second;
+  search.acknowledged = packet.acknowledged;
+  for (const Endpoint& agent : search.asked) {
+    if (Contains(search.denied, agent)) continue;
+    actions.push_back(RelayToAgent{
+        agent,
+        MakeHeader(relay, RelayPurpose::kSearch, HoldingServices(route))});
+  }
+}
+
+}  // namespace
+
+void HandleCallerPacket(BalancerRelay& relay, const FlowPacket& packet,
+                        std::span<const uint8_t> raw, TimePoint now,
+                        RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  const RelayRoute* route = FindRoute(relay.routes, flow.service_address);
+  if (route == nullptr) {
+    const bool was_dropped =
+        relay.routes.dropped.count(flow.service_address) != 0;
+    const bool is_known = relay.routes.revision != 0;
+    if (packet.is_reset || !is_known || (!packet.is_syn && !was_dropped)) {
+      // Another balancer may know a newer configuration with this route, so an
+      // open flow is left alone.
+      ++relay.counters.dropped_no_route;
+      return;
+    }
+    relay.cache.Remove(flow);
+    Reset(relay, flow, packet.is_syn ? 0 : packet.acknowledged,
+          was_dropped ? ResetReason::kRouteDropped : ResetReason::kNoRoute,
+          actions);
+    return;
+  }
+  if (packet.is_syn) {
+    OpenFlow(relay, *route, packet, now, actions);
+    return;
+  }
+  CachedFlow* cached = relay.cache.Find(flow);
+  if (cached == nullptr || !cached->is_settled) {
+    SearchOwner(relay, *route, packet, raw, now, actions);
+    return;
+  }
+  FlowCache::Touch(*cached, now);
+  ++relay.counters.relayed;
+  actions.push_back(RelayToAgent{
+      cached->agent,
+      MakeHeader(relay, RelayPurpose::kEstablished, HoldingServices(*route))});
+}
+
+void HandleOwned(BalancerRelay& relay, const Endpoint& agent,
+                 const FlowTuple& flow, TimePoint now) {
+  relay.cache.Put(flow, agent, true, now);
+  if (relay.searches.erase(flow) != 0) ++relay.counters.found;
+}
+
+void HandleNotOwned(BalancerRelay& relay, const Endpoint& agent,
+                    const FlowTuple& flow, const FlowPacket& packet,
+                    std::span<const uint8_t> raw, TimePoint now,
+                    RelayActions& actions) {
+  const CachedFlow* cached = relay.cache.Find(flow);
+  if (cached != nullptr && cached->agent == agent) relay.cache.Remove(flow);
+  const auto found = relay.searches.find(flow);
+  if (found != relay.searches.end()) {
+    OwnerSearch& search = found->second;
+    if (!Contains(search.denied, agent)) search.denied.push_back(agent);
+    ContinueSearch(relay, flow, now, actions);
+    return;
+  }
+  if (raw.empty() || packet.is_reset) return;
+  if (relay.cache.Find(flow) != nullptr) {
+    // Another agent has claimed the flow meanwhile; the caller sends again.
+    return;
+  }
+  StartSearch(relay, flow, packet, raw, {agent}, now, actions);
+}
+
+void HandleBalancerTick(BalancerRelay& relay, TimePoint now,
+                        RelayActions& actions) {
+  std::vector<FlowTuple> denied;
+  for (auto position = relay.searches.begin();
+       position != relay.searches.end();) {
+    if (IsDeniedByAll(relay.directory, position->second, now)) {
+      denied.push_back(position->first);
+    } else if (now - position->second.started >= kSearchTimeout) {
+      ++relay.counters.searches_unresolved;
+      position = relay.searches.erase(position);
+      continue;
+    }
+    ++position;
+  }
+  for (const FlowTuple& flow : denied) {
+    ContinueSearch(relay, flow, now, actions);
+  }
+  const Millis configured = relay.routes.configuration.flow_idle_timeout;
+  const Millis idle = configured > Millis{0} ? configured : kDefaultFlowIdle;
+  relay.cache.RemoveIdle(now, idle, kSweptSlots);
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/flow_placement.cc
@@ -0,0 +1,135 @@
+#include "medlarwinch/coordination/flow_placement.h"
+
+#include <algorithm>
+#include <map>
+
+namespace medlarwinch {
+namespace {
+
+// Load above which requests begin to queue, so that another service of the
+// route may take the flow.
+constexpr double kBusyLoad = 0.7;
+// How much less loaded the other service has to be; keeps two services that are
+// both busy from exchanging flows.
+constexpr double kClearlyLess = 0.2;
+// A cold upstream takes 1.6 times as long for a request on both deployments.
+constexpr double kColdFactor = 0.6;
+// Bounds of the expected busy slots a flow brings, used before any was seen.
+constexpr double kMinFlowLoad = 0.02;
+constexpr double kMaxFlowLoad = 0.5;
+// Load difference that outweighs a hop to another failure domain.
+constexpr double kRemotePenalty = 0.03;
+
+struct ServiceLoad {
+  double busy = 0;
+  double flows = 0;
+};
+
+double FlowLoad(const ServiceLoad& load) {
+  if (load.flows <= 0) return kMinFlowLoad;
+  return std::clamp(load.busy / load.flows, kMinFlowLoad, kMaxFlowLoad);
+}
+
+double ExpectedLoad(const KnownUpstream& upstream, double flow_load) {
+  const AgentReport& report = upstream.report;
+  const double by_flows = (report.flows + upstream.placed + 1) * flow_load;
+  const double now = std::max<double>(report.busy, report.outstanding) +
+                     (upstream.placed + 1) * flow_load;
+  double slots = std::max<uint32_t>(report.slots, 1);
+  if (report.is_cold) slots *= kColdFactor;
+  return (by_flows + now) / 2 / slots;
+}
+
+ServiceId DrawService(const RelayRoute& route, uint64_t draw) {
+  double total = 0;
+  for (const RouteTarget& target : route.targets) total += target.weight;
+  double rest = static_cast<double>(draw >> 11) / 9007199254740992.0 * total;
+  for (const RouteTarget& target : route.targets) {
+    rest -= target.weight;
+    if (rest < 0) return target.service;
+  }
+  return route.targets.back().service;
+}
+
+struct Ranked {
+  PlacementCandidate candidate;
+  double order = 0;
+  uint64_t tie = 0;
+};
+
+bool IsBetter(const Ranked& a, const Ranked& b) {
+  if (a.order != b.order) return a.order < b.order;
+  return a.tie < b.tie;
+}
+
+}  // namespace
+
+std::vector<PlacementCandidate> RankUpstreams(
+    const UpstreamDirectory& directory, const RelayRoute& route,
+    const FlowTuple& flow, uint64_t draw, size_t max, TimePoint now) {
+  std::vector<PlacementCandidate> chosen;
+  if (route.targets.empty()) return chosen;
+  std::map<ServiceId, ServiceLoad> loads;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (!AcceptsFlows(upstream, now)) continue;
+    ServiceLoad& load = loads[upstream.report.service];
+    load.busy += upstream.report.busy;
+    load.flows += upstream.report.flows;
+  }
+  std::map<ServiceId, std::vector<Ranked>> ranked;
+  const uint64_t flow_hash = HashFlow(flow);
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (!AcceptsFlows(upstream, now)) continue;
+    const ServiceId service = upstream.report.service;
+    const bool is_allowed = std::any_of(
+        route.targets.begin(), route.targets.end(),
+        [&](const RouteTarget& target) { return target.service == service; });
+    if (!is_allowed) continue;
+    const double load = ExpectedLoad(upstream, FlowLoad(loads[service]));
+    const double order = load + (upstream.is_local ? 0 : kRemotePenalty);
+    const uint64_t tie =
+        flow_hash ^ (static_cast<uint64_t>(agent.ip) * 0x9E3779B97F4A7C15ULL);
+    ranked[service].push_back(
+        Ranked{PlacementCandidate{agent, service, load}, order, tie});
+  }
+  for (auto& [service, list] : ranked) {
+    std::sort(list.begin(), list.end(), IsBetter);
+  }
+  ServiceId first = DrawService(route, draw);
+  for (const auto& [service, list] : ranked) {
+    if (ranked.count(first) == 0) first = service;
+    const double own = ranked[first].front().candidate.load;
+    if (own > kBusyLoad &&
+        list.front().candidate.load < own - kClearlyLess) {
+      first = service;
+    }
+  }
+  const auto append = [&](const std::vector<Ranked>& list) {
+    for (const Ranked& entry : list) {
+      if (chosen.size() >= max) return;
+      chosen.push_back(entry.candidate);
+    }
+  };
+  if (ranked.count(first) != 0) append(ranked[first]);
+  for (const auto& [service, list] : ranked) {
+    if (service == first) continue;
+    append(list);
+  }
+  return chosen;
+}
+
+bool MayAcceptSoon(const UpstreamDirectory& directory, const RelayRoute& route,
+                   TimePoint now) {
+  if (!directory.is_complete) return true;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (upstream.report.phase == UpstreamPhase::kAbsent) continue;
+    if (upstream.report.phase == UpstreamPhase::kDraining) continue;
+    for (const RouteTarget& target : route.targets) {
+      if (target.service != upstream.report.service) continue;
+      if (MayHoldFlows(upstream, now)) return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/owner_search.cc
@@ -0,0 +1,65 @@
+#include "medlarwinch/coordination/owner_search.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/coordination/rendezvous.h"
+
+namespace medlarwinch {
+
+bool Contains(std::span<const Endpoint> agents, const Endpoint& agent) {
+  return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
+
+std::vector<Endpoint> NextToAsk(const UpstreamDirectory& directory,
+                                const OwnerSearch& search,
+                                const FlowTuple& flow,
+                                std::span<const ServiceId> allowed,
+                                TimePoint now) {
+  struct Scored {
+    bool is_allowed;
+    uint64_t score;
+    Endpoint agent;
+  };
+  std::vector<Scored> scored;
+  const uint64_t key = HashFlow(flow);
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (!MayHoldFlows(upstream, now)) continue;
+    if (Contains(search.asked, agent)) continue;
+    if (Contains(search.denied, agent)) continue;
+    const bool is_allowed =
+        std::find(allowed.begin(), allowed.end(), upstream.report.service) !=
+        allowed.end();
+    scored.push_back(Scored{is_allowed, HashKeyWithNode(key, agent), agent});
+  }
+  std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
+    if (a.is_allowed != b.is_allowed) return a.is_allowed;
+    return a.score > b.score;
+  });
+  const size_t left = kMaxSearchedAgents - std::min(kMaxSearchedAgents,
+                                                    search.asked.size());
+  std::vector<Endpoint> next;
+  for (const Scored& candidate : scored) {
+    if (next.size() >= std::min(left, kSearchWidth)) break;
+    // The agents of other services come in a round of their own: they hold the
+    // flow only when an earlier configuration sent it there.
+    if (!next.empty() && !candidate.is_allowed && scored.front().is_allowed) {
+      break;
+    }
+    next.push_back(candidate.agent);
+  }
+  return next;
+}
+
+bool IsDeniedByAll(const UpstreamDirectory& directory,
+                   const OwnerSearch& search, TimePoint now) {
+  for (const Endpoint& agent : search.asked) {
+    if (Contains(search.denied, agent)) continue;
+    const auto found = directory.upstreams.find(agent);
+    if (found == directory.upstreams.end()) continue;
+    if (MayHoldFlows(found->second, now)) return false;
+  }
+  return true;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/relay_types.cc
@@ -0,0 +1,37 @@
+#include "medlarwinch/coordination/relay_types.h"
+
+#include <xxhash.h>
+
+#include "medlarwinch/coordination/rendezvous.h"
+
+namespace medlarwinch {
+
+ServiceId MakeServiceId(std::string_view name) {
+  return ServiceId{HashKey(name)};
+}
+
+uint64_t HashFlow(const FlowTuple& flow) {
+  const uint32_t input[3] = {
+      flow.caller.ip, flow.service_address.ip,
+      static_cast<uint32_t>(flow.caller.port) << 16 |
+          flow.service_address.port};
+  return XXH3_64bits(input, sizeof(input));
+}
+
+const char* UpstreamPhaseName(UpstreamPhase phase) {
+  switch (phase) {
+    case UpstreamPhase::kUnknown:
+      return "unknown";
+    case UpstreamPhase::kReady:
+      return "ready";
+    case UpstreamPhase::kDraining:
+      return "draining";
+    case UpstreamPhase::kAbsent:
+      return "absent";
+    case UpstreamPhase::kAgentRestarting:
+      return "agent_restarting";
+  }
+  return "invalid";
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/src/upstream_directory.cc
@@ -0,0 +1,94 @@
+#include "medlarwinch/coordination/upstream_directory.h"
+
+#include <set>
+
+namespace medlarwinch {
+
+void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
+                TimePoint now) {
+  const auto [position, is_new] =
+      directory.upstreams.try_emplace(entry.agent);
+  KnownUpstream& upstream = position->second;
+  if (is_new) {
+    upstream.heard = now;
+    upstream.report.service = entry.service;
+  }
+  // A report names the service first hand; the entry only does before it.
+  if (upstream.report.phase == UpstreamPhase::kUnknown) {
+    upstream.report.service = entry.service;
+  }
+  upstream.entry = entry;
+  upstream.is_listed = true;
+  upstream.is_local = entry.failure_domain == directory.own_failure_domain;
+}
+
+void ApplyListing(UpstreamDirectory& directory,
+                  const std::vector<DirectoryEntry>& entries, TimePoint now) {
+  for (auto& [agent, upstream] : directory.upstreams) {
+    upstream.is_listed = false;
+  }
+  for (const DirectoryEntry& entry : entries) ApplyEntry(directory, entry, now);
+  directory.is_complete = true;
+}
+
+void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent) {
+  const auto found = directory.upstreams.find(agent);
+  if (found == directory.upstreams.end()) return;
+  found->second.is_listed = false;
+}
+
+ReportEffect ApplyReport(UpstreamDirectory& directory, const Endpoint& from,
+                         const AgentReport& report, TimePoint now) {
+  ReportEffect effect;
+  const auto found = directory.upstreams.find(from);
+  if (found == directory.upstreams.end()) return effect;
+  KnownUpstream& upstream = found->second;
+  effect.is_new_process = upstream.report.agent_boot != report.agent_boot;
+  if (!effect.is_new_process && report.sequence <= upstream.report.sequence) {
+    return effect;
+  }
+  effect.is_taken = true;
+  effect.phase_before = upstream.report.phase;
+  upstream.report = report;
+  upstream.heard = now;
+  upstream.placed = 0;
+  return effect;
+}
+
+bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now) {
+  return upstream.report.phase == UpstreamPhase::kReady &&
+         now - upstream.heard <= kReportFreshness;
+}
+
+bool MayHoldFlows(const KnownUpstream& upstream, TimePoint now) {
+  const Millis silence = now - upstream.heard;
+  switch (upstream.report.phase) {
+    case UpstreamPhase::kAbsent:
+      return false;
+    case UpstreamPhase::kAgentRestarting:
+      return silence < kRestartGoneAfter;
+    default:
+      return silence < kAgentGoneAfter;
+  }
+}
+
+std::vector<DirectoryEntry> RemoveGone(UpstreamDirectory& directory,
+                                       Millis silence, TimePoint now) {
+  std::vector<DirectoryEntry> silent;
+  for (auto position = directory.upstreams.begin();
+       position != directory.upstreams.end();) {
+    const KnownUpstream& upstream = position->second;
+    const Millis silent_for = now - upstream.heard;
+    if (!upstream.is_listed && silent_for >= kRestartGoneAfter) {
+      position = directory.upstreams.erase(position);
+      continue;
+    }
+    if (upstream.is_listed && silent_for >= silence) {
+      silent.push_back(upstream.entry);
+    }
+    ++position;
+  }
+  return silent;
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/node/include/medlarwinch/node/object_store.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/result.h"
+
+namespace medlarwinch {
+
+/// An object of the platform's store.
+struct StoredObject {
+  std::string name;
+  /// Revision of its last change.
+  uint64_t revision = 0;
+  /// The content as JSON text.
+  std::string content;
+
+  friend bool operator==(const StoredObject&, const StoredObject&) = default;
+};
+
+/// All objects of a kind as of one revision.
+struct ObjectListing {
+  std::vector<StoredObject> objects;
+  uint64_t revision = 0;
+};
+
+/// One change of an object; `object.content` is empty when it was removed.
+struct ObjectChange {
+  StoredObject object;
+  bool is_removed = false;
+};
+
+/// What a watch returned; no changes when the waiting time passed.
+struct ObjectChanges {
+  std::vector<ObjectChange> changes;
+  /// Where to continue.
+  uint64_t revision = 0;
+};
+
+/// A connection to the platform's store. One call at a time; each callback is
+/// called once, from the event loop. Errors: kUnavailable when nothing was
+/// done, kTimeout when the call may have taken effect, kConflict when the
+/// object has another revision or exists already, kNotFound, kLimitExceeded
+/// when the history that a watch needs is gone.
+class ObjectStore {
+ public:
+  template <typename T>
+  using Callback = std::function<void(Result<T>)>;
+
+  virtual ~ObjectStore() = default;
+
+  /// Reads all objects of `kind`.
+  virtual void List(const std::string& kind,
+                    Callback<ObjectListing> callback) = 0;
+
+  /// Waits up to `wait` for changes after `revision`.
+  virtual void Watch(const std::string& kind, uint64_t revision, Millis wait,
+                     Callback<ObjectChanges> callback) = 0;
+
+  virtual void Get(const std::string& kind, const std::string& name,
+                   Callback<StoredObject> callback) = 0;
+
+  /// Creates the object; kConflict when there is one of that name.
+  virtual void Create(const std::string& kind, const StoredObject& object,
+                      Callback<StoredObject> callback) = 0;
+
+  /// Replaces the content if the object still has `object.revision`.
+  virtual void Replace(const std::string& kind, const StoredObject& object,
+                       Callback<StoredObject> callback) = 0;
+
+  /// Removes the object if it still has `revision`.
+  virtual void Remove(const std::string& kind, const std::string& name,
+                      uint64_t revision, Callback<Ok> callback) = 0;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/node/object_store.h"
+
+namespace medlarwinch {
+
+/// What follows the objects of a kind.
+struct StoreObserver {
+  /// All objects; those not in it are gone.
+  std::function<void(const ObjectListing&)> on_listing;
+  std::function<void(const ObjectChange&)> on_change;
+  /// The store was lost, with the reason, or answers again.
+  std::function<void(bool is_current, const std::string& reason)> on_contact;
+};
+
+/// Lists the objects of one kind, then watches them, for as long as it lives.
+/// Failed calls are repeated with backoff and jitter; when the history is gone
+/// the objects are listed again.
+class StoreWatch {
+ public:
+  StoreWatch(boost::asio::io_context& loop, std::unique_ptr<ObjectStore> store,
+             std::string kind, Millis wait, uint64_t seed,
+             StoreObserver observer);
+  ~StoreWatch();
+  StoreWatch(const StoreWatch&) = delete;
+  StoreWatch& operator=(const StoreWatch&) = delete;
+
+  void Start();
+
+  /// Lists the objects again at once, on a new connection: a watch on a
+  /// connection that has gone silent reports nothing.
+  void Refresh(std::unique_ptr<ObjectStore> store);
+
+  /// True while the last call was answered.
+  bool is_current() const { return is_current_; }
+
+ private:
+  void List();
+  void Watch();
+  void Retry(const std::string& reason, bool needs_listing);
+  void SetCurrent(bool is_current, const std::string& reason);
+
+  std::unique_ptr<ObjectStore> store_;
+  boost::asio::steady_timer timer_;
+  std::string kind_;
+  Millis wait_;
+  Random random_;
+  StoreObserver observer_;
+  uint64_t revision_ = 0;
+  uint32_t failures_ = 0;
+  bool is_current_ = false;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cereal/types/variant.hpp>
+#include <cstdint>
+#include <variant>
+
+#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/protocol/bytes.h"
+#include "medlarwinch/protocol/codec.h"
+#include "medlarwinch/protocol/serialization.h"
+
+namespace medlarwinch {
+
+/// Largest packet of a flow in a message, in bytes: 1,200 bytes of data and a
+/// header, with room to spare.
+inline constexpr uint32_t kMaxFlowPacketBytes = 1'400;
+/// Largest message between balancers and agents, in bytes.
+inline constexpr uint32_t kMaxRelayMessageBytes = 1'700;
+
+/// Balancer or agent to agent: a caller's packet.
+struct RelayedPacket {
+  RelayHeader header;
+  Bytes packet;
+
+  friend bool operator==(const RelayedPacket&, const RelayedPacket&) = default;
+};
+
+/// Agent to balancer: its upstream holds the flow.
+struct FlowOwned {
+  FlowTuple flow;
+
+  friend bool operator==(const FlowOwned&, const FlowOwned&) = default;
+};
+
+/// Agent to balancer: its upstream does not hold the flow. `packet` is the
+/// packet that asked, or empty.
+struct FlowNotOwned {
+  FlowTuple flow;
+  Bytes packet;
+
+  friend bool operator==(const FlowNotOwned&, const FlowNotOwned&) = default;
+};
+
+/// Balancer to agent: asks for a report.
+struct AgentPoll {
+  /// False when the balancer does not find the agent in the store, so that the
+  /// agent writes its entry again.
+  bool is_listed = true;
+  /// Revision of the configuration that the balancer has in force.
+  uint64_t configuration_revision = 0;
+
+  friend bool operator==(const AgentPoll&, const AgentPoll&) = default;
+};
+
+/// Agent to balancer: the answer to a poll, and at a change of phase.
+struct AgentStatus {
+  AgentReport report;
+  /// Highest revision of the configuration that any balancer told the agent, so
+  /// that a balancer whose watch has gone silent learns that it is behind.
+  uint64_t configuration_revision = 0;
+
+  friend bool operator==(const AgentStatus&, const AgentStatus&) = default;
+};
+
+using RelayMessage = std::variant<RelayedPacket, FlowOwned, FlowNotOwned,
+                                  AgentPoll, AgentStatus>;
+
+/// Replaces `bytes` by the encoding of `message`.
+void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
+
+/// Fails with kInvalidInput on anything that EncodeRelayMessage() does not
+/// make.
+Result<RelayMessage> DecodeRelayMessage(ByteView bytes);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/include/medlarwinch/transport/loop_http_client.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "medlarwinch/state/clock.h"
+#include "medlarwinch/state/endpoint.h"
+#include "medlarwinch/state/result.h"
+#include "medlarwinch/transport/http_server.h"
+
+namespace medlarwinch {
+
+/// An HTTP/1.1 client on an event loop: one request at a time on one connection
+/// that is kept open. After an error the connection is closed, so that a late
+/// answer is never taken for that of the next request.
+class LoopHttpClient {
+ public:
+  /// kUnavailable: the request was not received. kTimeout: it may have taken
+  /// effect.
+  using Callback = std::function<void(Result<HttpResponse>)>;
+
+  LoopHttpClient(boost::asio::io_context& loop, const Endpoint& server);
+  ~LoopHttpClient();
+  LoopHttpClient(const LoopHttpClient&) = delete;
+  LoopHttpClient& operator=(const LoopHttpClient&) = delete;
+
+  /// Sends `request` and calls `callback` once, from the loop. Must not be
+  /// called while an earlier request is in progress. Connecting may take at
+  /// most `connect_timeout`, the answer `timeout` from then on.
+  void Send(HttpRequest request, Millis connect_timeout, Millis timeout,
+            Callback callback);
+
+  bool is_busy() const;
+
+ private:
+  struct State;
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/include/medlarwinch/transport/loop_http_server.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "medlarwinch/state/endpoint.h"
+#include "medlarwinch/state/result.h"
+#include "medlarwinch/transport/http_server.h"
+
+namespace medlarwinch {
+
+/// An HTTP/1.1 server on an event loop, for short requests whose answer is at
+/// hand. Unlike HttpServer it has no threads.
+class LoopHttpServer {
+ public:
+  /// Called on the loop's thread; must not block.
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  /// Listens on `local`. Fails with kUnavailable, naming the address.
+  static Result<std::unique_ptr<LoopHttpServer>> Listen(
+      boost::asio::io_context& loop, const Endpoint& local, Handler handler);
+
+  ~LoopHttpServer();
+  LoopHttpServer(const LoopHttpServer&) = delete;
+  LoopHttpServer& operator=(const LoopHttpServer&) = delete;
+
+ private:
+  struct State;
+  explicit LoopHttpServer(std::shared_ptr<State> state);
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/datagram_port.cc
@@ -0,0 +1,82 @@
+#include "medlarwinch/transport/datagram_port.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+using boost::asio::ip::address_v4;
+using boost::asio::ip::udp;
+
+constexpr size_t kMaxDatagramBytes = 2'048;
+// Datagrams read before other events of the loop get their turn.
+constexpr int kMaxBatch = 32;
+// Holds the packets of some milliseconds on a loaded machine; what waits in the
+// buffer counts as memory of the process.
+constexpr int kReceiveBufferBytes = 512 * 1'024;
+
+udp::endpoint ToUdp(const Endpoint& endpoint) {
+  return udp::endpoint(address_v4(endpoint.ip), endpoint.port);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<DatagramPort>> DatagramPort::Open(
+    boost::asio::io_context& loop, const Endpoint& local, Handler handler) {
+  boost::system::error_code error;
+  udp::socket socket(loop);
+  socket.open(udp::v4(), error);
+  if (!error) socket.bind(ToUdp(local), error);
+  if (!error) socket.non_blocking(true, error);
+  if (error) {
+    return Error{ErrorCode::kUnavailable, "can't bind UDP " + ToString(local) +
+                                              ": " + error.message()};
+  }
+  // The default size serves when the system refuses this one.
+  socket.set_option(
+      boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+      error);
+  std::unique_ptr<DatagramPort> port(
+      new DatagramPort(std::move(socket), std::move(handler)));
+  port->WaitForDatagrams();
+  return port;
+}
+
+DatagramPort::DatagramPort(udp::socket socket, Handler handler)
+    : socket_(std::move(socket)), handler_(std::move(handler)) {}
+
+bool DatagramPort::Send(const Endpoint& to, ByteView datagram) {
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
+                  ToUdp(to), 0, error);
+  if (error) ++send_failures_;
+  return !error;
+}
+
+void DatagramPort::WaitForDatagrams() {
+  socket_.async_wait(udp::socket::wait_read,
+                     [this](const boost::system::error_code& error) {
+                       if (error) return;
+                       ReadDatagrams();
+                       WaitForDatagrams();
+                     });
+}
+
+void DatagramPort::ReadDatagrams() {
+  std::array<uint8_t, kMaxDatagramBytes> buffer;
+  for (int count = 0; count < kMaxBatch; ++count) {
+    boost::system::error_code error;
+    udp::endpoint from;
+    const size_t size =
+        socket_.receive_from(boost::asio::buffer(buffer), from, 0, error);
+    if (error == boost::asio::error::would_block) return;
+    // An earlier datagram was refused by its receiver; the next may be fine.
+    if (error) continue;
+    handler_(Endpoint{from.address().to_v4().to_uint(), from.port()},
+             std::span<uint8_t>(buffer.data(), size));
+  }
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/transport/src/loop_http_client.cc
@@ -0,0 +1,174 @@
+#include "medlarwinch/transport/loop_http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace medlarwinch {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::asio::ip::tcp;
+
+// The store's largest answers: 1 MB of objects and their frame.
+constexpr size_t kMaxAnswerBytes = 4 * 1'024 * 1'024;
+
+std::chrono::milliseconds ToChrono(Millis span) {
+  return std::chrono::milliseconds(span.value);
+}
+
+}  // namespace
+
+struct LoopHttpClient::State : std::enable_shared_from_this<State> {
+  State(boost::asio::io_context& loop, const Endpoint& server)
+      : stream(loop), remote(boost::asio::ip::address_v4(server.ip),
+                             server.port) {}
+
+  void Connect(Millis connect_timeout) {
+    stream.expires_after(ToChrono(connect_timeout));
+    stream.async_connect(
+        remote, [self = shared_from_this()](beast::error_code error) {
+          if (error) {
+            self->Fail(ErrorCode::kUnavailable, "connect", error);
+            return;
+          }
+          beast::error_code ignored;
+          self->stream.socket().set_option(tcp::no_delay(true), ignored);
+          self->is_connected = true;
+          self->is_fresh = true;
+          self->Write();
+        });
+  }
+
+  void Write() {
+    stream.expires_after(ToChrono(timeout));
+    http::async_write(
+        stream, message,
+        [self = shared_from_this()](beast::error_code error, size_t /*size*/) {
+          if (error) {
+            self->FailExchange("write", error);
+            return;
+          }
+          self->Read();
+        });
+  }
+
+  void Read() {
+    parser.emplace();
+    parser->body_limit(kMaxAnswerBytes);
+    http::async_read(
+        stream, buffer, *parser,
+        [self = shared_from_this()](beast::error_code error, size_t /*size*/) {
+          if (error) {
+            self->FailExchange("read", error);
+            return;
+          }
+          self->Complete();
+        });
+  }
+
+  void Complete() {
+    http::response<http::string_body> answer = parser->release();
+    HttpResponse response;
+    response.status = static_cast<int>(answer.result_int());
+    response.body = std::move(answer.body());
+    const bool keeps_open = answer.keep_alive();
+    parser.reset();
+    // A long list would otherwise stay in memory.
+    buffer.consume(buffer.size());
+    buffer.shrink_to_fit();
+    is_fresh = false;
+    stream.expires_never();
+    if (!keeps_open) Close();
+    Finish(std::move(response));
+  }
+
+  // A server may close an idle connection just as a request is sent on it; the
+  // answer to an idempotent one is then fetched on a new connection.
+  void FailExchange(const char* action, beast::error_code error) {
+    const bool may_repeat = !is_fresh && message.method() == http::verb::get &&
+                            error != beast::error::timeout;
+    if (!may_repeat) {
+      Fail(ErrorCode::kTimeout, action, error);
+      return;
+    }
+    Close();
+    Connect(connect_timeout);
+  }
+
+  void Fail(ErrorCode code, const char* action, beast::error_code error) {
+    Close();
+    Finish(Error{code, std::string(action) + ": " + error.message()});
+  }
+
+  void Close() {
+    beast::error_code ignored;
+    stream.socket().close(ignored);
+    buffer.clear();
+    is_connected = false;
+  }
+
+  void Finish(Result<HttpResponse> result) {
+    is_busy = false;
+    if (is_closed) return;
+    const Callback done = std::exchange(callback, nullptr);
+    if (done) done(std::move(result));
+  }
+
+  beast::tcp_stream stream;
+  tcp::endpoint remote;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> message;
+  std::optional<http::response_parser<http::string_body>> parser;
+  Millis timeout;
+  Millis connect_timeout;
+  Callback callback;
+  bool is_connected = false;
+  // True until the first answer on the connection.
+  bool is_fresh = true;
+  bool is_busy = false;
+  bool is_closed = false;
+};
+
+LoopHttpClient::LoopHttpClient(boost::asio::io_context& loop,
+                               const Endpoint& server)
+    : state_(std::make_shared<State>(loop, server)) {}
+
+LoopHttpClient::~LoopHttpClient() {
+  state_->is_closed = true;
+  state_->Close();
+}
+
+bool LoopHttpClient::is_busy() const { return state_->is_busy; }
+
+void LoopHttpClient::Send(HttpRequest request, Millis connect_timeout,
+                          Millis timeout, Callback callback) {
+  State& state = *state_;
+  state.is_busy = true;
+  state.timeout = timeout;
+  state.connect_timeout = connect_timeout;
+  state.callback = std::move(callback);
+  state.message = {};
+  state.message.version(11);
+  state.message.method_string(request.method);
+  state.message.target(request.target);
+  state.message.set(http::field::host,
+                    state.remote.address().to_string() + ":" +
+                        std::to_string(state.remote.port()));
+  if (!request.body.empty()) {
+    state.message.set(http::field::content_type, "application/json");
+  }
+  state.message.body() = std::move(request.body);
+  state.message.prepare_payload();
+  if (state.is_connected) {
+    state.Write();
+  } else {
+    state.Connect(connect_timeout);
+  }
+}
+
+}  // namespace medlarwinch
