--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -15,7 +15,7 @@
 function(medlarwinch_tests name)
   file(GLOB sources CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_test.cc)
-  if(NOT sources)
+  if(NOT sources OR MEDLARWINCH_PLATFORM_ONLY)
     return()
   endif()
   add_executable(${name}_tests ${sources}
--- /dev/null
+++ b/packages/node/include/medlarwinch/node/node_base.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/node/log_budget.h"
+#include "medlarwinch/node/node_settings.h"
+#include "medlarwinch/transport/loop_http_server.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// Calls a function again and again on an event loop. A call that comes late
+/// delays the next ones; none is made up for.
+class Periodic {
+ public:
+  Periodic(boost::asio::io_context& loop, Millis interval,
+           std::function<void()> function);
+
+  void Start();
+
+ private:
+  boost::asio::steady_timer timer_;
+  Millis interval_;
+  std::function<void()> function_;
+};
+
+/// Signals of a node's process: `on_stop` at SIGTERM or SIGINT, `on_reload` at
+/// SIGHUP.
+class NodeSignals {
+ public:
+  NodeSignals(boost::asio::io_context& loop, std::function<void()> on_stop,
+              std::function<void()> on_reload);
+
+ private:
+  void Wait();
+
+  boost::asio::signal_set signals_;
+  std::function<void()> on_stop_;
+  std::function<void()> on_reload_;
+};
+
+/// Serves readiness and metrics. Metrics are rendered when they are asked for.
+class NodeStatusServers {
+ public:
+  /// Fails with kUnavailable when the readiness address can't be bound. Without
+  /// the metrics address the node runs on and says so in the log.
+  static Result<std::unique_ptr<NodeStatusServers>> Listen(
+      boost::asio::io_context& loop, const NodeSettings& settings,
+      const std::string& readiness_path, std::function<bool()> is_ready,
+      std::function<std::string()> render_metrics);
+
+ private:
+  std::unique_ptr<LoopHttpServer> readiness_;
+  std::unique_ptr<LoopHttpServer> metrics_;
+};
+
+/// Writes one line with the counts of lines that `budget` left out.
+void LogSuppressed(LogBudget& budget);
+
+/// Text of a flow in log lines: "caller>service_address".
+std::string FlowText(const FlowTuple& flow);
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/node/src/agent_node.cc
@@ -0,0 +1,384 @@
+#include "medlarwinch/node/agent_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/transport/log.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kTickInterval{100};
+// A balancer that has not polled for this long gets no unasked reports: four
+// polls.
+constexpr Millis kBalancerForgottenAfter{1'000};
+// How long a stopping agent lives on, so that every balancer hears of it at its
+// next poll and sends new flows elsewhere.
+constexpr Millis kStopDelay{350};
+// An agent whose upstream is gone ends as soon as its entry is withdrawn, or
+// after this time.
+constexpr Millis kWithdrawLimit{1'500};
+// Least time between two repairs of an entry that balancers miss.
+constexpr Millis kRepublishInterval{2'000};
+constexpr double kOrdinaryLinesPerSecond = 10;
+constexpr double kFailureLinesPerSecond = 100;
+constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+
+DirectoryEntry OwnEntry(const NodeSettings& settings) {
+  return DirectoryEntry{settings.datagrams, MakeServiceId(settings.service),
+                        settings.failure_domain, 0};
+}
+
+}  // namespace
+
+AgentNode::AgentNode(boost::asio::io_context& loop,
+                     const NodeSettings& settings, PlatformPorts ports,
+                     uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      ports_(std::move(ports)),
+      boot_(seed),
+      entry_(loop, ports_.open_store(), AgentEntryName(settings.datagrams),
+             EncodeAgentEntry(OwnEntry(settings), settings.service), seed) {
+  relay_.service = MakeServiceId(settings.service);
+  relay_.started = MonotonicNow();
+  relay_.flows.integrated = relay_.started;
+  relay_.flows.averaged = relay_.started;
+}
+
+Result<Ok> AgentNode::Start() {
+  Result<std::unique_ptr<DatagramPort>> relay_port = DatagramPort::Open(
+      loop_, settings_.datagrams,
+      [this](const Endpoint& from, std::span<uint8_t> datagram) {
+        HandleMessage(from, datagram);
+      });
+  if (!IsOk(relay_port)) return ErrorOf(relay_port);
+  relay_port_ = TakeValue(std::move(relay_port));
+  Result<std::unique_ptr<DatagramPort>> upstream_port = DatagramPort::Open(
+      loop_, settings_.upstream_packets,
+      [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
+        HandleFromUpstream(datagram);
+      });
+  if (!IsOk(upstream_port)) return ErrorOf(upstream_port);
+  upstream_port_ = TakeValue(std::move(upstream_port));
+  Result<std::unique_ptr<LoopHttpServer>> beats = LoopHttpServer::Listen(
+      loop_, settings_.upstream_beats,
+      [this](const HttpRequest& request) { return HandleNotice(request); });
+  if (!IsOk(beats)) return ErrorOf(beats);
+  beats_ = TakeValue(std::move(beats));
+  Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
+      loop_, settings_, ports_.readiness_path,
+      [this] { return !relay_.is_stopping; },
+      [this] { return RenderMetrics(); });
+  if (!IsOk(status)) return ErrorOf(status);
+  status_ = TakeValue(std::move(status));
+  entry_.Publish();
+  tick_timer_ =
+      std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
+  tick_timer_->Start();
+  signals_ = std::make_unique<NodeSignals>(
+      loop_, [this] { BeginStop(); },
+      [] { Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}}); });
+  Log(LogLevel::kInfo, "start",
+      {{"role", "agent"},
+       {"service", settings_.service},
+       {"failure_domain", settings_.failure_domain},
+       {"relay", ToString(settings_.datagrams)},
+       {"upstream", ToString(settings_.upstream)}});
+  return Ok{};
+}
+
+void AgentNode::HandleMessage(const Endpoint& from, ByteView datagram) {
+  Result<RelayMessage> decoded = DecodeRelayMessage(datagram);
+  if (!IsOk(decoded)) {
+    ++malformed_messages_;
+    return;
+  }
+  const RelayMessage message = TakeValue(std::move(decoded));
+  if (const RelayedPacket* relayed = std::get_if<RelayedPacket>(&message)) {
+    HandleRelayed(*relayed);
+    return;
+  }
+  if (const AgentPoll* poll = std::get_if<AgentPoll>(&message)) {
+    HandlePoll(from, *poll);
+    return;
+  }
+  ++malformed_messages_;
+}
+
+void AgentNode::HandleRelayed(const RelayedPacket& message) {
+  const std::optional<FlowPacket> packet = ports_.decode_packet(message.packet);
+  if (!packet.has_value()) {
+    ++malformed_;
+    return;
+  }
+  actions_.clear();
+  HandleRelayedPacket(relay_, message.header, *packet, MonotonicNow(),
+                      actions_);
+  Carry(actions_, message.packet);
+}
+
+void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
+  const TimePoint now = MonotonicNow();
+  balancers_.insert_or_assign(from, now);
+  configuration_revision_ =
+      std::max(configuration_revision_, poll.configuration_revision);
+  SendStatus(from);
+  const bool is_missed = !poll.is_listed && entry_.is_settled() &&
+                         relay_.host.phase != UpstreamPhase::kAbsent;
+  if (!is_missed || now - republished_ < kRepublishInterval) return;
+  republished_ = now;
+  Log(LogLevel::kWarning, "entry_missed", {{"balancer", ToString(from)}});
+  entry_.Publish();
+}
+
+void AgentNode::HandleFromUpstream(std::span<uint8_t> datagram) {
+  const std::optional<FlowPacket> packet = ports_.decode_packet(datagram);
+  if (!packet.has_value()) {
+    ++malformed_;
+    return;
+  }
+  if (packet->is_bounced) ports_.restore_bounced(datagram);
+  actions_.clear();
+  const UpstreamPacketEffect effect =
+      HandleUpstreamPacket(relay_, *packet, MonotonicNow(), actions_);
+  Carry(actions_, datagram);
+  if (effect.begins_answer) {
+    metrics_.Observe("medlarwinch_upstream_answer_ms",
+                     {{"service", settings_.service}},
+                     static_cast<double>(effect.answer_time.value));
+  }
+}
+
+HttpResponse AgentNode::HandleNotice(const HttpRequest& request) {
+  HttpResponse response;
+  response.content_type = "application/json";
+  response.body = "{}";
+  const Result<UpstreamNotice> notice = ports_.decode_notice(request);
+  if (!IsOk(notice)) {
+    ++refused_notices_;
+    const bool is_unknown = ErrorOf(notice).code == ErrorCode::kNotFound;
+    response.status = is_unknown ? kHttpNotFound : kHttpBadRequest;
+    if (log_budget_.Allows("notice_refused", kOrdinaryLinesPerSecond,
+                           MonotonicNow())) {
+      Log(LogLevel::kWarning, "notice_refused",
+          {{"target", request.target}, {"message", ErrorOf(notice).message}});
+    }
+    return response;
+  }
+  response.status = kHttpOk;
+  if (const UpstreamBeat* beat = std::get_if<UpstreamBeat>(&ValueOf(notice))) {
+    if (beat->service != settings_.service ||
+        beat->address != settings_.upstream) {
+      ++refused_notices_;
+      Log(LogLevel::kWarning, "beat_refused",
+          {{"upstream", beat->id},
+           {"service", beat->service},
+           {"address", ToString(beat->address)}});
+      return response;
+    }
+    HandleBeatNotice(*beat);
+    return response;
+  }
+  const std::string& id =
+      std::get<UpstreamDeregistration>(ValueOf(notice)).id;
+  actions_.clear();
+  const bool is_current =
+      HandleDeregistration(relay_, id, MonotonicNow(), actions_);
+  Log(LogLevel::kInfo, "upstream_deregistered",
+      {{"upstream", id}, {"current", is_current ? "true" : "false"}});
+  Carry(actions_, {});
+  if (is_current) {
+    entry_.Withdraw();
+    AnnouncePhase("deregistered");
+  }
+  return response;
+}
+
+void AgentNode::HandleBeatNotice(const UpstreamBeat& beat) {
+  actions_.clear();
+  const BeatEffect effect = HandleBeat(relay_, beat, MonotonicNow(), actions_);
+  Carry(actions_, {});
+  switch (effect) {
+    case BeatEffect::kIgnored:
+      Log(LogLevel::kInfo, "beat_ignored",
+          {{"upstream", beat.id},
+           {"sequence", static_cast<int64_t>(beat.sequence)},
+           {"current", relay_.host.id},
+           {"current_sequence", static_cast<int64_t>(relay_.host.sequence)}});
+      return;
+    case BeatEffect::kUnchanged:
+      return;
+    case BeatEffect::kFirst:
+      AnnouncePhase("first_beat");
+      break;
+    case BeatEffect::kNewIncarnation:
+      AnnouncePhase("new_incarnation");
+      break;
+    case BeatEffect::kDraining:
+      AnnouncePhase("draining");
+      break;
+  }
+  if (relay_.host.phase != UpstreamPhase::kAbsent) entry_.Publish();
+}
+
+void AgentNode::Carry(const RelayActions& actions, ByteView packet) {
+  for (const RelayAction& action : actions) {
+    if (std::holds_alternative<DeliverToUpstream>(action)) {
+      upstream_port_->Send(settings_.upstream, packet);
+      continue;
+    }
+    if (const DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&action)) {
+      relay_port_->Send(ports_.caller_gateway(deliver->caller), packet);
+      continue;
+    }
+    if (const RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
+      EncodeRelayMessage(
+          RelayedPacket{relayed->header, Bytes(packet.begin(), packet.end())},
+          message_);
+      relay_port_->Send(relayed->to, message_);
+      if (log_budget_.Allows("flow_passed_on", kFailureLinesPerSecond,
+                             MonotonicNow())) {
+        Log(LogLevel::kInfo, "flow_passed_on",
+            {{"to", ToString(relayed->to)},
+             {"hops", static_cast<int64_t>(relayed->header.hops)},
+             {"phase", UpstreamPhaseName(relay_.host.phase)},
+             {"outstanding", static_cast<int64_t>(relay_.flows.outstanding)}});
+      }
+      continue;
+    }
+    if (const TellOwned* owned = std::get_if<TellOwned>(&action)) {
+      EncodeRelayMessage(FlowOwned{owned->flow}, message_);
+      relay_port_->Send(owned->balancer, message_);
+      continue;
+    }
+    if (const TellNotOwned* not_owned = std::get_if<TellNotOwned>(&action)) {
+      FlowNotOwned message{not_owned->flow, {}};
+      if (not_owned->returns_packet) {
+        message.packet.assign(packet.begin(), packet.end());
+      }
+      EncodeRelayMessage(message, message_);
+      relay_port_->Send(not_owned->balancer, message_);
+      continue;
+    }
+    if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
+      SendReset(*reset);
+    }
+  }
+}
+
+void AgentNode::SendReset(const ResetCaller& reset) {
+  relay_port_->Send(ports_.caller_gateway(reset.flow.caller),
+                    ports_.make_reset(reset.flow, reset.sequence));
+  if (!log_budget_.Allows("flow_reset", kFailureLinesPerSecond,
+                          MonotonicNow())) {
+    return;
+  }
+  Log(LogLevel::kWarning, "flow_reset",
+      {{"flow", FlowText(reset.flow)},
+       {"reason", ResetReasonName(reset.reason)},
+       {"sequence", static_cast<int64_t>(reset.sequence)},
+       {"upstream", relay_.host.id},
+       {"beat_age_ms", (MonotonicNow() - relay_.host.last_beat).value}});
+}
+
+void AgentNode::SendStatus(const Endpoint& balancer) {
+  const TimePoint now = MonotonicNow();
+  AgentReport report;
+  report.service = relay_.service;
+  report.agent_boot = boot_;
+  report.sequence = ++report_sequence_;
+  report.phase = ReportedPhase(relay_, now);
+  report.slots = relay_.host.slots;
+  report.flows = relay_.flows.open;
+  report.busy = relay_.flows.busy;
+  report.outstanding = relay_.flows.outstanding;
+  report.is_cold = now < relay_.host.cold_until;
+  EncodeRelayMessage(AgentStatus{report, configuration_revision_}, message_);
+  relay_port_->Send(balancer, message_);
+}
+
+void AgentNode::AnnouncePhase(const char* cause) {
+  const TimePoint now = MonotonicNow();
+  const UpstreamPhase phase = ReportedPhase(relay_, now);
+  Log(LogLevel::kInfo, "upstream_phase",
+      {{"upstream", relay_.host.id},
+       {"phase", UpstreamPhaseName(phase)},
+       {"before", UpstreamPhaseName(announced_)},
+       {"cause", cause},
+       {"sequence", static_cast<int64_t>(relay_.host.sequence)},
+       {"started_ms", relay_.host.started_ms},
+       {"slots", static_cast<int64_t>(relay_.host.slots)},
+       {"knows_all_flows", relay_.knows_all_flows ? "true" : "false"},
+       {"flows", static_cast<int64_t>(relay_.flows.open)}});
+  announced_ = phase;
+  for (const auto& [balancer, polled] : balancers_) {
+    if (now - polled > kBalancerForgottenAfter) continue;
+    SendStatus(balancer);
+  }
+}
+
+void AgentNode::Tick() {
+  const TimePoint now = MonotonicNow();
+  HandleAgentTick(relay_, now);
+  std::erase_if(balancers_, [&](const auto& entry) {
+    return now - entry.second > kBalancerForgottenAfter;
+  });
+  if (ReportedPhase(relay_, now) != announced_) AnnouncePhase("liveness");
+  LogSuppressed(log_budget_);
+  if (!relay_.is_stopping) return;
+  const Millis stopping_for = now - stop_requested_;
+  const bool upstream_is_gone = relay_.host.phase == UpstreamPhase::kAbsent;
+  const bool may_exit = upstream_is_gone
+                            ? entry_.is_settled() || stopping_for >= kWithdrawLimit
+                            : stopping_for >= kStopDelay;
+  if (!may_exit) return;
+  Log(LogLevel::kInfo, "stop",
+      {{"role", "agent"},
+       {"after_ms", stopping_for.value},
+       {"flows", static_cast<int64_t>(relay_.flows.open)}});
+  loop_.stop();
+}
+
+void AgentNode::BeginStop() {
+  if (relay_.is_stopping) return;
+  relay_.is_stopping = true;
+  stop_requested_ = MonotonicNow();
+  AnnouncePhase("stopping");
+}
+
+std::string AgentNode::RenderMetrics() {
+  const AgentCounters& counters = relay_.counters;
+  const auto set = [&](const char* name, double value) {
+    metrics_.Set(std::string("medlarwinch_agent_") + name,
+                 {{"service", settings_.service}}, value);
+  };
+  set("packets_delivered", static_cast<double>(counters.delivered));
+  set("flows_opened", static_cast<double>(counters.opened));
+  set("packets_to_callers", static_cast<double>(counters.to_callers));
+  set("ownership_denied", static_cast<double>(counters.denied));
+  set("openings_dropped", static_cast<double>(counters.dropped_openings));
+  set("flows", relay_.flows.open);
+  set("requests_outstanding", relay_.flows.outstanding);
+  set("busy", relay_.flows.busy);
+  set("packets_malformed", static_cast<double>(malformed_));
+  set("messages_malformed", static_cast<double>(malformed_messages_));
+  set("notices_refused", static_cast<double>(refused_notices_));
+  for (size_t reason = 0; reason < kRefusalReasons; ++reason) {
+    metrics_.Set(
+        "medlarwinch_agent_openings_passed_on",
+        {{"reason", RefusalReasonName(static_cast<RefusalReason>(reason))}},
+        static_cast<double>(counters.passed_on[reason]));
+  }
+  for (size_t reason = 0; reason < kResetReasons; ++reason) {
+    metrics_.Set("medlarwinch_agent_resets",
+                 {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+                 static_cast<double>(counters.resets[reason]));
+  }
+  return metrics_.Render();
+}
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/node/src/balancer_node.cc
@@ -0,0 +1,407 @@
+#include "medlarwinch/node/balancer_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "medlarwinch/node/agent_entry.h"
+#include "medlarwinch/transport/log.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr Millis kTickInterval{100};
+// Waiting time of a watch. A connection that has gone silent is noticed after
+// it, which has to be less than the 4 s after which the platform counts the VM
+// as undisturbed again.
+constexpr Millis kConfigurationWatchWait{3'000};
+constexpr Millis kAgentWatchWait{3'000};
+// After the list of agents was read, how long readiness waits for those that do
+// not answer.
+constexpr Millis kFirstReportsWait{400};
+// Least time between two extra reads of the configuration.
+constexpr Millis kRefreshInterval{500};
+// The routers notice within two checks, 500 ms apart, that a balancer is not
+// ready; it leaves when packets have ceased.
+constexpr Millis kLeaveRotation{1'300};
+constexpr Millis kQuietBeforeExit{500};
+// Part of the grace period that is left for the end of the process.
+constexpr Millis kExitReserve{1'000};
+// Log lines per second; failures get more than ordinary decisions.
+constexpr double kOpenLinesPerSecond = 20;
+constexpr double kFailureLinesPerSecond = 100;
+
+uint64_t Total(const std::array<uint64_t, kResetReasons>& counts) {
+  uint64_t total = 0;
+  for (const uint64_t count : counts) total += count;
+  return total;
+}
+
+}  // namespace
+
+BalancerNode::BalancerNode(boost::asio::io_context& loop,
+                           const NodeSettings& settings, PlatformPorts ports,
+                           uint64_t seed)
+    : loop_(loop), settings_(settings), ports_(std::move(ports)) {
+  relay_.self = settings.relay;
+  relay_.random.seed(seed);
+  relay_.directory.own_failure_domain = settings.failure_domain;
+}
+
+Result<Ok> BalancerNode::Start() {
+  Result<std::unique_ptr<DatagramPort>> agents = DatagramPort::Open(
+      loop_, settings_.relay,
+      [this](const Endpoint& from, std::span<uint8_t> datagram) {
+        HandleMessage(from, datagram);
+      });
+  if (!IsOk(agents)) return ErrorOf(agents);
+  agents_ = TakeValue(std::move(agents));
+  Result<std::unique_ptr<DatagramPort>> callers = DatagramPort::Open(
+      loop_, settings_.datagrams,
+      [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
+        HandleDatagram(datagram);
+      });
+  if (!IsOk(callers)) return ErrorOf(callers);
+  callers_ = TakeValue(std::move(callers));
+  Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
+      loop_, settings_, ports_.readiness_path, [this] { return IsReady(); },
+      [this] { return RenderMetrics(); });
+  if (!IsOk(status)) return ErrorOf(status);
+  status_ = TakeValue(std::move(status));
+  FollowConfiguration();
+  FollowAgents();
+  poll_timer_ = std::make_unique<Periodic>(loop_, kAgentPollInterval,
+                                           [this] { PollAgents(); });
+  poll_timer_->Start();
+  tick_timer_ =
+      std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
+  tick_timer_->Start();
+  signals_ = std::make_unique<NodeSignals>(
+      loop_, [this] { BeginStop(); },
+      [] { Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}}); });
+  Log(LogLevel::kInfo, "start",
+      {{"role", "balancer"},
+       {"failure_domain", settings_.failure_domain},
+       {"datagrams", ToString(settings_.datagrams)},
+       {"relay", ToString(settings_.relay)}});
+  return Ok{};
+}
+
+void BalancerNode::FollowConfiguration() {
+  StoreObserver observer;
+  observer.on_listing = [this](const ObjectListing& listing) {
+    for (const StoredObject& object : listing.objects) {
+      HandleConfiguration(object);
+    }
+  };
+  observer.on_change = [this](const ObjectChange& change) {
+    if (!change.is_removed) HandleConfiguration(change.object);
+  };
+  observer.on_contact = [](bool is_current, const std::string& reason) {
+    Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
+        is_current ? "store_regained" : "store_lost",
+        {{"watch", "configuration"}, {"reason", reason}});
+  };
+  configuration_watch_ = std::make_unique<StoreWatch>(
+      loop_, ports_.open_store(), ports_.configuration_kind,
+      kConfigurationWatchWait, relay_.random(), std::move(observer));
+  configuration_watch_->Start();
+}
+
+void BalancerNode::FollowAgents() {
+  StoreObserver observer;
+  observer.on_listing = [this](const ObjectListing& listing) {
+    HandleAgents(listing);
+  };
+  observer.on_change = [this](const ObjectChange& change) {
+    HandleAgentChange(change);
+  };
+  observer.on_contact = [this](bool is_current, const std::string& reason) {
+    relay_.directory_is_current = is_current;
+    Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
+        is_current ? "store_regained" : "store_lost",
+        {{"watch", "agents"}, {"reason", reason}});
+  };
+  agent_watch_ = std::make_unique<StoreWatch>(
+      loop_, ports_.open_store(), kAgentKind, kAgentWatchWait, relay_.random(),
+      std::move(observer));
+  agent_watch_->Start();
+}
+
+void BalancerNode::HandleConfiguration(const StoredObject& object) {
+  if (object.name != ports_.configuration_name) return;
+  Result<RelayConfiguration> decoded =
+      ports_.decode_configuration(object.content);
+  if (!IsOk(decoded)) {
+    Log(LogLevel::kError, "configuration_refused",
+        {{"revision", static_cast<int64_t>(object.revision)},
+         {"message", ErrorOf(decoded).message}});
+    return;
+  }
+  RelayConfiguration configuration = TakeValue(std::move(decoded));
+  const uint64_t version = configuration.version;
+  const size_t routes = configuration.routes.size();
+  if (!AdoptConfiguration(relay_.routes, std::move(configuration),
+                          object.revision)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "configuration_in_force",
+      {{"version", static_cast<int64_t>(version)},
+       {"revision", static_cast<int64_t>(object.revision)},
+       {"routes", static_cast<int64_t>(routes)}});
+}
+
+void BalancerNode::HandleAgents(const ObjectListing& listing) {
+  std::vector<DirectoryEntry> entries;
+  for (const StoredObject& object : listing.objects) {
+    Result<DirectoryEntry> entry = DecodeAgentEntry(object);
+    if (!IsOk(entry)) {
+      Log(LogLevel::kWarning, "agent_entry_refused",
+          {{"message", ErrorOf(entry).message}});
+      continue;
+    }
+    entries.push_back(TakeValue(std::move(entry)));
+  }
+  const bool is_first = !relay_.directory.is_complete;
+  ApplyListing(relay_.directory, entries, MonotonicNow());
+  if (is_first) listed_ = MonotonicNow();
+  Log(LogLevel::kInfo, "agents_listed",
+      {{"agents", static_cast<int64_t>(entries.size())},
+       {"revision", static_cast<int64_t>(listing.revision)}});
+  PollAgents();
+}
+
+void BalancerNode::HandleAgentChange(const ObjectChange& change) {
+  if (change.is_removed) {
+    std::string address = change.object.name;
+    std::replace(address.begin(), address.end(), '-', ':');
+    const Result<Endpoint> agent = ParseEndpoint(address);
+    if (!IsOk(agent)) return;
+    ApplyRemoval(relay_.directory, ValueOf(agent));
+    Log(LogLevel::kInfo, "agent_unlisted",
+        {{"agent", change.object.name},
+         {"revision", static_cast<int64_t>(change.object.revision)}});
+    return;
+  }
+  const Result<DirectoryEntry> entry = DecodeAgentEntry(change.object);
+  if (!IsOk(entry)) {
+    Log(LogLevel::kWarning, "agent_entry_refused",
+        {{"message", ErrorOf(entry).message}});
+    return;
+  }
+  ApplyEntry(relay_.directory, ValueOf(entry), MonotonicNow());
+  Log(LogLevel::kInfo, "agent_listed",
+      {{"agent", change.object.name},
+       {"failure_domain", ValueOf(entry).failure_domain},
+       {"revision", static_cast<int64_t>(change.object.revision)}});
+  EncodeRelayMessage(AgentPoll{true, relay_.routes.revision}, message_);
+  agents_->Send(ValueOf(entry).agent, message_);
+}
+
+void BalancerNode::PollAgents() {
+  for (const auto& [agent, upstream] : relay_.directory.upstreams) {
+    EncodeRelayMessage(AgentPoll{upstream.is_listed, relay_.routes.revision},
+                       message_);
+    agents_->Send(agent, message_);
+  }
+}
+
+void BalancerNode::HandleDatagram(std::span<uint8_t> datagram) {
+  const std::optional<FlowPacket> packet = ports_.decode_packet(datagram);
+  if (!packet.has_value()) {
+    ++malformed_;
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  last_packet_ = now;
+  actions_.clear();
+  HandleCallerPacket(relay_, *packet, datagram, now, actions_);
+  Carry(actions_, datagram);
+}
+
+void BalancerNode::HandleMessage(const Endpoint& from, ByteView datagram) {
+  Result<RelayMessage> decoded = DecodeRelayMessage(datagram);
+  if (!IsOk(decoded)) {
+    ++malformed_messages_;
+    return;
+  }
+  const RelayMessage message = TakeValue(std::move(decoded));
+  const TimePoint now = MonotonicNow();
+  if (const AgentStatus* status = std::get_if<AgentStatus>(&message)) {
+    HandleStatus(from, *status);
+    return;
+  }
+  if (const FlowOwned* owned = std::get_if<FlowOwned>(&message)) {
+    HandleOwned(relay_, from, owned->flow, now);
+    return;
+  }
+  const FlowNotOwned* not_owned = std::get_if<FlowNotOwned>(&message);
+  if (not_owned == nullptr) {
+    ++malformed_messages_;
+    return;
+  }
+  const FlowPacket packet =
+      ports_.decode_packet(not_owned->packet).value_or(FlowPacket{});
+  actions_.clear();
+  HandleNotOwned(relay_, from, not_owned->flow, packet, not_owned->packet, now,
+                 actions_);
+  Carry(actions_, not_owned->packet);
+}
+
+void BalancerNode::HandleStatus(const Endpoint& from,
+                                const AgentStatus& status) {
+  const TimePoint now = MonotonicNow();
+  const ReportEffect effect =
+      ApplyReport(relay_.directory, from, status.report, now);
+  if (!effect.is_taken) return;
+  if (effect.phase_before != status.report.phase || effect.is_new_process) {
+    Log(LogLevel::kInfo, "upstream_phase",
+        {{"agent", ToString(from)},
+         {"phase", UpstreamPhaseName(status.report.phase)},
+         {"before", UpstreamPhaseName(effect.phase_before)},
+         {"new_process", effect.is_new_process ? "true" : "false"},
+         {"slots", static_cast<int64_t>(status.report.slots)},
+         {"flows", static_cast<int64_t>(status.report.flows)}});
+  }
+  const bool is_behind =
+      status.configuration_revision > relay_.routes.revision;
+  if (!is_behind || now - last_refresh_ < kRefreshInterval) return;
+  last_refresh_ = now;
+  Log(LogLevel::kWarning, "configuration_behind",
+      {{"revision", static_cast<int64_t>(relay_.routes.revision)},
+       {"known_to", ToString(from)},
+       {"newer", static_cast<int64_t>(status.configuration_revision)}});
+  configuration_watch_->Refresh(ports_.open_store());
+}
+
+void BalancerNode::Carry(RelayActions& actions, ByteView packet) {
+  for (RelayAction& action : actions) {
+    if (RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
+      if (relayed->header.purpose == RelayPurpose::kOpen &&
+          log_budget_.Allows("flow_opening", kOpenLinesPerSecond,
+                             MonotonicNow())) {
+        const std::optional<FlowPacket> head = ports_.decode_packet(packet);
+        const KnownUpstream& chosen =
+            relay_.directory.upstreams.at(relayed->to);
+        Log(LogLevel::kInfo, "flow_opening",
+            {{"flow", FlowText(FlowFromCaller(*head))},
+             {"opening", static_cast<int64_t>(head->sequence)},
+             {"copy", static_cast<int64_t>(head->acknowledged)},
+             {"agent", ToString(relayed->to)},
+             {"flows", static_cast<int64_t>(chosen.report.flows)},
+             {"busy", std::to_string(chosen.report.busy)},
+             {"report_age_ms", (MonotonicNow() - chosen.heard).value},
+             {"revision", static_cast<int64_t>(relay_.routes.revision)}});
+      }
+      SendToAgent(relayed->to, std::move(relayed->header), packet);
+      continue;
+    }
+    if (RelayKeptPacket* kept = std::get_if<RelayKeptPacket>(&action)) {
+      SendToAgent(kept->to, std::move(kept->header), kept->packet);
+      continue;
+    }
+    if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
+      SendReset(*reset);
+    }
+  }
+}
+
+void BalancerNode::SendToAgent(const Endpoint& agent, RelayHeader header,
+                               ByteView packet) {
+  EncodeRelayMessage(
+      RelayedPacket{std::move(header), Bytes(packet.begin(), packet.end())},
+      message_);
+  agents_->Send(agent, message_);
+}
+
+void BalancerNode::SendReset(const ResetCaller& reset) {
+  callers_->Send(ports_.caller_gateway(reset.flow.caller),
+                 ports_.make_reset(reset.flow, reset.sequence));
+  if (!log_budget_.Allows("flow_reset", kFailureLinesPerSecond,
+                          MonotonicNow())) {
+    return;
+  }
+  Log(LogLevel::kWarning, "flow_reset",
+      {{"flow", FlowText(reset.flow)},
+       {"reason", ResetReasonName(reset.reason)},
+       {"sequence", static_cast<int64_t>(reset.sequence)},
+       {"agents", static_cast<int64_t>(relay_.directory.upstreams.size())},
+       {"revision", static_cast<int64_t>(relay_.routes.revision)}});
+}
+
+void BalancerNode::Tick() {
+  const TimePoint now = MonotonicNow();
+  actions_.clear();
+  HandleBalancerTick(relay_, now, actions_);
+  Carry(actions_, {});
+  RemoveGone(relay_.directory, kRestartGoneAfter, now);
+  LogSuppressed(log_budget_);
+  if (!is_stopping_) return;
+  const Millis stopping_for = now - stop_requested_;
+  const bool is_quiet = stopping_for >= kLeaveRotation &&
+                        now - last_packet_ >= kQuietBeforeExit;
+  if (is_quiet || stopping_for >= settings_.stop_grace - kExitReserve) {
+    Log(LogLevel::kInfo, "stop",
+        {{"role", "balancer"},
+         {"after_ms", stopping_for.value},
+         {"flows", static_cast<int64_t>(relay_.cache.size())}});
+    loop_.stop();
+  }
+}
+
+bool BalancerNode::IsReady() const {
+  if (is_stopping_) return false;
+  if (relay_.routes.revision == 0 || !relay_.directory.is_complete) {
+    return false;
+  }
+  if (MonotonicNow() - listed_ >= kFirstReportsWait) return true;
+  return std::all_of(relay_.directory.upstreams.begin(),
+                     relay_.directory.upstreams.end(), [](const auto& entry) {
+                       return entry.second.report.sequence != 0;
+                     });
+}
+
+void BalancerNode::BeginStop() {
+  if (is_stopping_) return;
+  is_stopping_ = true;
+  stop_requested_ = MonotonicNow();
+  Log(LogLevel::kInfo, "stopping",
+      {{"role", "balancer"},
+       {"flows", static_cast<int64_t>(relay_.cache.size())}});
+}
+
+std::string BalancerNode::RenderMetrics() {
+  const BalancerCounters& counters = relay_.counters;
+  const auto set = [&](const char* name, uint64_t value) {
+    metrics_.Set(std::string("medlarwinch_balancer_") + name, {},
+                 static_cast<double>(value));
+  };
+  set("flows_opened", counters.opened);
+  set("opening_copies", counters.open_copies);
+  set("packets_relayed", counters.relayed);
+  set("owner_searches", counters.searches);
+  set("owners_found", counters.found);
+  set("searches_unresolved", counters.searches_unresolved);
+  set("searches_refused", counters.searches_refused);
+  set("openings_dropped_waiting", counters.waiting_for_upstream);
+  set("packets_dropped_no_route", counters.dropped_no_route);
+  set("packets_malformed", malformed_);
+  set("messages_malformed", malformed_messages_);
+  set("flows_cached", relay_.cache.size());
+  set("flows_evicted", relay_.cache.evictions());
+  set("resets", Total(counters.resets));
+  set("configuration_revision", relay_.routes.revision);
+  for (size_t reason = 0; reason < kResetReasons; ++reason) {
+    metrics_.Set("medlarwinch_balancer_resets_by_reason",
+                 {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+                 static_cast<double>(counters.resets[reason]));
+  }
+  for (const auto& [agent, upstream] : relay_.directory.upstreams) {
+    const MetricLabels labels = {{"agent", ToString(agent)}};
+    metrics_.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
+    metrics_.Set("medlarwinch_upstream_busy", labels, upstream.report.busy);
+  }
+  return metrics_.Render();
+}
+
+}  // namespace medlarwinch
--- a/packages/transport/src/log.cc
+++ b/packages/transport/src/log.cc
@@ -1,7 +1,12 @@
 #include "medlarwinch/transport/log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -18,6 +23,22 @@
 using TextBackend = boost::log::sinks::text_ostream_backend;
 using TextSink = boost::log::sinks::synchronous_sink<TextBackend>;
 
+std::atomic<uint64_t> g_dropped_lines{0};
+
+// Writes each line by one call to a descriptor that does not block. A pipe
+// takes lines of up to PIPE_BUF bytes whole or not at all.
+class LineBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                        char, boost::log::sinks::synchronized_feeding> {
+ public:
+  void consume(const boost::log::record_view& /*record*/,
+               const std::string& text) {
+    const std::string line = text + "\n";
+    const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size())) ++g_dropped_lines;
+  }
+};
+using LineSink = boost::log::sinks::synchronous_sink<LineBackend>;
+
 SeverityLogger& Logger() {
   static SeverityLogger logger;
   return logger;
@@ -91,6 +112,23 @@
                    level);
 }
 
+void InitLineLog(LogLevel level, const std::string& process) {
+  ProcessName() = process;
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  const boost::shared_ptr<LineSink> sink =
+      boost::make_shared<LineSink>(boost::make_shared<LineBackend>());
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  const boost::shared_ptr<boost::log::core> core = boost::log::core::get();
+  core->remove_all_sinks();
+  core->add_sink(sink);
+  core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >=
+                   level);
+}
+
+uint64_t DroppedLogLines() { return g_dropped_lines; }
+
 LogLevel ParseLogLevel(std::string_view text) {
   if (text == "debug") return LogLevel::kDebug;
   if (text == "warning") return LogLevel::kWarning;
