Ask agents for the owner of a flow by a small question

Cause: after the routers' set changed, a balancer sent a copy of each packet of an unknown flow to up to 43 agents. Change: a question of some 60 bytes goes to the agents among which the flow would have been placed (four by its hash, and two more); the packet follows to the owner. Silence is not trusted while the balancer is late itself or hears fewer than two thirds of the agents.

--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -81,6 +81,10 @@
                          const FlowPacket& packet, TimePoint now,
                          RelayActions& actions);
 
+/// Answers a balancer that looks for the owner of a flow.
+void HandleQuestion(AgentRelay& relay, const Endpoint& balancer,
+                    const FlowQuestion& question, RelayActions& actions);
+
 /// Takes a packet that the upstream sent. `packet.is_bounced` tells that it is
 /// a caller's packet that the upstream returned.
 UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -57,20 +57,22 @@
                         std::span<const uint8_t> raw, TimePoint now,
                         RelayActions& actions);
 
-/// Takes an agent's word that its upstream holds the flow.
-void HandleOwned(BalancerRelay& relay, const Endpoint& agent,
-                 const FlowTuple& flow, TimePoint now);
+/// What an agent says of a flow.
+struct OwnershipAnswer {
+  Endpoint agent;
+  FlowTuple flow;
+  FlowOwnership ownership = FlowOwnership::kNotOwned;
+};
 
-/// Takes an agent's word that its upstream does not hold the flow. `raw` is the
-/// packet that came back, empty if none did, and `packet` what it says.
-void HandleNotOwned(BalancerRelay& relay, const Endpoint& agent,
-                    const FlowTuple& flow, const FlowPacket& packet,
-                    std::span<const uint8_t> raw, TimePoint now,
-                    RelayActions& actions);
+/// Takes an agent's answer. `raw` is the packet that came back with it, empty
+/// if none did, and `packet` what it says.
+void HandleOwnership(BalancerRelay& relay, const OwnershipAnswer& answer,
+                     const FlowPacket& packet, std::span<const uint8_t> raw,
+                     TimePoint now, RelayActions& actions);
 
 /// Ends searches that have waited long enough and forgets idle flows. Called
-/// every 100 ms or so.
-void HandleBalancerTick(BalancerRelay& relay, TimePoint now,
+/// every 100 ms or so; `lateness` is by how much the call came late.
+void HandleBalancerTick(BalancerRelay& relay, Millis lateness, TimePoint now,
                         RelayActions& actions);
 
 }  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/flow_placement.h
+++ b/packages/coordination/include/medlarwinch/coordination/flow_placement.h
@@ -9,6 +9,14 @@
 
 namespace medlarwinch {
 
+/// Upstreams of a service among which a new flow is placed: the best by the
+/// flow's rendezvous score. Four choices balance almost as well as all, and a
+/// balancer that does not know the flow has only a few agents to ask.
+inline constexpr size_t kPlacementChoices = 4;
+
+/// Rendezvous score of the agent for the flow; higher is better.
+uint64_t PlacementScore(const FlowTuple& flow, const Endpoint& agent);
+
 /// An upstream that could take a new flow.
 struct PlacementCandidate {
   Endpoint agent;
@@ -26,8 +34,8 @@
 /// the flows at an upstream weigh as much as the requests that it works on now.
 /// The service is drawn by the route's weights with `draw`; another service of
 /// the route is taken when the drawn one is busy and the other is clearly less
-/// so. Among upstreams of equal load the flow's hash decides, so that balancers
-/// with the same view don't all choose the same one.
+/// so. Of each service only the kPlacementChoices upstreams that are best by
+/// the flow's hash are considered.
 std::vector<PlacementCandidate> RankUpstreams(
     const UpstreamDirectory& directory, const RelayRoute& route,
     const FlowTuple& flow, uint64_t draw, size_t max, TimePoint now);
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -45,16 +45,17 @@
   Endpoint caller;
 };
 
-/// Tell a balancer that the upstream of this agent holds the flow.
-struct TellOwned {
-  Endpoint balancer;
-  FlowTuple flow;
+/// Ask the agent at `to` whether its upstream holds the flow.
+struct AskOwnership {
+  Endpoint to;
+  FlowQuestion question;
 };
 
-/// Tell a balancer that it does not.
-struct TellNotOwned {
+/// Tell a balancer whether the upstream of this agent holds the flow.
+struct TellOwnership {
   Endpoint balancer;
   FlowTuple flow;
+  FlowOwnership ownership = FlowOwnership::kNotOwned;
   /// True when the packet in hand goes back with the message.
   bool returns_packet = false;
 };
@@ -68,7 +69,7 @@
 
 using RelayAction =
     std::variant<RelayToAgent, RelayKeptPacket, DeliverToUpstream,
-                 DeliverToCaller, TellOwned, TellNotOwned, ResetCaller>;
+                 DeliverToCaller, AskOwnership, TellOwnership, ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 }  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/relay_types.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_types.h
@@ -28,8 +28,17 @@
   kOpen = 0,
   /// The balancer believes that the agent's upstream holds the flow.
   kEstablished = 1,
-  /// The balancer asks several agents which of them holds the flow.
-  kSearch = 2,
+  /// The agent could not tell whether its upstream holds the flow; the packet
+  /// finds out.
+  kProbe = 2,
+};
+
+/// An agent's answer to the question whether its upstream holds a flow.
+enum class FlowOwnership : uint8_t {
+  kOwned = 0,
+  kNotOwned = 1,
+  /// The agent started after the upstream and has not seen the flow.
+  kUnsure = 2,
 };
 
 /// What accompanies a relayed packet.
@@ -52,6 +61,18 @@
 inline constexpr uint32_t kMaxRelayAlternates = 4;
 inline constexpr uint32_t kMaxRelayServices = 8;
 
+/// Asks an agent whether its upstream holds a flow. It names what the caller
+/// acknowledged instead of carrying the packet, so that asking many agents
+/// takes little of a balancer's link.
+struct FlowQuestion {
+  FlowTuple flow;
+  uint32_t acknowledged = 0;
+  /// The services whose upstreams may hold the flow.
+  std::vector<ServiceId> allowed;
+
+  friend bool operator==(const FlowQuestion&, const FlowQuestion&) = default;
+};
+
 /// Where an upstream is in its life, as its agent knows it.
 enum class UpstreamPhase : uint8_t {
   /// The agent has not heard from the upstream since the agent started.
--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -58,6 +58,8 @@
   std::map<Endpoint, KnownUpstream> upstreams;
   /// True once the store's whole list was read.
   bool is_complete = false;
+  /// Until then silence says more of this balancer than of the agents.
+  TimePoint distrusted_until;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
@@ -92,8 +94,30 @@
 bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now);
 
 /// Whether the upstream may hold flows: false only when it said that it is gone
-/// or has been silent for so long that it is taken to be.
-bool MayHoldFlows(const KnownUpstream& upstream, TimePoint now);
+/// or has been silent for so long that it is taken to be, while this balancer
+/// can trust what it hears.
+bool MayHoldFlows(const UpstreamDirectory& directory,
+                  const KnownUpstream& upstream, TimePoint now);
+
+/// Number of known agents, and of those that were heard lately.
+struct AgentContact {
+  size_t known = 0;
+  size_t heard = 0;
+
+  friend bool operator==(const AgentContact&, const AgentContact&) = default;
+};
+AgentContact CountContact(const UpstreamDirectory& directory, TimePoint now);
+
+/// How long silence is distrusted after the balancer was late itself or had
+/// lost contact with most agents: until every agent had time to answer again.
+inline constexpr Millis kDistrustTime{2'000};
+/// A tick that is late by this much shows that the balancer could not read its
+/// messages in time.
+inline constexpr Millis kLateTick{150};
+
+/// Renews the balancer's trust in silence: not while it is late by `lateness`,
+/// and not while it hears fewer than two thirds of the agents it knows.
+void ReviewTrust(UpstreamDirectory& directory, Millis lateness, TimePoint now);
 
 /// Removes the unlisted agents that hold no flows any more and returns those
 /// that are listed, and silent for `silence` or longer.
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -19,15 +19,16 @@
   actions.push_back(ResetCaller{flow, sequence, reason});
 }
 
-bool IsAllowed(const AgentRelay& relay, const RelayHeader& header) {
-  return std::find(header.allowed.begin(), header.allowed.end(),
-                   relay.service) != header.allowed.end();
+bool IsAllowed(const AgentRelay& relay,
+               const std::vector<ServiceId>& allowed) {
+  return std::find(allowed.begin(), allowed.end(), relay.service) !=
+         allowed.end();
 }
 
 std::optional<RefusalReason> RefuseOpening(const AgentRelay& relay,
                                            const RelayHeader& header,
                                            TimePoint now) {
-  if (!IsAllowed(relay, header)) return RefusalReason::kOtherService;
+  if (!IsAllowed(relay, header.allowed)) return RefusalReason::kOtherService;
   if (relay.is_stopping || relay.host.phase != UpstreamPhase::kReady) {
     return RefusalReason::kNotReady;
   }
@@ -81,31 +82,37 @@
   actions.push_back(DeliverToUpstream{});
 }
 
+// Whether the upstream may hold a flow that the agent has not seen.
+bool MayHoldUnseen(const AgentRelay& relay, const FlowTuple& flow,
+                   const std::vector<ServiceId>& allowed) {
+  return relay.flows.flows.count(flow) == 0 && !relay.knows_all_flows &&
+         relay.host.phase != UpstreamPhase::kAbsent &&
+         IsAllowed(relay, allowed);
+}
+
 void HandleFlowPacket(AgentRelay& relay, const RelayHeader& header,
                       const FlowPacket& packet, TimePoint now,
                       RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
-  const bool is_known = relay.flows.flows.count(flow) != 0;
+  const bool is_probe = header.purpose == RelayPurpose::kProbe;
   if (IsHeld(relay.flows, packet)) {
     NoteCallerPacket(relay.flows, packet, now);
-    if (header.purpose == RelayPurpose::kSearch) {
-      actions.push_back(TellOwned{header.balancer, flow});
+    if (is_probe) {
+      actions.push_back(
+          TellOwnership{header.balancer, flow, FlowOwnership::kOwned});
     }
     ++relay.counters.delivered;
     actions.push_back(DeliverToUpstream{});
     return;
   }
-  const bool is_search = header.purpose == RelayPurpose::kSearch;
-  const bool may_hold = !is_known && !relay.knows_all_flows &&
-                        relay.host.phase != UpstreamPhase::kAbsent &&
-                        IsAllowed(relay, header);
-  if (!may_hold) {
+  if (!MayHoldUnseen(relay, flow, header.allowed)) {
     ++relay.counters.denied;
-    actions.push_back(TellNotOwned{header.balancer, flow, !is_search});
+    actions.push_back(TellOwnership{header.balancer, flow,
+                                    FlowOwnership::kNotOwned, !is_probe});
     return;
   }
   relay.probes.insert_or_assign(
-      flow, AgentRelay::Probe{header.balancer, !is_search, now});
+      flow, AgentRelay::Probe{header.balancer, !is_probe, now});
   ++relay.counters.delivered;
   actions.push_back(DeliverToUpstream{});
 }
@@ -124,8 +131,9 @@
   const auto probe = relay.probes.find(flow);
   if (probe != relay.probes.end()) {
     ++relay.counters.denied;
-    actions.push_back(TellNotOwned{probe->second.balancer, flow,
-                                   probe->second.returns_packet});
+    actions.push_back(TellOwnership{probe->second.balancer, flow,
+                                    FlowOwnership::kNotOwned,
+                                    probe->second.returns_packet});
     relay.probes.erase(probe);
     return;
   }
@@ -197,6 +205,23 @@
   }
 }
 
+void HandleQuestion(AgentRelay& relay, const Endpoint& balancer,
+                    const FlowQuestion& question, RelayActions& actions) {
+  FlowPacket packet;
+  packet.source = question.flow.caller;
+  packet.destination = question.flow.service_address;
+  packet.acknowledged = question.acknowledged;
+  FlowOwnership ownership = FlowOwnership::kNotOwned;
+  if (IsHeld(relay.flows, packet)) {
+    ownership = FlowOwnership::kOwned;
+  } else if (MayHoldUnseen(relay, question.flow, question.allowed)) {
+    ownership = FlowOwnership::kUnsure;
+  } else {
+    ++relay.counters.denied;
+  }
+  actions.push_back(TellOwnership{balancer, question.flow, ownership});
+}
+
 UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
                                           const FlowPacket& packet,
                                           TimePoint now,
@@ -217,13 +242,15 @@
     ++relay.counters.opened;
     // The balancer named another agent first.
     if (header.hops > 0) {
-      actions.push_back(TellOwned{header.balancer, flow});
+      actions.push_back(
+          TellOwnership{header.balancer, flow, FlowOwnership::kOwned});
     }
     relay.openings.erase(opening);
   }
   const auto probe = relay.probes.find(flow);
   if (probe != relay.probes.end()) {
-    actions.push_back(TellOwned{probe->second.balancer, flow});
+    actions.push_back(
+        TellOwnership{probe->second.balancer, flow, FlowOwnership::kOwned});
     relay.probes.erase(probe);
   }
   return effect;
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -69,6 +69,23 @@
   actions.push_back(RelayToAgent{first, std::move(header)});
 }
 
+std::vector<ServiceId> HoldingServicesOf(const BalancerRelay& relay,
+                                         const FlowTuple& flow) {
+  const RelayRoute* route = FindRoute(relay.routes, flow.service_address);
+  return route == nullptr ? std::vector<ServiceId>{} : HoldingServices(*route);
+}
+
+// Sends the packets of a search that were kept to one agent.
+void SendKept(const BalancerRelay& relay, const FlowTuple& flow,
+              const OwnerSearch& search, const Endpoint& agent,
+              RelayPurpose purpose, RelayActions& actions) {
+  for (const std::vector<uint8_t>& packet : search.packets) {
+    actions.push_back(RelayKeptPacket{
+        agent, MakeHeader(relay, purpose, HoldingServicesOf(relay, flow)),
+        packet});
+  }
+}
+
 // Asks the next agents; with none left, concludes the search.
 void ContinueSearch(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
                     RelayActions& actions) {
@@ -76,19 +93,20 @@
   if (found == relay.searches.end()) return;
   OwnerSearch& search = found->second;
   if (!IsDeniedByAll(relay.directory, search, now)) return;
-  const RelayRoute* route = FindRoute(relay.routes, flow.service_address);
-  const std::vector<ServiceId> holding =
-      route == nullptr ? std::vector<ServiceId>{} : HoldingServices(*route);
+  const std::vector<ServiceId> holding = HoldingServicesOf(relay, flow);
   const std::vector<Endpoint> next =
       NextToAsk(relay.directory, search, flow, holding, now);
   for (const Endpoint& agent : next) {
     search.asked.push_back(agent);
-    actions.push_back(RelayKeptPacket{
-        agent, MakeHeader(relay, RelayPurpose::kSearch, holding),
-        search.packet});
+    actions.push_back(AskOwnership{
+        agent, FlowQuestion{flow, search.acknowledged, holding}});
   }
   if (!next.empty()) return;
-  if (relay.directory.is_complete && relay.directory_is_current) {
+  const bool is_proof =
+      relay.directory.is_complete && relay.directory_is_current &&
+      now >= relay.directory.distrusted_until &&
+      search.asked.size() < kMaxSearchedAgents;
+  if (is_proof) {
     Reset(relay, flow, search.acknowledged, ResetReason::kNobodyHolds, actions);
   } else {
     ++relay.counters.searches_unresolved;
@@ -107,32 +125,86 @@
   OwnerSearch search;
   search.started = now;
   search.denied = std::move(denied);
-  search.packet.assign(raw.begin(), raw.end());
+  search.packets.emplace_back(raw.begin(), raw.end());
   search.acknowledged = packet.acknowledged;
   ++relay.counters.searches;
   relay.searches.insert_or_assign(flow, std::move(search));
   ContinueSearch(relay, flow, now, actions);
 }
 
-void SearchOwner(BalancerRelay& relay, const RelayRoute& route,
-                 const FlowPacket& packet, std::span<const uint8_t> raw,
-                 TimePoint now, RelayActions& actions) {
+void SearchOwner(BalancerRelay& relay, const FlowPacket& packet,
+                 std::span<const uint8_t> raw, TimePoint now,
+                 RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
   const auto found = relay.searches.find(flow);
   if (found == relay.searches.end()) {
-    StartSearch(relay, flow, packet, raw, {}, now, actions);
+    // The end of a flow that nobody may hold is not worth a search.
+    if (!packet.is_reset) {
+      StartSearch(relay, flow, packet, raw, {}, now, actions);
+    }
     return;
   }
   OwnerSearch& search = found->second;
   search.acknowledged = packet.acknowledged;
-  for (const Endpoint& agent : search.asked) {
+  if (search.packets.size() < kMaxKeptPackets) {
+    search.packets.emplace_back(raw.begin(), raw.end());
+  }
+  for (const Endpoint& agent : search.unsure) {
     if (Contains(search.denied, agent)) continue;
-    actions.push_back(RelayToAgent{
-        agent,
-        MakeHeader(relay, RelayPurpose::kSearch, HoldingServices(route))});
+    actions.push_back(
+        RelayToAgent{agent, MakeHeader(relay, RelayPurpose::kProbe,
+                                       HoldingServicesOf(relay, flow))});
   }
 }
 
+void HandleOwned(BalancerRelay& relay, const OwnershipAnswer& answer,
+                 TimePoint now, RelayActions& actions) {
+  relay.cache.Put(answer.flow, answer.agent, true, now);
+  const auto found = relay.searches.find(answer.flow);
+  if (found == relay.searches.end()) return;
+  ++relay.counters.found;
+  // An unsure agent has the packets already.
+  if (!Contains(found->second.unsure, answer.agent)) {
+    SendKept(relay, answer.flow, found->second, answer.agent,
+             RelayPurpose::kEstablished, actions);
+  }
+  relay.searches.erase(found);
+}
+
+void HandleUnsure(BalancerRelay& relay, const OwnershipAnswer& answer,
+                  RelayActions& actions) {
+  const auto found = relay.searches.find(answer.flow);
+  if (found == relay.searches.end()) return;
+  OwnerSearch& search = found->second;
+  if (Contains(search.unsure, answer.agent)) return;
+  search.unsure.push_back(answer.agent);
+  SendKept(relay, answer.flow, search, answer.agent, RelayPurpose::kProbe,
+           actions);
+}
+
+void HandleNotOwned(BalancerRelay& relay, const OwnershipAnswer& answer,
+                    const FlowPacket& packet, std::span<const uint8_t> raw,
+                    TimePoint now, RelayActions& actions) {
+  const CachedFlow* cached = relay.cache.Find(answer.flow);
+  if (cached != nullptr && cached->agent == answer.agent) {
+    relay.cache.Remove(answer.flow);
+    cached = nullptr;
+  }
+  const auto found = relay.searches.find(answer.flow);
+  if (found != relay.searches.end()) {
+    OwnerSearch& search = found->second;
+    if (!Contains(search.denied, answer.agent)) {
+      search.denied.push_back(answer.agent);
+    }
+    ContinueSearch(relay, answer.flow, now, actions);
+    return;
+  }
+  // With a cache entry another agent has claimed the flow meanwhile, and the
+  // caller sends again.
+  if (raw.empty() || packet.is_reset || cached != nullptr) return;
+  StartSearch(relay, answer.flow, packet, raw, {answer.agent}, now, actions);
+}
+
 }  // namespace
 
 void HandleCallerPacket(BalancerRelay& relay, const FlowPacket& packet,
@@ -162,7 +234,7 @@
   }
   CachedFlow* cached = relay.cache.Find(flow);
   if (cached == nullptr || !cached->is_settled) {
-    SearchOwner(relay, *route, packet, raw, now, actions);
+    SearchOwner(relay, packet, raw, now, actions);
     return;
   }
   FlowCache::Touch(*cached, now);
@@ -172,35 +244,25 @@
       MakeHeader(relay, RelayPurpose::kEstablished, HoldingServices(*route))});
 }
 
-void HandleOwned(BalancerRelay& relay, const Endpoint& agent,
-                 const FlowTuple& flow, TimePoint now) {
-  relay.cache.Put(flow, agent, true, now);
-  if (relay.searches.erase(flow) != 0) ++relay.counters.found;
-}
-
-void HandleNotOwned(BalancerRelay& relay, const Endpoint& agent,
-                    const FlowTuple& flow, const FlowPacket& packet,
-                    std::span<const uint8_t> raw, TimePoint now,
-                    RelayActions& actions) {
-  const CachedFlow* cached = relay.cache.Find(flow);
-  if (cached != nullptr && cached->agent == agent) relay.cache.Remove(flow);
-  const auto found = relay.searches.find(flow);
-  if (found != relay.searches.end()) {
-    OwnerSearch& search = found->second;
-    if (!Contains(search.denied, agent)) search.denied.push_back(agent);
-    ContinueSearch(relay, flow, now, actions);
-    return;
-  }
-  if (raw.empty() || packet.is_reset) return;
-  if (relay.cache.Find(flow) != nullptr) {
-    // Another agent has claimed the flow meanwhile; the caller sends again.
-    return;
+void HandleOwnership(BalancerRelay& relay, const OwnershipAnswer& answer,
+                     const FlowPacket& packet, std::span<const uint8_t> raw,
+                     TimePoint now, RelayActions& actions) {
+  switch (answer.ownership) {
+    case FlowOwnership::kOwned:
+      HandleOwned(relay, answer, now, actions);
+      return;
+    case FlowOwnership::kNotOwned:
+      HandleNotOwned(relay, answer, packet, raw, now, actions);
+      return;
+    case FlowOwnership::kUnsure:
+      HandleUnsure(relay, answer, actions);
+      return;
   }
-  StartSearch(relay, flow, packet, raw, {agent}, now, actions);
 }
 
-void HandleBalancerTick(BalancerRelay& relay, TimePoint now,
+void HandleBalancerTick(BalancerRelay& relay, Millis lateness, TimePoint now,
                         RelayActions& actions) {
+  ReviewTrust(relay.directory, lateness, now);
   std::vector<FlowTuple> denied;
   for (auto position = relay.searches.begin();
        position != relay.searches.end();) {
--- a/packages/coordination/src/flow_placement.cc
+++ b/packages/coordination/src/flow_placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "medlarwinch/coordination/rendezvous.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -54,16 +56,24 @@
 struct Ranked {
   PlacementCandidate candidate;
   double order = 0;
-  uint64_t tie = 0;
+  uint64_t score = 0;
 };
 
 bool IsBetter(const Ranked& a, const Ranked& b) {
   if (a.order != b.order) return a.order < b.order;
-  return a.tie < b.tie;
+  return a.score > b.score;
+}
+
+bool HasHigherScore(const Ranked& a, const Ranked& b) {
+  return a.score > b.score;
 }
 
 }  // namespace
 
+uint64_t PlacementScore(const FlowTuple& flow, const Endpoint& agent) {
+  return HashKeyWithNode(HashFlow(flow), agent);
+}
+
 std::vector<PlacementCandidate> RankUpstreams(
     const UpstreamDirectory& directory, const RelayRoute& route,
     const FlowTuple& flow, uint64_t draw, size_t max, TimePoint now) {
@@ -77,7 +87,6 @@
     load.flows += upstream.report.flows;
   }
   std::map<ServiceId, std::vector<Ranked>> ranked;
-  const uint64_t flow_hash = HashFlow(flow);
   for (const auto& [agent, upstream] : directory.upstreams) {
     if (!AcceptsFlows(upstream, now)) continue;
     const ServiceId service = upstream.report.service;
@@ -87,18 +96,20 @@
     if (!is_allowed) continue;
     const double load = ExpectedLoad(upstream, FlowLoad(loads[service]));
     const double order = load + (upstream.is_local ? 0 : kRemotePenalty);
-    const uint64_t tie =
-        flow_hash ^ (static_cast<uint64_t>(agent.ip) * 0x9E3779B97F4A7C15ULL);
-    ranked[service].push_back(
-        Ranked{PlacementCandidate{agent, service, load}, order, tie});
+    ranked[service].push_back(Ranked{PlacementCandidate{agent, service, load},
+                                     order, PlacementScore(flow, agent)});
   }
   for (auto& [service, list] : ranked) {
+    const size_t choices = std::min(kPlacementChoices, list.size());
+    std::nth_element(list.begin(), list.begin() + choices - 1, list.end(),
+                     HasHigherScore);
+    list.resize(choices);
     std::sort(list.begin(), list.end(), IsBetter);
   }
   ServiceId first = DrawService(route, draw);
   for (const auto& [service, list] : ranked) {
     if (ranked.count(first) == 0) first = service;
-    const double own = ranked[first].front().candidate.load;
+    const double own = ranked.at(first).front().candidate.load;
     if (own > kBusyLoad &&
         list.front().candidate.load < own - kClearlyLess) {
       first = service;
@@ -126,7 +137,7 @@
     if (upstream.report.phase == UpstreamPhase::kDraining) continue;
     for (const RouteTarget& target : route.targets) {
       if (target.service != upstream.report.service) continue;
-      if (MayHoldFlows(upstream, now)) return true;
+      if (MayHoldFlows(directory, upstream, now)) return true;
     }
   }
   return false;
--- a/packages/coordination/src/owner_search.cc
+++ b/packages/coordination/src/owner_search.cc
@@ -1,9 +1,7 @@
 #include "medlarwinch/coordination/owner_search.h"
 
 #include <algorithm>
-#include <utility>
 
-#include "medlarwinch/coordination/rendezvous.h"
 
 namespace medlarwinch {
 
@@ -20,24 +18,27 @@
     bool is_allowed;
     uint64_t score;
     Endpoint agent;
+    ServiceId service;
   };
+  const bool is_first_round = search.asked.empty();
   std::vector<Scored> scored;
-  const uint64_t key = HashFlow(flow);
   for (const auto& [agent, upstream] : directory.upstreams) {
-    if (!MayHoldFlows(upstream, now)) continue;
+    if (!MayHoldFlows(directory, upstream, now)) continue;
     if (Contains(search.asked, agent)) continue;
     if (Contains(search.denied, agent)) continue;
+    const ServiceId service = upstream.report.service;
     const bool is_allowed =
-        std::find(allowed.begin(), allowed.end(), upstream.report.service) !=
-        allowed.end();
-    scored.push_back(Scored{is_allowed, HashKeyWithNode(key, agent), agent});
+        std::find(allowed.begin(), allowed.end(), service) != allowed.end();
+    scored.push_back(
+        Scored{is_allowed, PlacementScore(flow, agent), agent, service});
   }
   std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
     if (a.is_allowed != b.is_allowed) return a.is_allowed;
     return a.score > b.score;
   });
-  const size_t left = kMaxSearchedAgents - std::min(kMaxSearchedAgents,
-                                                    search.asked.size());
+  const size_t asked = std::min(kMaxSearchedAgents, search.asked.size());
+  const size_t left = kMaxSearchedAgents - asked;
+  std::map<ServiceId, size_t> taken;
   std::vector<Endpoint> next;
   for (const Scored& candidate : scored) {
     if (next.size() >= std::min(left, kSearchWidth)) break;
@@ -46,6 +47,9 @@
     if (!next.empty() && !candidate.is_allowed && scored.front().is_allowed) {
       break;
     }
+    if (is_first_round && ++taken[candidate.service] > kFirstSearchWidth) {
+      continue;
+    }
     next.push_back(candidate.agent);
   }
   return next;
@@ -57,7 +61,7 @@
     if (Contains(search.denied, agent)) continue;
     const auto found = directory.upstreams.find(agent);
     if (found == directory.upstreams.end()) continue;
-    if (MayHoldFlows(found->second, now)) return false;
+    if (MayHoldFlows(directory, found->second, now)) return false;
   }
   return true;
 }
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -60,8 +60,11 @@
          now - upstream.heard <= kReportFreshness;
 }
 
-bool MayHoldFlows(const KnownUpstream& upstream, TimePoint now) {
-  const Millis silence = now - upstream.heard;
+bool MayHoldFlows(const UpstreamDirectory& directory,
+                  const KnownUpstream& upstream, TimePoint now) {
+  const Millis silence = now < directory.distrusted_until
+                             ? Millis{0}
+                             : now - upstream.heard;
   switch (upstream.report.phase) {
     case UpstreamPhase::kAbsent:
       return false;
@@ -72,6 +75,24 @@
   }
 }
 
+AgentContact CountContact(const UpstreamDirectory& directory, TimePoint now) {
+  AgentContact contact;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    ++contact.known;
+    const bool was_heard = upstream.report.sequence != 0 &&
+                           now - upstream.heard <= kReportFreshness;
+    if (was_heard) ++contact.heard;
+  }
+  return contact;
+}
+
+void ReviewTrust(UpstreamDirectory& directory, Millis lateness, TimePoint now) {
+  const AgentContact contact = CountContact(directory, now);
+  const bool hears_most = contact.heard * 3 >= contact.known * 2;
+  if (lateness < kLateTick && hears_most) return;
+  directory.distrusted_until = now + kDistrustTime;
+}
+
 std::vector<DirectoryEntry> RemoveGone(UpstreamDirectory& directory,
                                        Millis silence, TimePoint now) {
   std::vector<DirectoryEntry> silent;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -62,6 +62,7 @@
   std::unique_ptr<NodeSignals> signals_;
   TimePoint listed_;
   TimePoint last_packet_;
+  TimePoint last_tick_;
   TimePoint last_refresh_;
   TimePoint stop_requested_;
   uint64_t malformed_ = 0;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -102,6 +102,12 @@
     HandleRelayed(*relayed);
     return;
   }
+  if (const FlowQuestion* question = std::get_if<FlowQuestion>(&message)) {
+    actions_.clear();
+    HandleQuestion(relay_, from, *question, actions_);
+    Carry(actions_, {});
+    return;
+  }
   if (const AgentPoll* poll = std::get_if<AgentPoll>(&message)) {
     HandlePoll(from, *poll);
     return;
@@ -250,18 +256,13 @@
       }
       continue;
     }
-    if (const TellOwned* owned = std::get_if<TellOwned>(&action)) {
-      EncodeRelayMessage(FlowOwned{owned->flow}, message_);
-      relay_port_->Send(owned->balancer, message_);
-      continue;
-    }
-    if (const TellNotOwned* not_owned = std::get_if<TellNotOwned>(&action)) {
-      FlowNotOwned message{not_owned->flow, {}};
-      if (not_owned->returns_packet) {
-        message.packet.assign(packet.begin(), packet.end());
+    if (const TellOwnership* tell = std::get_if<TellOwnership>(&action)) {
+      FlowAnswer answer{tell->flow, tell->ownership, {}};
+      if (tell->returns_packet) {
+        answer.packet.assign(packet.begin(), packet.end());
       }
-      EncodeRelayMessage(message, message_);
-      relay_port_->Send(not_owned->balancer, message_);
+      EncodeRelayMessage(answer, message_);
+      relay_port_->Send(tell->balancer, message_);
       continue;
     }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -231,21 +231,18 @@
     HandleStatus(from, *status);
     return;
   }
-  if (const FlowOwned* owned = std::get_if<FlowOwned>(&message)) {
-    HandleOwned(relay_, from, owned->flow, now);
-    return;
-  }
-  const FlowNotOwned* not_owned = std::get_if<FlowNotOwned>(&message);
-  if (not_owned == nullptr) {
+  const FlowAnswer* answer = std::get_if<FlowAnswer>(&message);
+  if (answer == nullptr) {
     ++malformed_messages_;
     return;
   }
   const FlowPacket packet =
-      ports_.decode_packet(not_owned->packet).value_or(FlowPacket{});
+      ports_.decode_packet(answer->packet).value_or(FlowPacket{});
   actions_.clear();
-  HandleNotOwned(relay_, from, not_owned->flow, packet, not_owned->packet, now,
-                 actions_);
-  Carry(actions_, not_owned->packet);
+  HandleOwnership(relay_,
+                  OwnershipAnswer{from, answer->flow, answer->ownership},
+                  packet, answer->packet, now, actions_);
+  Carry(actions_, answer->packet);
 }
 
 void BalancerNode::HandleStatus(const Endpoint& from,
@@ -300,6 +297,11 @@
       SendToAgent(kept->to, std::move(kept->header), kept->packet);
       continue;
     }
+    if (const AskOwnership* ask = std::get_if<AskOwnership>(&action)) {
+      EncodeRelayMessage(ask->question, message_);
+      agents_->Send(ask->to, message_);
+      continue;
+    }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
       SendReset(*reset);
     }
@@ -332,7 +334,11 @@
 void BalancerNode::Tick() {
   const TimePoint now = MonotonicNow();
   actions_.clear();
-  HandleBalancerTick(relay_, now, actions_);
+  const Millis since_tick = now - last_tick_;
+  const Millis lateness =
+      last_tick_ == TimePoint{} ? Millis{0} : since_tick - kTickInterval;
+  last_tick_ = now;
+  HandleBalancerTick(relay_, lateness, now, actions_);
   Carry(actions_, {});
   RemoveGone(relay_.directory, kRestartGoneAfter, now);
   LogSuppressed(log_budget_);
@@ -354,6 +360,12 @@
   if (relay_.routes.revision == 0 || !relay_.directory.is_complete) {
     return false;
   }
+  // A balancer that has lost the store and most agents is cut off itself.
+  const AgentContact contact =
+      CountContact(relay_.directory, MonotonicNow());
+  const bool store_is_lost =
+      !configuration_watch_->is_current() && !agent_watch_->is_current();
+  if (store_is_lost && contact.heard * 2 < contact.known) return false;
   if (MonotonicNow() - listed_ >= kFirstReportsWait) return true;
   return std::all_of(relay_.directory.upstreams.begin(),
                      relay_.directory.upstreams.end(), [](const auto& entry) {
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -25,20 +25,14 @@
   friend bool operator==(const RelayedPacket&, const RelayedPacket&) = default;
 };
 
-/// Agent to balancer: its upstream holds the flow.
-struct FlowOwned {
-  FlowTuple flow;
-
-  friend bool operator==(const FlowOwned&, const FlowOwned&) = default;
-};
-
-/// Agent to balancer: its upstream does not hold the flow. `packet` is the
-/// packet that asked, or empty.
-struct FlowNotOwned {
+/// Agent to balancer: whether its upstream holds the flow. `packet` is a packet
+/// of the flow that comes back undelivered, or empty.
+struct FlowAnswer {
   FlowTuple flow;
+  FlowOwnership ownership = FlowOwnership::kNotOwned;
   Bytes packet;
 
-  friend bool operator==(const FlowNotOwned&, const FlowNotOwned&) = default;
+  friend bool operator==(const FlowAnswer&, const FlowAnswer&) = default;
 };
 
 /// Balancer to agent: asks for a report.
@@ -62,7 +56,7 @@
   friend bool operator==(const AgentStatus&, const AgentStatus&) = default;
 };
 
-using RelayMessage = std::variant<RelayedPacket, FlowOwned, FlowNotOwned,
+using RelayMessage = std::variant<RelayedPacket, FlowQuestion, FlowAnswer,
                                   AgentPoll, AgentStatus>;
 
 /// Replaces `bytes` by the encoding of `message`.
--- a/packages/protocol/src/relay_messages.cc
+++ b/packages/protocol/src/relay_messages.cc
@@ -14,7 +14,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, RelayHeader& header) {
-  archive(Checked(header.purpose, RelayPurpose::kSearch), header.balancer,
+  archive(Checked(header.purpose, RelayPurpose::kProbe), header.balancer,
           Bounded(header.allowed, kMaxRelayServices),
           Bounded(header.alternates, kMaxRelayAlternates), header.hops);
 }
@@ -32,13 +32,15 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, FlowOwned& message) {
-  archive(message.flow);
+void serialize(Archive& archive, FlowQuestion& question) {
+  archive(question.flow, question.acknowledged,
+          Bounded(question.allowed, kMaxRelayServices));
 }
 
 template <typename Archive>
-void serialize(Archive& archive, FlowNotOwned& message) {
-  archive(message.flow, Bounded(message.packet, kMaxFlowPacketBytes));
+void serialize(Archive& archive, FlowAnswer& message) {
+  archive(message.flow, Checked(message.ownership, FlowOwnership::kUnsure),
+          Bounded(message.packet, kMaxFlowPacketBytes));
 }
 
 template <typename Archive>
