Accept openings by the requests that are committed, and poll starting agents at each tick

A flow that was just opened now counts as a request, and the tolerated queue grows with each agent that has passed the opening on.

--- a/packages/coordination/include/medlarwinch/coordination/host_flows.h
+++ b/packages/coordination/include/medlarwinch/coordination/host_flows.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "medlarwinch/coordination/relay_types.h"
@@ -23,6 +25,10 @@
   size_t operator()(const FlowTuple& flow) const { return HashFlow(flow); }
 };
 
+/// A flow that has just been opened counts as a request for this long, since
+/// its first request follows within a round trip.
+inline constexpr Millis kFirstRequestWait{200};
+
 /// A flow that the upstream beside the agent holds.
 struct HostFlow {
   /// Lowest and highest sequence number that the upstream has used.
@@ -37,6 +43,8 @@
   bool upstream_finished = false;
   /// A request waits or runs at the upstream.
   bool is_waiting = false;
+  /// The caller has sent a request at some time.
+  bool had_request = false;
   TimePoint waiting_since;
   TimePoint used;
 };
@@ -55,8 +63,14 @@
   double busy_integral = 0;
   TimePoint integrated;
   TimePoint averaged;
+  /// Flows opened lately, oldest first, that may not have had a request yet.
+  std::deque<std::pair<TimePoint, FlowTuple>> fresh;
 };
 
+/// Requests that wait or run, and those about to come on flows that were opened
+/// within kFirstRequestWait.
+uint32_t CommittedRequests(const HostFlows& flows, TimePoint now);
+
 /// Whether `packet`, written by the caller, belongs to a flow that the upstream
 /// holds: it acknowledges something that this upstream wrote.
 bool IsHeld(const HostFlows& flows, const FlowPacket& packet);
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -9,9 +9,12 @@
 
 // Openings and probes without an answer are forgotten after this time.
 constexpr Millis kPendingTimeout{3'000};
-// Requests beyond its slots that an upstream may have before an opening is
-// passed on to a less busy one.
-constexpr uint32_t kToleratedQueue = 1;
+// Requests beyond its slots that an upstream may have when it accepts an
+// opening, by the number of agents that have passed the opening on: the search
+// begins with an idle slot and ends with a place in the queue. The last bound
+// also holds for an agent that has no other to pass to, since a longer queue
+// makes answers too late to be of use and upstreams refuse it.
+constexpr std::array<uint32_t, 4> kToleratedQueue = {0, 2, 5, 12};
 
 void Reset(AgentRelay& relay, const FlowTuple& flow, uint32_t sequence,
            ResetReason reason, RelayActions& actions) {
@@ -33,10 +36,12 @@
     return RefusalReason::kNotReady;
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
-  const bool may_pass_on = header.hops == 0 && !header.alternates.empty();
-  const bool is_busy =
-      relay.flows.outstanding >= relay.host.slots + kToleratedQueue;
-  if (may_pass_on && is_busy) return RefusalReason::kBusy;
+  const size_t last = kToleratedQueue.size() - 1;
+  const size_t round = header.alternates.empty()
+                           ? last
+                           : std::min<size_t>(header.hops, last);
+  const uint32_t limit = relay.host.slots + kToleratedQueue[round];
+  if (CommittedRequests(relay.flows, now) >= limit) return RefusalReason::kBusy;
   return std::nullopt;
 }
 
@@ -232,6 +237,17 @@
     return {};
   }
   const FlowTuple flow = FlowFromUpstream(packet);
+  const auto asked = relay.probes.find(flow);
+  const bool is_seen = relay.flows.flows.count(flow) != 0;
+  if (packet.is_reset && !is_seen && asked != relay.probes.end()) {
+    // An upstream that has just started answers packets of flows that it does
+    // not hold with a reset; the flow may be open elsewhere.
+    ++relay.counters.denied;
+    actions.push_back(TellOwnership{asked->second.balancer, flow,
+                                    FlowOwnership::kNotOwned, false});
+    relay.probes.erase(asked);
+    return {};
+  }
   ++relay.counters.to_callers;
   actions.push_back(DeliverToCaller{flow.caller});
   const UpstreamPacketEffect effect =
--- a/packages/coordination/src/host_flows.cc
+++ b/packages/coordination/src/host_flows.cc
@@ -73,7 +73,10 @@
   if (is_new) {
     flow.caller_end = end;
     flow.has_caller_end = true;
-    if (packet.data_bytes > 0) SetWaiting(flows, flow, true, now);
+    if (packet.data_bytes > 0) {
+      flow.had_request = true;
+      SetWaiting(flows, flow, true, now);
+    }
   }
   if (!HasEnded(flow)) return;
   SetWaiting(flows, flow, false, now);
@@ -91,6 +94,7 @@
   if (packet.is_syn && !flow.is_open) {
     flow.upstream_first = packet.sequence;
     flow.upstream_end = end;
+    if (is_new) flows.fresh.emplace_back(now, FlowFromUpstream(packet));
   } else if (is_new) {
     // The agent has started after the flow; the upstream may have written and
     // the caller acknowledged up to a window before this packet.
@@ -114,6 +118,17 @@
   return effect;
 }
 
+uint32_t CommittedRequests(const HostFlows& flows, TimePoint now) {
+  uint32_t committed = flows.outstanding;
+  for (const auto& [opened, tuple] : flows.fresh) {
+    if (now - opened >= kFirstRequestWait) continue;
+    const auto found = flows.flows.find(tuple);
+    if (found == flows.flows.end() || found->second.had_request) continue;
+    ++committed;
+  }
+  return committed;
+}
+
 void ForgetFlow(HostFlows& flows, const FlowTuple& flow, TimePoint now) {
   const auto found = flows.flows.find(flow);
   if (found == flows.flows.end()) return;
@@ -132,6 +147,10 @@
     flows.busy_integral = 0;
     flows.averaged = now;
   }
+  while (!flows.fresh.empty() &&
+         now - flows.fresh.front().first >= kFirstRequestWait) {
+    flows.fresh.pop_front();
+  }
   std::vector<FlowTuple> forgotten;
   for (const auto& [tuple, flow] : flows.flows) {
     const Millis unused = now - flow.used;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -39,6 +39,7 @@
   void FollowConfiguration();
   void FollowAgents();
   void PollAgents();
+  void PollStartingAgents();
   void Tick();
   bool IsReady() const;
   void BeginStop();
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -206,6 +206,17 @@
   }
 }
 
+// After a start of many VMs, agents become ready within milliseconds of each
+// other; new flows go to all of them only when they are known soon.
+void BalancerNode::PollStartingAgents() {
+  for (const auto& [agent, upstream] : relay_.directory.upstreams) {
+    if (upstream.report.phase != UpstreamPhase::kUnknown) continue;
+    EncodeRelayMessage(AgentPoll{upstream.is_listed, relay_.routes.revision},
+                       message_);
+    agents_->Send(agent, message_);
+  }
+}
+
 void BalancerNode::HandleDatagram(std::span<uint8_t> datagram) {
   const std::optional<FlowPacket> packet = ports_.decode_packet(datagram);
   if (!packet.has_value()) {
@@ -341,6 +352,7 @@
   HandleBalancerTick(relay_, lateness, now, actions_);
   Carry(actions_, {});
   RemoveGone(relay_.directory, kRestartGoneAfter, now);
+  PollStartingAgents();
   LogSuppressed(log_budget_);
   if (!is_stopping_) return;
   const Millis stopping_for = now - stop_requested_;
