Take an upstream that never answers a probe to hold no flow

A running upstream returns a probe at once; one that was never heard and is silent for 400 ms is not running. One that misses three heartbeats and sends nothing else is gone. Entries are published at the first heartbeat.

--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <unordered_map>
 
@@ -18,6 +19,13 @@
 /// be unresponsive: it answers within a millisecond even when all its slots are
 /// busy.
 inline constexpr Millis kUnansweredOpening{150};
+/// An upstream that was never heard and leaves probes unanswered for this long
+/// is not running: a running one returns them at once.
+inline constexpr Millis kUnansweredProbe{400};
+/// Heartbeats that an upstream may miss, sending nothing else either, before it
+/// is taken to be gone.
+inline constexpr int64_t kMissedBeats = 3;
+
 /// A flow that the agent forgot is not answered as "not held" before the agent
 /// has run for this long: the longest life of a flow on the platform, 60 s.
 inline constexpr Millis kFlowLifetime{60'000};
@@ -70,8 +78,12 @@
   bool knows_all_flows = false;
   /// True once the agent was told to stop.
   bool is_stopping = false;
-  /// When the upstream was last heard, by any packet or heartbeat.
-  TimePoint upstream_heard;
+  /// When the upstream was last heard, by any packet or heartbeat; absent
+  /// before the first.
+  std::optional<TimePoint> upstream_heard;
+  /// When the first packet since then was delivered that wants an answer.
+  std::optional<TimePoint> unanswered_since;
+  Millis beat_interval{1'000};
   TimePoint started;
   AgentCounters counters;
 };
@@ -83,7 +95,8 @@
 
 /// Answers a balancer that looks for the owner of a flow.
 void HandleQuestion(AgentRelay& relay, const Endpoint& balancer,
-                    const FlowQuestion& question, RelayActions& actions);
+                    const FlowQuestion& question, TimePoint now,
+                    RelayActions& actions);
 
 /// Takes a packet that the upstream sent. `packet.is_bounced` tells that it is
 /// a caller's packet that the upstream returned.
@@ -101,14 +114,16 @@
 bool HandleDeregistration(AgentRelay& relay, const std::string& id,
                           TimePoint now, RelayActions& actions);
 
-/// Renews averages and forgets what is over. Called every 100 ms or so.
-void HandleAgentTick(AgentRelay& relay, TimePoint now);
+/// Renews averages, forgets what is over, and draws conclusions from silence of
+/// the upstream. Called every 100 ms or so.
+void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions);
 
 /// The upstream's phase as the agent reports it: kUnknown while an upstream
 /// that was ready does not answer.
 UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now);
 
-/// Whether the upstream leaves opening packets without an answer.
+/// Whether the upstream leaves packets without an answer that it would answer
+/// within a millisecond.
 bool IsUnresponsive(const AgentRelay& relay, TimePoint now);
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -7,6 +7,9 @@
 namespace medlarwinch {
 namespace {
 
+// Added to the missed heartbeats: the wait of an upstream for the answer to
+// one.
+constexpr Millis kSilenceMargin{1'000};
 // Openings and probes without an answer are forgotten after this time.
 constexpr Millis kPendingTimeout{3'000};
 // Requests beyond its slots that an upstream may have when it accepts an
@@ -22,8 +25,19 @@
   actions.push_back(ResetCaller{flow, sequence, reason});
 }
 
-bool IsAllowed(const AgentRelay& relay,
-               const std::vector<ServiceId>& allowed) {
+// Delivers a packet that the upstream answers at once if it runs.
+void DeliverForAnswer(AgentRelay& relay, TimePoint now, RelayActions& actions) {
+  if (!relay.unanswered_since.has_value()) relay.unanswered_since = now;
+  ++relay.counters.delivered;
+  actions.push_back(DeliverToUpstream{});
+}
+
+void NoteHeard(AgentRelay& relay, TimePoint now) {
+  relay.upstream_heard = now;
+  relay.unanswered_since.reset();
+}
+
+bool IsAllowed(const AgentRelay& relay, const std::vector<ServiceId>& allowed) {
   return std::find(allowed.begin(), allowed.end(), relay.service) !=
          allowed.end();
 }
@@ -37,17 +51,33 @@
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
   const size_t last = kToleratedQueue.size() - 1;
-  const size_t round = header.alternates.empty()
-                           ? last
-                           : std::min<size_t>(header.hops, last);
+  const size_t round =
+      header.alternates.empty() ? last : std::min<size_t>(header.hops, last);
   const uint32_t limit = relay.host.slots + kToleratedQueue[round];
   if (CommittedRequests(relay.flows, now) >= limit) return RefusalReason::kBusy;
   return std::nullopt;
 }
 
-// Hands an opening to the next agent. Without one the caller is told at once,
-// unless this agent has only just started or another copy of the opening may
-// have been accepted elsewhere.
+// Copies of an opening that callers send: 200 ms and 600 ms after the first.
+constexpr uint32_t kOpeningCopies = 2;
+
+// Whether an opening that no agent takes is left to the caller's next copy
+// instead of being reset. Answers the load after many VMs have lost power, when
+// all callers open flows at once: queues drain within the time between two
+// copies, while a reset is followed by a new try within milliseconds and uses
+// up the caller's few tries.
+bool WaitsForCopy(const AgentRelay& relay, const FlowPacket& packet,
+                  RefusalReason reason) {
+  // An agent that has only just started does not know its upstream yet.
+  if (relay.host.phase == UpstreamPhase::kUnknown) return true;
+  if (reason == RefusalReason::kBusy || reason == RefusalReason::kBounced) {
+    return packet.acknowledged < kOpeningCopies;
+  }
+  // Another copy may have been accepted elsewhere.
+  return packet.acknowledged > 0;
+}
+
+// Hands an opening to the next agent; without one the caller is told.
 void PassOn(AgentRelay& relay, RelayHeader header, const FlowPacket& packet,
             RefusalReason reason, RelayActions& actions) {
   if (!header.alternates.empty() && header.hops < kMaxRelayHops) {
@@ -58,9 +88,7 @@
     actions.push_back(RelayToAgent{next, std::move(header)});
     return;
   }
-  const bool is_copy = packet.acknowledged > 0;
-  const bool is_unsure = relay.host.phase == UpstreamPhase::kUnknown;
-  if (is_copy || is_unsure) {
+  if (WaitsForCopy(relay, packet, reason)) {
     ++relay.counters.dropped_openings;
     return;
   }
@@ -83,16 +111,22 @@
     }
   }
   relay.openings.insert_or_assign(flow, AgentRelay::Opening{header, now});
-  ++relay.counters.delivered;
-  actions.push_back(DeliverToUpstream{});
+  DeliverForAnswer(relay, now, actions);
+}
+
+// Whether the upstream was never heard and leaves probes unanswered.
+bool IsNotRunning(const AgentRelay& relay, TimePoint now) {
+  return !relay.upstream_heard.has_value() &&
+         relay.unanswered_since.has_value() &&
+         now - *relay.unanswered_since >= kUnansweredProbe;
 }
 
 // Whether the upstream may hold a flow that the agent has not seen.
 bool MayHoldUnseen(const AgentRelay& relay, const FlowTuple& flow,
-                   const std::vector<ServiceId>& allowed) {
+                   const std::vector<ServiceId>& allowed, TimePoint now) {
   return relay.flows.flows.count(flow) == 0 && !relay.knows_all_flows &&
          relay.host.phase != UpstreamPhase::kAbsent &&
-         IsAllowed(relay, allowed);
+         !IsNotRunning(relay, now) && IsAllowed(relay, allowed);
 }
 
 void HandleFlowPacket(AgentRelay& relay, const RelayHeader& header,
@@ -110,7 +144,7 @@
     actions.push_back(DeliverToUpstream{});
     return;
   }
-  if (!MayHoldUnseen(relay, flow, header.allowed)) {
+  if (!MayHoldUnseen(relay, flow, header.allowed, now)) {
     ++relay.counters.denied;
     actions.push_back(TellOwnership{header.balancer, flow,
                                     FlowOwnership::kNotOwned, !is_probe});
@@ -118,8 +152,7 @@
   }
   relay.probes.insert_or_assign(
       flow, AgentRelay::Probe{header.balancer, !is_probe, now});
-  ++relay.counters.delivered;
-  actions.push_back(DeliverToUpstream{});
+  DeliverForAnswer(relay, now, actions);
 }
 
 void HandleBounced(AgentRelay& relay, const FlowPacket& packet, TimePoint now,
@@ -165,6 +198,15 @@
   relay.probes.clear();
 }
 
+void DenyProbes(AgentRelay& relay, RelayActions& actions) {
+  for (const auto& [flow, probe] : relay.probes) {
+    ++relay.counters.denied;
+    actions.push_back(
+        TellOwnership{probe.balancer, flow, FlowOwnership::kNotOwned, false});
+  }
+  relay.probes.clear();
+}
+
 }  // namespace
 
 const char* RefusalReasonName(RefusalReason reason) {
@@ -184,12 +226,8 @@
 }
 
 bool IsUnresponsive(const AgentRelay& relay, TimePoint now) {
-  return std::any_of(
-      relay.openings.begin(), relay.openings.end(), [&](const auto& entry) {
-        const TimePoint delivered = entry.second.delivered;
-        return now - delivered >= kUnansweredOpening &&
-               relay.upstream_heard < delivered;
-      });
+  return relay.unanswered_since.has_value() &&
+         now - *relay.unanswered_since >= kUnansweredOpening;
 }
 
 UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now) {
@@ -211,7 +249,8 @@
 }
 
 void HandleQuestion(AgentRelay& relay, const Endpoint& balancer,
-                    const FlowQuestion& question, RelayActions& actions) {
+                    const FlowQuestion& question, TimePoint now,
+                    RelayActions& actions) {
   FlowPacket packet;
   packet.source = question.flow.caller;
   packet.destination = question.flow.service_address;
@@ -219,7 +258,7 @@
   FlowOwnership ownership = FlowOwnership::kNotOwned;
   if (IsHeld(relay.flows, packet)) {
     ownership = FlowOwnership::kOwned;
-  } else if (MayHoldUnseen(relay, question.flow, question.allowed)) {
+  } else if (MayHoldUnseen(relay, question.flow, question.allowed, now)) {
     ownership = FlowOwnership::kUnsure;
   } else {
     ++relay.counters.denied;
@@ -231,7 +270,7 @@
                                           const FlowPacket& packet,
                                           TimePoint now,
                                           RelayActions& actions) {
-  relay.upstream_heard = now;
+  NoteHeard(relay, now);
   if (packet.is_bounced) {
     HandleBounced(relay, packet, now, actions);
     return {};
@@ -276,7 +315,7 @@
                       TimePoint now, RelayActions& actions) {
   const BeatEffect effect = ApplyBeat(relay.host, beat, now);
   if (effect == BeatEffect::kIgnored) return effect;
-  relay.upstream_heard = now;
+  NoteHeard(relay, now);
   if (effect == BeatEffect::kNewIncarnation) {
     ResetAllFlows(relay, now, actions);
     relay.knows_all_flows = true;
@@ -295,7 +334,16 @@
   return true;
 }
 
-void HandleAgentTick(AgentRelay& relay, TimePoint now) {
+void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions) {
+  if (IsNotRunning(relay, now)) DenyProbes(relay, actions);
+  const TimePoint heard = relay.upstream_heard.value_or(relay.started);
+  const bool is_silent =
+      now - heard >= relay.beat_interval * kMissedBeats + kSilenceMargin;
+  if (is_silent && relay.host.phase != UpstreamPhase::kAbsent) {
+    relay.host.phase = UpstreamPhase::kAbsent;
+    DenyProbes(relay, actions);
+    ResetAllFlows(relay, now, actions);
+  }
   RefreshFlows(relay.flows, kFlowLifetime, now);
   std::erase_if(relay.openings, [&](const auto& entry) {
     return now - entry.second.delivered >= kPendingTimeout;
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -98,14 +98,14 @@
       NextToAsk(relay.directory, search, flow, holding, now);
   for (const Endpoint& agent : next) {
     search.asked.push_back(agent);
-    actions.push_back(AskOwnership{
-        agent, FlowQuestion{flow, search.acknowledged, holding}});
+    actions.push_back(
+        AskOwnership{agent, FlowQuestion{flow, search.acknowledged, holding}});
   }
   if (!next.empty()) return;
-  const bool is_proof =
-      relay.directory.is_complete && relay.directory_is_current &&
-      now >= relay.directory.distrusted_until &&
-      search.asked.size() < kMaxSearchedAgents;
+  const bool is_proof = relay.directory.is_complete &&
+                        relay.directory_is_current &&
+                        now >= relay.directory.distrusted_until &&
+                        search.asked.size() < kMaxSearchedAgents;
   if (is_proof) {
     Reset(relay, flow, search.acknowledged, ResetReason::kNobodyHolds, actions);
   } else {
--- a/packages/coordination/src/flow_placement.cc
+++ b/packages/coordination/src/flow_placement.cc
@@ -110,22 +110,23 @@
   for (const auto& [service, list] : ranked) {
     if (ranked.count(first) == 0) first = service;
     const double own = ranked.at(first).front().candidate.load;
-    if (own > kBusyLoad &&
-        list.front().candidate.load < own - kClearlyLess) {
+    if (own > kBusyLoad && list.front().candidate.load < own - kClearlyLess) {
       first = service;
     }
   }
-  const auto append = [&](const std::vector<Ranked>& list) {
-    for (const Ranked& entry : list) {
-      if (chosen.size() >= max) return;
-      chosen.push_back(entry.candidate);
+  // The services take turns, so that an opening that is passed on reaches an
+  // upstream of another service when those of the first are busy.
+  for (size_t place = 0; place < kPlacementChoices; ++place) {
+    if (ranked.count(first) != 0 && place < ranked[first].size()) {
+      chosen.push_back(ranked[first][place].candidate);
+    }
+    if (place == 0) continue;
+    for (const auto& [service, list] : ranked) {
+      if (service == first || place > list.size()) continue;
+      chosen.push_back(list[place - 1].candidate);
     }
-  };
-  if (ranked.count(first) != 0) append(ranked[first]);
-  for (const auto& [service, list] : ranked) {
-    if (service == first) continue;
-    append(list);
   }
+  if (chosen.size() > max) chosen.resize(max);
   return chosen;
 }
 
--- a/packages/coordination/src/owner_search.cc
+++ b/packages/coordination/src/owner_search.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-
 namespace medlarwinch {
 
 bool Contains(std::span<const Endpoint> agents, const Endpoint& agent) {
--- a/packages/coordination/src/relay_types.cc
+++ b/packages/coordination/src/relay_types.cc
@@ -11,10 +11,9 @@
 }
 
 uint64_t HashFlow(const FlowTuple& flow) {
-  const uint32_t input[3] = {
-      flow.caller.ip, flow.service_address.ip,
-      static_cast<uint32_t>(flow.caller.port) << 16 |
-          flow.service_address.port};
+  const uint32_t input[3] = {flow.caller.ip, flow.service_address.ip,
+                             static_cast<uint32_t>(flow.caller.port) << 16 |
+                                 flow.service_address.port};
   return XXH3_64bits(input, sizeof(input));
 }
 
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -6,8 +6,7 @@
 
 void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
                 TimePoint now) {
-  const auto [position, is_new] =
-      directory.upstreams.try_emplace(entry.agent);
+  const auto [position, is_new] = directory.upstreams.try_emplace(entry.agent);
   KnownUpstream& upstream = position->second;
   if (is_new) {
     upstream.heard = now;
@@ -62,9 +61,8 @@
 
 bool MayHoldFlows(const UpstreamDirectory& directory,
                   const KnownUpstream& upstream, TimePoint now) {
-  const Millis silence = now < directory.distrusted_until
-                             ? Millis{0}
-                             : now - upstream.heard;
+  const Millis silence =
+      now < directory.distrusted_until ? Millis{0} : now - upstream.heard;
   switch (upstream.report.phase) {
     case UpstreamPhase::kAbsent:
       return false;
--- a/packages/node/include/medlarwinch/node/agent_entry.h
+++ b/packages/node/include/medlarwinch/node/agent_entry.h
@@ -43,7 +43,10 @@
 
  private:
   void Step();
-  void Replace(uint64_t revision);
+  void Create();
+  void Correct();
+  void Remove();
+  void Settle(uint64_t revision);
   void Retry(const Error& error);
 
   std::unique_ptr<ObjectStore> store_;
@@ -52,6 +55,8 @@
   std::string content_;
   Random random_;
   bool is_wanted_ = false;
+  /// What the call in progress is to achieve.
+  bool pending_wish_ = false;
   bool is_settled_ = false;
   bool is_busy_ = false;
   uint32_t failures_ = 0;
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -63,6 +63,7 @@
   std::unique_ptr<NodeSignals> signals_;
   TimePoint stop_requested_;
   TimePoint republished_;
+  bool is_withdrawn_ = false;
   uint64_t malformed_ = 0;
   uint64_t malformed_messages_ = 0;
   uint64_t refused_notices_ = 0;
--- a/packages/node/src/agent_entry.cc
+++ b/packages/node/src/agent_entry.cc
@@ -78,79 +78,84 @@
 void AgentEntry::Step() {
   is_busy_ = true;
   is_settled_ = false;
-  const bool was_wanted = is_wanted_;
-  const auto settle = [this, was_wanted](uint64_t revision) {
-    failures_ = 0;
-    revision_ = revision;
-    is_busy_ = false;
-    // The wish may have changed while the call was in progress.
-    if (is_wanted_ != was_wanted) {
-      Step();
+  pending_wish_ = is_wanted_;
+  if (is_wanted_) {
+    Create();
+  } else {
+    Remove();
+  }
+}
+
+void AgentEntry::Create() {
+  store_->Create(kAgentKind, StoredObject{name_, 0, content_},
+                 [this](const Result<StoredObject>& result) {
+                   if (IsOk(result)) {
+                     Settle(ValueOf(result).revision);
+                   } else if (ErrorOf(result).code == ErrorCode::kConflict) {
+                     Correct();
+                   } else {
+                     Retry(ErrorOf(result));
+                   }
+                 });
+}
+
+// Compares the entry that exists with the wanted one.
+void AgentEntry::Correct() {
+  store_->Get(kAgentKind, name_, [this](const Result<StoredObject>& result) {
+    if (!IsOk(result)) {
+      Retry(ErrorOf(result));
       return;
     }
-    is_settled_ = true;
-    Log(LogLevel::kInfo, was_wanted ? "entry_published" : "entry_withdrawn",
-        {{"entry", name_}, {"revision", static_cast<int64_t>(revision)}});
-  };
-  if (!is_wanted_) {
-    if (revision_ == 0) {
-      settle(0);
+    const uint64_t revision = ValueOf(result).revision;
+    const nlohmann::json found =
+        nlohmann::json::parse(ValueOf(result).content, nullptr, false);
+    if (found == nlohmann::json::parse(content_, nullptr, false)) {
+      Settle(revision);
       return;
     }
-    store_->Remove(kAgentKind, name_, revision_,
-                   [this, settle](const Result<Ok>& result) {
-                     const bool is_gone =
-                         IsOk(result) ||
-                         ErrorOf(result).code == ErrorCode::kNotFound ||
-                         // Another agent at this address has taken it over.
-                         ErrorOf(result).code == ErrorCode::kConflict;
-                     if (is_gone) {
-                       settle(0);
-                     } else {
-                       Retry(ErrorOf(result));
-                     }
-                   });
+    store_->Replace(kAgentKind, StoredObject{name_, revision, content_},
+                    [this](const Result<StoredObject>& replaced) {
+                      if (IsOk(replaced)) {
+                        Settle(ValueOf(replaced).revision);
+                      } else {
+                        Retry(ErrorOf(replaced));
+                      }
+                    });
+  });
+}
+
+void AgentEntry::Remove() {
+  if (revision_ == 0) {
+    Settle(0);
     return;
   }
-  store_->Create(
-      kAgentKind, StoredObject{name_, 0, content_},
-      [this, settle](const Result<StoredObject>& result) {
-        if (IsOk(result)) {
-          settle(ValueOf(result).revision);
-          return;
-        }
-        if (ErrorOf(result).code != ErrorCode::kConflict) {
+  store_->Remove(
+      kAgentKind, name_, revision_, [this](const Result<Ok>& result) {
+        // With a conflict another agent at this address has taken the entry
+        // over.
+        const bool is_gone = IsOk(result) ||
+                             ErrorOf(result).code == ErrorCode::kNotFound ||
+                             ErrorOf(result).code == ErrorCode::kConflict;
+        if (is_gone) {
+          Settle(0);
+        } else {
           Retry(ErrorOf(result));
-          return;
         }
-        store_->Get(kAgentKind, name_,
-                    [this, settle](const Result<StoredObject>& current) {
-                      if (!IsOk(current)) {
-                        Retry(ErrorOf(current));
-                        return;
-                      }
-                      const nlohmann::json found = nlohmann::json::parse(
-                          ValueOf(current).content, nullptr, false);
-                      if (found == nlohmann::json::parse(content_)) {
-                        settle(ValueOf(current).revision);
-                        return;
-                      }
-                      Replace(ValueOf(current).revision);
-                    });
       });
 }
 
-void AgentEntry::Replace(uint64_t revision) {
-  store_->Replace(kAgentKind, StoredObject{name_, revision, content_},
-                  [this](const Result<StoredObject>& result) {
-                    if (!IsOk(result)) {
-                      Retry(ErrorOf(result));
-                      return;
-                    }
-                    // Read once more by the next step, which finds it equal.
-                    is_busy_ = false;
-                    Step();
-                  });
+void AgentEntry::Settle(uint64_t revision) {
+  failures_ = 0;
+  revision_ = revision;
+  is_busy_ = false;
+  // The wish may have changed while the call was in progress.
+  if (is_wanted_ != pending_wish_) {
+    Step();
+    return;
+  }
+  is_settled_ = true;
+  Log(LogLevel::kInfo, is_wanted_ ? "entry_published" : "entry_withdrawn",
+      {{"entry", name_}, {"revision", static_cast<int64_t>(revision)}});
 }
 
 void AgentEntry::Retry(const Error& error) {
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -13,6 +13,8 @@
 // A balancer that has not polled for this long gets no unasked reports: four
 // polls.
 constexpr Millis kBalancerForgottenAfter{1'000};
+// An upstream that is silent for this long is taken out of the store.
+constexpr Millis kWithdrawAfter{10'000};
 // How long a stopping agent lives on, so that every balancer hears of it at its
 // next poll and sends new flows elsewhere.
 constexpr Millis kStopDelay{350};
@@ -45,6 +47,7 @@
              EncodeAgentEntry(OwnEntry(settings), settings.service), seed) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
+  relay_.beat_interval = settings.beat_interval;
   relay_.flows.integrated = relay_.started;
   relay_.flows.averaged = relay_.started;
 }
@@ -75,13 +78,14 @@
       [this] { return RenderMetrics(); });
   if (!IsOk(status)) return ErrorOf(status);
   status_ = TakeValue(std::move(status));
-  entry_.Publish();
   tick_timer_ =
       std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
   tick_timer_->Start();
   signals_ = std::make_unique<NodeSignals>(
       loop_, [this] { BeginStop(); },
-      [] { Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}}); });
+      [] {
+        Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}});
+      });
   Log(LogLevel::kInfo, "start",
       {{"role", "agent"},
        {"service", settings_.service},
@@ -104,7 +108,7 @@
   }
   if (const FlowQuestion* question = std::get_if<FlowQuestion>(&message)) {
     actions_.clear();
-    HandleQuestion(relay_, from, *question, actions_);
+    HandleQuestion(relay_, from, *question, MonotonicNow(), actions_);
     Carry(actions_, {});
     return;
   }
@@ -189,8 +193,7 @@
     HandleBeatNotice(*beat);
     return response;
   }
-  const std::string& id =
-      std::get<UpstreamDeregistration>(ValueOf(notice)).id;
+  const std::string& id = std::get<UpstreamDeregistration>(ValueOf(notice)).id;
   actions_.clear();
   const bool is_current =
       HandleDeregistration(relay_, id, MonotonicNow(), actions_);
@@ -228,7 +231,8 @@
       AnnouncePhase("draining");
       break;
   }
-  if (relay_.host.phase != UpstreamPhase::kAbsent) entry_.Publish();
+  is_withdrawn_ = false;
+  entry_.Publish();
 }
 
 void AgentNode::Carry(const RelayActions& actions, ByteView packet) {
@@ -237,7 +241,8 @@
       upstream_port_->Send(settings_.upstream, packet);
       continue;
     }
-    if (const DeliverToCaller* deliver = std::get_if<DeliverToCaller>(&action)) {
+    if (const DeliverToCaller* deliver =
+            std::get_if<DeliverToCaller>(&action)) {
       relay_port_->Send(ports_.caller_gateway(deliver->caller), packet);
       continue;
     }
@@ -324,18 +329,27 @@
 
 void AgentNode::Tick() {
   const TimePoint now = MonotonicNow();
-  HandleAgentTick(relay_, now);
+  actions_.clear();
+  HandleAgentTick(relay_, now, actions_);
+  Carry(actions_, {});
   std::erase_if(balancers_, [&](const auto& entry) {
     return now - entry.second > kBalancerForgottenAfter;
   });
   if (ReportedPhase(relay_, now) != announced_) AnnouncePhase("liveness");
+  const bool is_gone_for_long =
+      relay_.host.phase == UpstreamPhase::kAbsent &&
+      now - relay_.upstream_heard.value_or(relay_.started) >= kWithdrawAfter;
+  if (is_gone_for_long && !is_withdrawn_) {
+    is_withdrawn_ = true;
+    entry_.Withdraw();
+  }
   LogSuppressed(log_budget_);
   if (!relay_.is_stopping) return;
   const Millis stopping_for = now - stop_requested_;
   const bool upstream_is_gone = relay_.host.phase == UpstreamPhase::kAbsent;
-  const bool may_exit = upstream_is_gone
-                            ? entry_.is_settled() || stopping_for >= kWithdrawLimit
-                            : stopping_for >= kStopDelay;
+  const bool may_exit =
+      upstream_is_gone ? entry_.is_settled() || stopping_for >= kWithdrawLimit
+                       : stopping_for >= kStopDelay;
   if (!may_exit) return;
   Log(LogLevel::kInfo, "stop",
       {{"role", "agent"},
@@ -375,9 +389,10 @@
         static_cast<double>(counters.passed_on[reason]));
   }
   for (size_t reason = 0; reason < kResetReasons; ++reason) {
-    metrics_.Set("medlarwinch_agent_resets",
-                 {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
-                 static_cast<double>(counters.resets[reason]));
+    metrics_.Set(
+        "medlarwinch_agent_resets",
+        {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+        static_cast<double>(counters.resets[reason]));
   }
   return metrics_.Render();
 }
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -78,7 +78,9 @@
   tick_timer_->Start();
   signals_ = std::make_unique<NodeSignals>(
       loop_, [this] { BeginStop(); },
-      [] { Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}}); });
+      [] {
+        Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}});
+      });
   Log(LogLevel::kInfo, "start",
       {{"role", "balancer"},
        {"failure_domain", settings_.failure_domain},
@@ -271,8 +273,7 @@
          {"slots", static_cast<int64_t>(status.report.slots)},
          {"flows", static_cast<int64_t>(status.report.flows)}});
   }
-  const bool is_behind =
-      status.configuration_revision > relay_.routes.revision;
+  const bool is_behind = status.configuration_revision > relay_.routes.revision;
   if (!is_behind || now - last_refresh_ < kRefreshInterval) return;
   last_refresh_ = now;
   Log(LogLevel::kWarning, "configuration_behind",
@@ -356,8 +357,8 @@
   LogSuppressed(log_budget_);
   if (!is_stopping_) return;
   const Millis stopping_for = now - stop_requested_;
-  const bool is_quiet = stopping_for >= kLeaveRotation &&
-                        now - last_packet_ >= kQuietBeforeExit;
+  const bool is_quiet =
+      stopping_for >= kLeaveRotation && now - last_packet_ >= kQuietBeforeExit;
   if (is_quiet || stopping_for >= settings_.stop_grace - kExitReserve) {
     Log(LogLevel::kInfo, "stop",
         {{"role", "balancer"},
@@ -373,16 +374,14 @@
     return false;
   }
   // A balancer that has lost the store and most agents is cut off itself.
-  const AgentContact contact =
-      CountContact(relay_.directory, MonotonicNow());
+  const AgentContact contact = CountContact(relay_.directory, MonotonicNow());
   const bool store_is_lost =
       !configuration_watch_->is_current() && !agent_watch_->is_current();
   if (store_is_lost && contact.heard * 2 < contact.known) return false;
   if (MonotonicNow() - listed_ >= kFirstReportsWait) return true;
-  return std::all_of(relay_.directory.upstreams.begin(),
-                     relay_.directory.upstreams.end(), [](const auto& entry) {
-                       return entry.second.report.sequence != 0;
-                     });
+  return std::all_of(
+      relay_.directory.upstreams.begin(), relay_.directory.upstreams.end(),
+      [](const auto& entry) { return entry.second.report.sequence != 0; });
 }
 
 void BalancerNode::BeginStop() {
@@ -416,9 +415,10 @@
   set("resets", Total(counters.resets));
   set("configuration_revision", relay_.routes.revision);
   for (size_t reason = 0; reason < kResetReasons; ++reason) {
-    metrics_.Set("medlarwinch_balancer_resets_by_reason",
-                 {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
-                 static_cast<double>(counters.resets[reason]));
+    metrics_.Set(
+        "medlarwinch_balancer_resets_by_reason",
+        {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+        static_cast<double>(counters.resets[reason]));
   }
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     const MetricLabels labels = {{"agent", ToString(agent)}};
--- a/packages/transport/src/datagram_port.cc
+++ b/packages/transport/src/datagram_port.cc
@@ -31,8 +31,8 @@
   if (!error) socket.bind(ToUdp(local), error);
   if (!error) socket.non_blocking(true, error);
   if (error) {
-    return Error{ErrorCode::kUnavailable, "can't bind UDP " + ToString(local) +
-                                              ": " + error.message()};
+    return Error{ErrorCode::kUnavailable,
+                 "can't bind UDP " + ToString(local) + ": " + error.message()};
   }
   // The default size serves when the system refuses this one.
   socket.set_option(
--- a/packages/transport/src/loop_http_client.cc
+++ b/packages/transport/src/loop_http_client.cc
@@ -25,8 +25,8 @@
 
 struct LoopHttpClient::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context& loop, const Endpoint& server)
-      : stream(loop), remote(boost::asio::ip::address_v4(server.ip),
-                             server.port) {}
+      : stream(loop),
+        remote(boost::asio::ip::address_v4(server.ip), server.port) {}
 
   void Connect(Millis connect_timeout) {
     stream.expires_after(ToChrono(connect_timeout));
@@ -156,9 +156,9 @@
   state.message.version(11);
   state.message.method_string(request.method);
   state.message.target(request.target);
-  state.message.set(http::field::host,
-                    state.remote.address().to_string() + ":" +
-                        std::to_string(state.remote.port()));
+  state.message.set(http::field::host, state.remote.address().to_string() +
+                                           ":" +
+                                           std::to_string(state.remote.port()));
   if (!request.body.empty()) {
     state.message.set(http::field::content_type, "application/json");
   }
--- a/packages/transport/src/loop_http_server.cc
+++ b/packages/transport/src/loop_http_server.cc
@@ -99,21 +99,21 @@
 };
 
 void LoopHttpServer::State::Accept() {
-  acceptor.async_accept([self = shared_from_this()](beast::error_code error,
-                                                    tcp::socket socket) {
-    if (self->is_closed) return;
-    if (error) {
-      self->retry.expires_after(kAcceptRetry);
-      self->retry.async_wait([self](beast::error_code wait_error) {
-        if (!wait_error && !self->is_closed) self->Accept();
+  acceptor.async_accept(
+      [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
+        if (self->is_closed) return;
+        if (error) {
+          self->retry.expires_after(kAcceptRetry);
+          self->retry.async_wait([self](beast::error_code wait_error) {
+            if (!wait_error && !self->is_closed) self->Accept();
+          });
+          return;
+        }
+        if (self->connections < kMaxConnections) {
+          std::make_shared<Connection>(self, std::move(socket))->Read();
+        }
+        self->Accept();
       });
-      return;
-    }
-    if (self->connections < kMaxConnections) {
-      std::make_shared<Connection>(self, std::move(socket))->Read();
-    }
-    self->Accept();
-  });
 }
 
 Result<std::unique_ptr<LoopHttpServer>> LoopHttpServer::Listen(
@@ -128,10 +128,11 @@
     state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
   if (!error) state->acceptor.bind(endpoint, error);
-  if (!error) state->acceptor.listen(tcp::acceptor::max_listen_connections, error);
+  if (!error)
+    state->acceptor.listen(tcp::acceptor::max_listen_connections, error);
   if (error) {
-    return Error{ErrorCode::kUnavailable, "can't listen on " + ToString(local) +
-                                              ": " + error.message()};
+    return Error{ErrorCode::kUnavailable,
+                 "can't listen on " + ToString(local) + ": " + error.message()};
   }
   state->Accept();
   return std::unique_ptr<LoopHttpServer>(new LoopHttpServer(state));
