--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -51,7 +51,7 @@
   std::array<uint64_t, kRefusalReasons> passed_on{};
   /// Opening packets that no other agent could take and that were not reset.
   uint64_t dropped_openings = 0;
-  std::array<uint64_t, kResetReasons> resets{};
+  std::array<uint64_t, kFlowResetReasons> resets{};
 };
 
 /// The state of an agent's packet path.
--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -33,7 +33,7 @@
   uint64_t searches_unresolved = 0;
   /// Searches refused because kMaxSearches were in progress.
   uint64_t searches_refused = 0;
-  std::array<uint64_t, kResetReasons> resets{};
+  std::array<uint64_t, kFlowResetReasons> resets{};
 };
 
 /// The state of a balancer's packet path. It routes any packet from this state
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -9,7 +9,7 @@
 namespace medlarwinch {
 
 /// Why a relay answered a caller with a reset.
-enum class ResetReason : uint8_t {
+enum class FlowResetReason : uint8_t {
   kNoRoute = 0,
   kRouteDropped = 1,
   /// No upstream of the route can take the flow.
@@ -21,8 +21,8 @@
   /// The upstream that held the flow has a new incarnation or is gone.
   kUpstreamRestarted = 5,
 };
-inline constexpr size_t kResetReasons = 6;
-const char* ResetReasonName(ResetReason reason);
+inline constexpr size_t kFlowResetReasons = 6;
+const char* FlowResetReasonName(FlowResetReason reason);
 
 /// Hand the packet in hand to the agent at `to`.
 struct RelayToAgent {
@@ -64,7 +64,7 @@
 struct ResetCaller {
   FlowTuple flow;
   uint32_t sequence = 0;
-  ResetReason reason = ResetReason::kNoRoute;
+  FlowResetReason reason = FlowResetReason::kNoRoute;
 };
 
 using RelayAction =
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -20,7 +20,7 @@
 constexpr std::array<uint32_t, 4> kToleratedQueue = {0, 2, 5, 12};
 
 void Reset(AgentRelay& relay, const FlowTuple& flow, uint32_t sequence,
-           ResetReason reason, RelayActions& actions) {
+           FlowResetReason reason, RelayActions& actions) {
   ++relay.counters.resets[static_cast<size_t>(reason)];
   actions.push_back(ResetCaller{flow, sequence, reason});
 }
@@ -92,7 +92,8 @@
     ++relay.counters.dropped_openings;
     return;
   }
-  Reset(relay, FlowFromCaller(packet), 0, ResetReason::kNoUpstream, actions);
+  Reset(relay, FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream,
+        actions);
 }
 
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
@@ -182,7 +183,8 @@
   ForgetFlow(relay.flows, flow, now);
   if (packet.is_reset || had_ended) return;
   // The flow was here, so no other upstream has it.
-  Reset(relay, flow, packet.acknowledged, ResetReason::kUpstreamLost, actions);
+  Reset(relay, flow, packet.acknowledged, FlowResetReason::kUpstreamLost,
+        actions);
 }
 
 void ResetAllFlows(AgentRelay& relay, TimePoint now, RelayActions& actions) {
@@ -190,7 +192,7 @@
   for (const auto& [tuple, flow] : relay.flows.flows) {
     gone.push_back(tuple);
     if (!flow.is_open) continue;
-    Reset(relay, tuple, flow.upstream_end, ResetReason::kUpstreamRestarted,
+    Reset(relay, tuple, flow.upstream_end, FlowResetReason::kUpstreamRestarted,
           actions);
   }
   for (const FlowTuple& tuple : gone) ForgetFlow(relay.flows, tuple, now);
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -14,7 +14,7 @@
 constexpr Millis kDefaultFlowIdle{60'000};
 
 void Reset(BalancerRelay& relay, const FlowTuple& flow, uint32_t sequence,
-           ResetReason reason, RelayActions& actions) {
+           FlowResetReason reason, RelayActions& actions) {
   ++relay.counters.resets[static_cast<size_t>(reason)];
   actions.push_back(ResetCaller{flow, sequence, reason});
 }
@@ -40,7 +40,7 @@
       ++relay.counters.waiting_for_upstream;
       return;
     }
-    Reset(relay, flow, 0, ResetReason::kNoUpstream, actions);
+    Reset(relay, flow, 0, FlowResetReason::kNoUpstream, actions);
     return;
   }
   const CachedFlow* earlier = relay.cache.Find(flow);
@@ -107,7 +107,8 @@
                         now >= relay.directory.distrusted_until &&
                         search.asked.size() < kMaxSearchedAgents;
   if (is_proof) {
-    Reset(relay, flow, search.acknowledged, ResetReason::kNobodyHolds, actions);
+    Reset(relay, flow, search.acknowledged, FlowResetReason::kNobodyHolds,
+          actions);
   } else {
     ++relay.counters.searches_unresolved;
   }
@@ -224,7 +225,8 @@
     }
     relay.cache.Remove(flow);
     Reset(relay, flow, packet.is_syn ? 0 : packet.acknowledged,
-          was_dropped ? ResetReason::kRouteDropped : ResetReason::kNoRoute,
+          was_dropped ? FlowResetReason::kRouteDropped
+                      : FlowResetReason::kNoRoute,
           actions);
     return;
   }
--- a/packages/coordination/src/relay_actions.cc
+++ b/packages/coordination/src/relay_actions.cc
@@ -2,19 +2,19 @@
 
 namespace medlarwinch {
 
-const char* ResetReasonName(ResetReason reason) {
+const char* FlowResetReasonName(FlowResetReason reason) {
   switch (reason) {
-    case ResetReason::kNoRoute:
+    case FlowResetReason::kNoRoute:
       return "no_route";
-    case ResetReason::kRouteDropped:
+    case FlowResetReason::kRouteDropped:
       return "route_dropped";
-    case ResetReason::kNoUpstream:
+    case FlowResetReason::kNoUpstream:
       return "no_upstream";
-    case ResetReason::kNobodyHolds:
+    case FlowResetReason::kNobodyHolds:
       return "nobody_holds";
-    case ResetReason::kUpstreamLost:
+    case FlowResetReason::kUpstreamLost:
       return "upstream_lost";
-    case ResetReason::kUpstreamRestarted:
+    case FlowResetReason::kUpstreamRestarted:
       return "upstream_restarted";
   }
   return "invalid";
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -36,7 +36,7 @@
   found->second.is_listed = false;
 }
 
-ReportEffect ApplyReport(UpstreamDirectory& directory, const Endpoint& from,
+ReportEffect TakeReport(UpstreamDirectory& directory, const Endpoint& from,
                          const AgentReport& report, TimePoint now) {
   ReportEffect effect;
   const auto found = directory.upstreams.find(from);
--- /dev/null
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -0,0 +1,287 @@
+#include "medlarwinch/coordination/agent_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay_fixture.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kUpstreamSequence = 5'000;
+
+struct AgentWithUpstream {
+  AgentWithUpstream() {
+    relay.service = MakeServiceId("probe-hub");
+    relay.started = now;
+    relay.flows.integrated = now;
+    relay.flows.averaged = now;
+    relay.beat_interval = Millis{1'000};
+    beat.id = "i-1";
+    beat.service = "probe-hub";
+    beat.slots = 4;
+    beat.sequence = 1;
+    beat.started_ms = 100;
+    header.balancer = kBalancerAddress;
+    header.allowed = {relay.service};
+    Beat();
+  }
+
+  RelayActions Beat() {
+    RelayActions actions;
+    HandleBeat(relay, beat, now, actions);
+    return actions;
+  }
+
+  RelayActions Relay(const FlowPacket& packet,
+                     RelayPurpose purpose = RelayPurpose::kEstablished) {
+    header.purpose = packet.is_syn ? RelayPurpose::kOpen : purpose;
+    RelayActions actions;
+    HandleRelayedPacket(relay, header, packet, now, actions);
+    return actions;
+  }
+
+  RelayActions FromUpstream(const FlowPacket& packet) {
+    RelayActions actions;
+    HandleUpstreamPacket(relay, packet, now, actions);
+    return actions;
+  }
+
+  RelayActions Tick() {
+    RelayActions actions;
+    HandleAgentTick(relay, now, actions);
+    return actions;
+  }
+
+  // Opens the flow from `port` and sends a request on it.
+  void OpenWithRequest(uint16_t port) {
+    Relay(OpeningPacket(port));
+    FlowPacket answer;
+    answer.source = kServiceAddress;
+    answer.destination = OpeningPacket(port).source;
+    answer.is_syn = true;
+    answer.is_ack = true;
+    answer.sequence = kUpstreamSequence;
+    FromUpstream(answer);
+    FlowPacket request = CallerPacket(port, kUpstreamSequence + 1);
+    request.sequence = 1'001;
+    request.data_bytes = 100;
+    Relay(request);
+  }
+
+  FlowOwnership Ask(uint16_t port, uint32_t acknowledged) {
+    RelayActions actions;
+    HandleQuestion(relay, kBalancerAddress,
+                   FlowQuestion{FlowFromCaller(CallerPacket(port, 0)),
+                                acknowledged,
+                                {relay.service}},
+                   now, actions);
+    return ActionsOf<TellOwnership>(actions).at(0).ownership;
+  }
+
+  TimePoint now{1'000};
+  UpstreamBeat beat;
+  RelayHeader header;
+  AgentRelay relay;
+};
+
+BOOST_FIXTURE_TEST_SUITE(AgentRelayWithUpstream, AgentWithUpstream)
+
+BOOST_AUTO_TEST_CASE(ReadyUpstream_Opening_IsDelivered) {
+  BOOST_TEST(ActionsOf<DeliverToUpstream>(Relay(OpeningPacket(1))).size() ==
+             1U);
+}
+
+// Guards against new work at an upstream after its drain was acknowledged.
+BOOST_AUTO_TEST_CASE(DrainingUpstream_Opening_IsPassedOnNeverDelivered) {
+  header.alternates = {AgentAddress(3)};
+  ++beat.sequence;
+  beat.is_draining = true;
+  Beat();
+  const RelayActions actions = Relay(OpeningPacket(1));
+  BOOST_TEST(ActionsOf<DeliverToUpstream>(actions).empty());
+  BOOST_REQUIRE(ActionsOf<RelayToAgent>(actions).size() == 1);
+  BOOST_CHECK(ActionsOf<RelayToAgent>(actions)[0].to == AgentAddress(3));
+  // A late heartbeat from before does not take the drain back.
+  beat.is_draining = false;
+  ++beat.sequence;
+  Beat();
+  BOOST_CHECK(relay.host.phase == UpstreamPhase::kDraining);
+}
+
+// Guards against traffic of one service at another.
+BOOST_AUTO_TEST_CASE(OtherService_Packets_AreNeverDelivered) {
+  relay.knows_all_flows = false;
+  header.allowed = {MakeServiceId("report-desk")};
+  BOOST_TEST(ActionsOf<DeliverToUpstream>(Relay(OpeningPacket(1))).empty());
+  BOOST_TEST(ActionsOf<DeliverToUpstream>(Relay(CallerPacket(1, 1))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RestartedAgent_BeforeFirstBeat_DeliversNoOpening) {
+  relay.host = UpstreamHost{};
+  const RelayActions actions = Relay(OpeningPacket(1));
+  BOOST_TEST(actions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(BouncedOpening_WithAlternate_IsPassedOn) {
+  header.alternates = {AgentAddress(3)};
+  Relay(OpeningPacket(1));
+  FlowPacket bounced = OpeningPacket(1);
+  bounced.is_bounced = true;
+  const std::vector<RelayToAgent> sent =
+      ActionsOf<RelayToAgent>(FromUpstream(bounced));
+  BOOST_REQUIRE(sent.size() == 1);
+  BOOST_TEST(sent[0].header.hops == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OpenFlow_Question_IsOwnedOnlyForItsOwnSequence) {
+  OpenWithRequest(1);
+  BOOST_CHECK(Ask(1, kUpstreamSequence + 1) == FlowOwnership::kOwned);
+  // Another upstream answered the opening too and the caller chose that one.
+  BOOST_CHECK(Ask(1, 999'999) == FlowOwnership::kNotOwned);
+  BOOST_CHECK(Ask(2, kUpstreamSequence + 1) == FlowOwnership::kNotOwned);
+}
+
+// Guards against a denial by an agent that has forgotten its upstream's flows.
+BOOST_AUTO_TEST_CASE(RestartedAgent_Question_IsUnsureUntilUpstreamReturnsIt) {
+  relay.knows_all_flows = false;
+  BOOST_CHECK(Ask(1, 77) == FlowOwnership::kUnsure);
+  const FlowPacket packet = CallerPacket(1, 77);
+  BOOST_TEST(ActionsOf<DeliverToUpstream>(Relay(packet, RelayPurpose::kProbe))
+                 .size() == 1U);
+  FlowPacket bounced = packet;
+  bounced.is_bounced = true;
+  const std::vector<TellOwnership> told =
+      ActionsOf<TellOwnership>(FromUpstream(bounced));
+  BOOST_REQUIRE(told.size() == 1);
+  BOOST_CHECK(told[0].ownership == FlowOwnership::kNotOwned);
+}
+
+// Guards against the reset of a flow that is open elsewhere: an upstream that
+// has just started answers a probe with a reset.
+BOOST_AUTO_TEST_CASE(ProbedFlow_UpstreamResets_IsDeniedAndCallerHearsNothing) {
+  relay.knows_all_flows = false;
+  Relay(CallerPacket(1, 77), RelayPurpose::kProbe);
+  FlowPacket reset;
+  reset.source = kServiceAddress;
+  reset.destination = CallerPacket(1, 77).source;
+  reset.is_reset = true;
+  const RelayActions actions = FromUpstream(reset);
+  BOOST_TEST(ActionsOf<DeliverToCaller>(actions).empty());
+  BOOST_REQUIRE(ActionsOf<TellOwnership>(actions).size() == 1);
+  BOOST_CHECK(ActionsOf<TellOwnership>(actions)[0].ownership ==
+              FlowOwnership::kNotOwned);
+}
+
+// Guards against searches that never end because an agent started beside an
+// upstream that has left for good.
+BOOST_AUTO_TEST_CASE(NeverHeardUpstream_SilentAfterProbe_IsDenied) {
+  relay.knows_all_flows = false;
+  relay.host = UpstreamHost{};
+  relay.upstream_heard.reset();
+  relay.unanswered_since.reset();
+  Relay(CallerPacket(1, 77), RelayPurpose::kProbe);
+  now = now + kUnansweredProbe;
+  BOOST_TEST(ActionsOf<TellOwnership>(Tick()).size() == 1U);
+  BOOST_CHECK(Ask(2, 77) == FlowOwnership::kNotOwned);
+}
+
+// Guards against callers that wait for their deadline after a crash.
+BOOST_AUTO_TEST_CASE(NewIncarnation_OpenFlows_AreReset) {
+  OpenWithRequest(1);
+  beat.id = "i-2";
+  beat.started_ms = 200;
+  beat.sequence = 1;
+  const std::vector<ResetCaller> resets = ActionsOf<ResetCaller>(Beat());
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kUpstreamRestarted);
+  BOOST_TEST(resets[0].sequence - kUpstreamSequence <= kSequenceWindow);
+}
+
+BOOST_AUTO_TEST_CASE(LateBeatOfEarlierIncarnation_IsIgnored) {
+  UpstreamBeat late = beat;
+  late.id = "i-0";
+  late.started_ms = 50;
+  late.is_draining = true;
+  RelayActions actions;
+  BOOST_CHECK(HandleBeat(relay, late, now, actions) == BeatEffect::kIgnored);
+  BOOST_CHECK(relay.host.phase == UpstreamPhase::kReady);
+}
+
+BOOST_AUTO_TEST_CASE(UnansweredOpening_Reported_AsNotReadyUntilHeard) {
+  Relay(OpeningPacket(1));
+  now = now + kUnansweredOpening;
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kUnknown);
+  ++beat.sequence;
+  Beat();
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kReady);
+}
+
+BOOST_AUTO_TEST_CASE(SilentUpstream_AfterMissedBeats_IsAbsentAndFlowsReset) {
+  OpenWithRequest(1);
+  now = now + relay.beat_interval * kMissedBeats + Millis{1'000};
+  BOOST_TEST(ActionsOf<ResetCaller>(Tick()).size() == 1U);
+  BOOST_CHECK(relay.host.phase == UpstreamPhase::kAbsent);
+}
+
+// Plays the load after a loss of power: many callers open flows at once. An
+// opening goes on while an agent has no idle slot, and the caller's next copy
+// is awaited instead of using up one of its tries.
+BOOST_AUTO_TEST_CASE(BusyUpstream_Openings_ArePassedOnThenLeftToTheNextCopy) {
+  header.alternates = {AgentAddress(3)};
+  for (uint16_t port = 1; port <= 4; ++port) OpenWithRequest(port);
+  BOOST_TEST(CommittedRequests(relay.flows, now) == 4U);
+  BOOST_TEST(ActionsOf<RelayToAgent>(Relay(OpeningPacket(5))).size() == 1U);
+  // As the last of the candidates it takes what its queue holds.
+  header.alternates.clear();
+  uint16_t port = 5;
+  while (!ActionsOf<DeliverToUpstream>(Relay(OpeningPacket(port))).empty()) {
+    OpenWithRequest(port++);
+    BOOST_REQUIRE(port < 100);
+  }
+  BOOST_TEST(port > 10);
+  BOOST_TEST(Relay(OpeningPacket(200, 0)).empty());
+  BOOST_TEST(Relay(OpeningPacket(200, 1)).empty());
+  BOOST_TEST(ActionsOf<ResetCaller>(Relay(OpeningPacket(200, 2))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnsweredRequest_Outstanding_ReturnsToZero) {
+  OpenWithRequest(1);
+  BOOST_TEST(relay.flows.outstanding == 1U);
+  FlowPacket answer;
+  answer.source = kServiceAddress;
+  answer.destination = CallerPacket(1, 0).source;
+  answer.sequence = kUpstreamSequence + 1;
+  answer.data_bytes = 200;
+  now = now + Millis{30};
+  const UpstreamPacketEffect effect = [&] {
+    RelayActions actions;
+    return HandleUpstreamPacket(relay, answer, now, actions);
+  }();
+  BOOST_TEST(effect.begins_answer);
+  BOOST_TEST(effect.answer_time.value == 30);
+  BOOST_TEST(relay.flows.outstanding == 0U);
+  // A retransmission of the request is not a new one.
+  FlowPacket again = CallerPacket(1, kUpstreamSequence + 1);
+  again.sequence = 1'001;
+  again.data_bytes = 100;
+  Relay(again);
+  BOOST_TEST(relay.flows.outstanding == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(HalfOpenFlow_NeverCompleted_IsForgotten) {
+  Relay(OpeningPacket(1));
+  FlowPacket answer;
+  answer.source = kServiceAddress;
+  answer.destination = OpeningPacket(1).source;
+  answer.is_syn = true;
+  FromUpstream(answer);
+  BOOST_TEST(relay.flows.open == 0U);
+  now = now + kHalfOpenTimeout;
+  Tick();
+  BOOST_TEST(relay.flows.flows.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -0,0 +1,192 @@
+#include "medlarwinch/coordination/balancer_relay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "relay_fixture.h"
+
+namespace medlarwinch {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(BalancerRelayWithAgents, RelayWithAgents)
+
+BOOST_AUTO_TEST_CASE(KnownRoute_Opening_GoesToOneAgentWithAlternates) {
+  const std::vector<RelayToAgent> sent =
+      ActionsOf<RelayToAgent>(Send(OpeningPacket(1)));
+  BOOST_REQUIRE(sent.size() == 1);
+  BOOST_CHECK(sent[0].header.purpose == RelayPurpose::kOpen);
+  BOOST_TEST(sent[0].header.alternates.size() == kPlacementChoices - 1);
+  BOOST_CHECK(sent[0].header.allowed == std::vector<ServiceId>{service});
+}
+
+BOOST_AUTO_TEST_CASE(OpenedFlow_NextPacket_GoesToTheSameAgent) {
+  const Endpoint agent = ActionsOf<RelayToAgent>(Send(OpeningPacket(1)))[0].to;
+  const std::vector<RelayToAgent> sent =
+      ActionsOf<RelayToAgent>(Send(CallerPacket(1, 77)));
+  BOOST_REQUIRE(sent.size() == 1);
+  BOOST_CHECK(sent[0].to == agent);
+  BOOST_CHECK(sent[0].header.purpose == RelayPurpose::kEstablished);
+}
+
+// Guards against an opening that is lost with an upstream that has gone dark.
+BOOST_AUTO_TEST_CASE(UnansweredOpening_Copy_GoesToAnotherAgent) {
+  const Endpoint first = ActionsOf<RelayToAgent>(Send(OpeningPacket(1)))[0].to;
+  const Endpoint second =
+      ActionsOf<RelayToAgent>(Send(OpeningPacket(1, 1)))[0].to;
+  BOOST_CHECK(first != second);
+  // Which of the two the caller chose is not known yet.
+  BOOST_TEST(!ActionsOf<AskOwnership>(Send(CallerPacket(1, 77))).empty());
+}
+
+// Guards against flows that break when the routers move them to a balancer that
+// has not seen them.
+BOOST_AUTO_TEST_CASE(UnknownFlow_OwnerAnswers_PacketFollowsToOwner) {
+  const FlowPacket packet = CallerPacket(1, 77);
+  const std::vector<AskOwnership> asked = ActionsOf<AskOwnership>(Send(packet));
+  BOOST_REQUIRE(!asked.empty());
+  BOOST_TEST(asked[0].question.acknowledged == 77U);
+  const std::vector<RelayKeptPacket> kept = ActionsOf<RelayKeptPacket>(
+      Answer(asked[1].to, packet, FlowOwnership::kOwned));
+  BOOST_REQUIRE(kept.size() == 1);
+  BOOST_CHECK(kept[0].to == asked[1].to);
+  BOOST_CHECK(kept[0].packet == raw);
+  BOOST_CHECK(ActionsOf<RelayToAgent>(Send(packet))[0].to == asked[1].to);
+}
+
+// Guards against a search that misses the owner: a flow is placed only among
+// the agents that are asked first.
+BOOST_AUTO_TEST_CASE(PlacedFlow_OtherBalancerSearches_AsksOwnerInFirstRound) {
+  for (uint16_t port = 1; port <= 200; ++port) {
+    const Endpoint owner =
+        ActionsOf<RelayToAgent>(Send(OpeningPacket(port)))[0].to;
+    relay.cache.Remove(FlowFromCaller(CallerPacket(port, 0)));
+    std::set<Endpoint> asked;
+    for (const AskOwnership& ask :
+         ActionsOf<AskOwnership>(Send(CallerPacket(port, 5)))) {
+      asked.insert(ask.to);
+    }
+    BOOST_TEST(asked.count(owner) == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UnknownFlow_AgentUnsure_GetsThePacketAsProbe) {
+  const FlowPacket packet = CallerPacket(1, 77);
+  const Endpoint asked = ActionsOf<AskOwnership>(Send(packet))[0].to;
+  const std::vector<RelayKeptPacket> kept =
+      ActionsOf<RelayKeptPacket>(Answer(asked, packet, FlowOwnership::kUnsure));
+  BOOST_REQUIRE(kept.size() == 1);
+  BOOST_CHECK(kept[0].header.purpose == RelayPurpose::kProbe);
+}
+
+// Answers every question of a search with a denial; returns the resets.
+std::vector<ResetCaller> DenyAll(RelayWithAgents& test,
+                                 const FlowPacket& packet) {
+  RelayActions actions = test.Send(packet);
+  std::vector<ResetCaller> resets;
+  for (int round = 0; round < 10 && resets.empty(); ++round) {
+    const std::vector<AskOwnership> asked = ActionsOf<AskOwnership>(actions);
+    if (asked.empty()) break;
+    actions.clear();
+    for (const AskOwnership& ask : asked) {
+      for (const RelayAction& action :
+           test.Answer(ask.to, packet, FlowOwnership::kNotOwned)) {
+        actions.push_back(action);
+      }
+    }
+    resets = ActionsOf<ResetCaller>(actions);
+  }
+  return resets;
+}
+
+// Guards against callers that wait for their deadline on a dead flow.
+BOOST_AUTO_TEST_CASE(UnknownFlow_EveryAgentDenies_IsResetNearAcknowledged) {
+  const std::vector<ResetCaller> resets = DenyAll(*this, CallerPacket(1, 77));
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_TEST(resets[0].sequence == 77U);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kNobodyHolds);
+}
+
+// Guards against a reset of a flow at an upstream that only other balancers
+// know.
+BOOST_AUTO_TEST_CASE(StoreLost_EveryAgentDenies_IsNotReset) {
+  relay.directory_is_current = false;
+  BOOST_TEST(DenyAll(*this, CallerPacket(1, 77)).empty());
+  BOOST_TEST(relay.counters.searches_unresolved == 1U);
+}
+
+// Guards against a reset while one agent restarts and can't answer.
+BOOST_AUTO_TEST_CASE(OneAgentRestarting_OthersDeny_IsNotReset) {
+  Report(AgentAddress(2), UpstreamPhase::kAgentRestarting);
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions = Send(packet);
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    if (index == 2) continue;
+    for (const RelayAction& action :
+         Answer(AgentAddress(index), packet, FlowOwnership::kNotOwned)) {
+      actions.push_back(action);
+    }
+  }
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+}
+
+// Guards against an overloaded balancer that misses the reports of all agents
+// and then resets every flow that it does not know.
+BOOST_AUTO_TEST_CASE(LateBalancer_AllAgentsSilent_IsNotReset) {
+  now = now + Millis{1'900};
+  RelayActions actions;
+  HandleBalancerTick(relay, Millis{500}, now, actions);
+  for (const RelayAction& action : Send(CallerPacket(1, 77))) {
+    actions.push_back(action);
+  }
+  now = now + Millis{100};
+  HandleBalancerTick(relay, Millis{0}, now, actions);
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(2))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReturnedPacket_CachedAgent_IsSearchedElsewhere) {
+  const Endpoint agent = ActionsOf<RelayToAgent>(Send(OpeningPacket(1)))[0].to;
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions;
+  HandleOwnership(
+      relay,
+      OwnershipAnswer{agent, FlowFromCaller(packet), FlowOwnership::kNotOwned},
+      packet, raw, now, actions);
+  const std::vector<AskOwnership> asked = ActionsOf<AskOwnership>(actions);
+  BOOST_REQUIRE(!asked.empty());
+  for (const AskOwnership& ask : asked) BOOST_CHECK(ask.to != agent);
+}
+
+BOOST_AUTO_TEST_CASE(DroppedRoute_OpenFlow_IsReset) {
+  Send(OpeningPacket(1));
+  AdoptConfiguration(relay.routes, RelayConfiguration{}, 11);
+  const std::vector<ResetCaller> resets =
+      ActionsOf<ResetCaller>(Send(CallerPacket(1, 77)));
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kRouteDropped);
+}
+
+// Guards against a reset of a flow on a route that this balancer has not heard
+// of yet.
+BOOST_AUTO_TEST_CASE(UnknownRoute_OpenFlow_IsLeftAlone) {
+  FlowPacket packet = CallerPacket(1, 77);
+  packet.destination.port = 9'999;
+  BOOST_TEST(Send(packet).empty());
+  packet.is_syn = true;
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(packet)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NoReadyUpstream_Opening_IsResetOnlyWhenAllAreGone) {
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    Report(AgentAddress(index),
+           index == 0 ? UpstreamPhase::kUnknown : UpstreamPhase::kDraining);
+  }
+  BOOST_TEST(Send(OpeningPacket(1)).empty());
+  Report(AgentAddress(0), UpstreamPhase::kAbsent);
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(1))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/tests/relay_routes_test.cc
@@ -0,0 +1,54 @@
+#include "medlarwinch/coordination/relay_routes.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarwinch {
+namespace {
+
+struct TableWithSplit {
+  TableWithSplit() {
+    RelayConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes[address] =
+        RelayRoute{"r", {RouteTarget{hub, 90}, RouteTarget{desk, 10}}, {}};
+    AdoptConfiguration(table, configuration, 5);
+  }
+  const Endpoint address{1, 443};
+  const ServiceId hub = MakeServiceId("probe-hub");
+  const ServiceId desk = MakeServiceId("report-desk");
+  RouteTable table;
+};
+
+BOOST_FIXTURE_TEST_SUITE(RouteTableWithSplit, TableWithSplit)
+
+// Guards against a configuration that reverts when answers arrive out of order.
+BOOST_AUTO_TEST_CASE(OlderRevision_Adopted_IsRefused) {
+  BOOST_TEST(!AdoptConfiguration(table, RelayConfiguration{}, 5));
+  BOOST_TEST(!AdoptConfiguration(table, RelayConfiguration{}, 4));
+  BOOST_TEST(FindRoute(table, address) != nullptr);
+}
+
+// Guards against open flows that are lost when their service leaves a split.
+BOOST_AUTO_TEST_CASE(ServiceLeavesSplit_Holding_StillIncludesIt) {
+  RelayConfiguration configuration;
+  configuration.routes[address] = RelayRoute{"r", {RouteTarget{hub, 1}}, {}};
+  BOOST_TEST(AdoptConfiguration(table, configuration, 6));
+  const std::vector<ServiceId> holding =
+      HoldingServices(*FindRoute(table, address));
+  BOOST_CHECK((holding == std::vector<ServiceId>{hub, desk}));
+  BOOST_TEST(FindRoute(table, address)->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DroppedRoute_LaterAddedAgain_IsNotDropped) {
+  BOOST_TEST(AdoptConfiguration(table, RelayConfiguration{}, 6));
+  BOOST_TEST(table.dropped.count(address) == 1U);
+  RelayConfiguration configuration;
+  configuration.routes[address] = RelayRoute{"r", {RouteTarget{hub, 1}}, {}};
+  BOOST_TEST(AdoptConfiguration(table, configuration, 7));
+  BOOST_TEST(table.dropped.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- /dev/null
+++ b/packages/coordination/tests/upstream_directory_test.cc
@@ -0,0 +1,80 @@
+#include "medlarwinch/coordination/upstream_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay_fixture.h"
+
+namespace medlarwinch {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamDirectoryWithAgents, RelayWithAgents)
+
+BOOST_AUTO_TEST_CASE(LateReport_SameProcess_IsIgnored) {
+  AgentReport report;
+  report.agent_boot = 1;
+  report.sequence = 1;
+  report.phase = UpstreamPhase::kDraining;
+  BOOST_TEST(
+      !TakeReport(relay.directory, AgentAddress(0), report, now).is_taken);
+  report.agent_boot = 2;
+  const ReportEffect effect =
+      TakeReport(relay.directory, AgentAddress(0), report, now);
+  BOOST_TEST(effect.is_taken);
+  BOOST_TEST(effect.is_new_process);
+}
+
+// Guards against traffic to another service when an address is used again: the
+// agent's own word goes before an older entry of the store.
+BOOST_AUTO_TEST_CASE(ReusedAddress_ReportNamesOtherService_ReportWins) {
+  AgentReport report;
+  report.agent_boot = 9;
+  report.sequence = 1;
+  report.phase = UpstreamPhase::kReady;
+  report.service = MakeServiceId("report-desk");
+  TakeReport(relay.directory, AgentAddress(0), report, now);
+  ApplyEntry(relay.directory,
+             DirectoryEntry{AgentAddress(0), service, "catania", 5}, now);
+  BOOST_CHECK(relay.directory.upstreams.at(AgentAddress(0)).report.service ==
+              MakeServiceId("report-desk"));
+}
+
+BOOST_AUTO_TEST_CASE(SilentAgent_AfterFreshness_AcceptsNoFlows) {
+  const KnownUpstream& upstream = relay.directory.upstreams.at(AgentAddress(0));
+  BOOST_TEST(AcceptsFlows(upstream, now + kReportFreshness));
+  BOOST_TEST(!AcceptsFlows(upstream, now + kReportFreshness + Millis{1}));
+}
+
+BOOST_AUTO_TEST_CASE(SilentAgent_MayHoldFlows_UntilGoneUnlessRestarting) {
+  Report(AgentAddress(1), UpstreamPhase::kAgentRestarting);
+  const TimePoint later = now + kAgentGoneAfter;
+  const auto& upstreams = relay.directory.upstreams;
+  BOOST_TEST(
+      !MayHoldFlows(relay.directory, upstreams.at(AgentAddress(0)), later));
+  BOOST_TEST(
+      MayHoldFlows(relay.directory, upstreams.at(AgentAddress(1)), later));
+  relay.directory.distrusted_until = later + Millis{1};
+  BOOST_TEST(
+      MayHoldFlows(relay.directory, upstreams.at(AgentAddress(0)), later));
+}
+
+BOOST_AUTO_TEST_CASE(FewAgentsHeard_Review_DistrustsSilence) {
+  const TimePoint later = now + kReportFreshness + Millis{1};
+  ReviewTrust(relay.directory, Millis{0}, now);
+  BOOST_CHECK(relay.directory.distrusted_until < now);
+  ReviewTrust(relay.directory, Millis{0}, later);
+  BOOST_CHECK(relay.directory.distrusted_until == later + kDistrustTime);
+}
+
+BOOST_AUTO_TEST_CASE(UnlistedAgent_WhileItAnswers_StaysKnown) {
+  ApplyRemoval(relay.directory, AgentAddress(0));
+  RemoveGone(relay.directory, kRestartGoneAfter, now);
+  BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 1U);
+  RemoveGone(relay.directory, kRestartGoneAfter, now + kRestartGoneAfter);
+  BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 0U);
+  BOOST_TEST(relay.directory.upstreams.count(AgentAddress(1)) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- a/packages/node/include/medlarwinch/node/agent_entry.h
+++ b/packages/node/include/medlarwinch/node/agent_entry.h
@@ -7,7 +7,7 @@
 
 #include "medlarwinch/coordination/random.h"
 #include "medlarwinch/coordination/upstream_directory.h"
-#include "medlarwinch/node/object_store.h"
+#include "medlarwinch/node/store_connection.h"
 
 namespace medlarwinch {
 
@@ -28,7 +28,7 @@
 /// one that takes effect late changes nothing that was written since.
 class AgentEntry {
  public:
-  AgentEntry(boost::asio::io_context& loop, std::unique_ptr<ObjectStore> store,
+  AgentEntry(boost::asio::io_context& loop, std::unique_ptr<StoreConnection> store,
              std::string name, std::string content, uint64_t seed);
 
   /// Writes the entry unless a write is in progress.
@@ -49,7 +49,7 @@
   void Settle(uint64_t revision);
   void Retry(const Error& error);
 
-  std::unique_ptr<ObjectStore> store_;
+  std::unique_ptr<StoreConnection> store_;
   boost::asio::steady_timer timer_;
   std::string name_;
   std::string content_;
--- a/packages/node/include/medlarwinch/node/platform_ports.h
+++ b/packages/node/include/medlarwinch/node/platform_ports.h
@@ -11,7 +11,7 @@
 #include "medlarwinch/coordination/relay_routes.h"
 #include "medlarwinch/coordination/upstream_directory.h"
 #include "medlarwinch/coordination/upstream_host.h"
-#include "medlarwinch/node/object_store.h"
+#include "medlarwinch/node/store_connection.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/state/flow_packet.h"
 #include "medlarwinch/state/result.h"
@@ -45,7 +45,7 @@
   /// Reads what an upstream sent; kNotFound for any other request.
   std::function<Result<UpstreamNotice>(const HttpRequest&)> decode_notice;
   /// Opens a connection to the store.
-  std::function<std::unique_ptr<ObjectStore>()> open_store;
+  std::function<std::unique_ptr<StoreConnection>()> open_store;
   /// Kind and name of the object that holds the desired state.
   std::string configuration_kind;
   std::string configuration_name;
--- a/packages/node/include/medlarwinch/node/object_store.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -45,12 +45,12 @@
 /// done, kTimeout when the call may have taken effect, kConflict when the
 /// object has another revision or exists already, kNotFound, kLimitExceeded
 /// when the history that a watch needs is gone.
-class ObjectStore {
+class StoreConnection {
  public:
   template <typename T>
   using Callback = std::function<void(Result<T>)>;
 
-  virtual ~ObjectStore() = default;
+  virtual ~StoreConnection() = default;
 
   /// Reads all objects of `kind`.
   virtual void List(const std::string& kind,
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/random.h"
-#include "medlarwinch/node/object_store.h"
+#include "medlarwinch/node/store_connection.h"
 
 namespace medlarwinch {
 
@@ -25,7 +25,7 @@
 /// the objects are listed again.
 class StoreWatch {
  public:
-  StoreWatch(boost::asio::io_context& loop, std::unique_ptr<ObjectStore> store,
+  StoreWatch(boost::asio::io_context& loop, std::unique_ptr<StoreConnection> store,
              std::string kind, Millis wait, uint64_t seed,
              StoreObserver observer);
   ~StoreWatch();
@@ -36,7 +36,7 @@
 
   /// Lists the objects again at once, on a new connection: a watch on a
   /// connection that has gone silent reports nothing.
-  void Refresh(std::unique_ptr<ObjectStore> store);
+  void Refresh(std::unique_ptr<StoreConnection> store);
 
   /// True while the last call was answered.
   bool is_current() const { return is_current_; }
@@ -47,7 +47,7 @@
   void Retry(const std::string& reason, bool needs_listing);
   void SetCurrent(bool is_current, const std::string& reason);
 
-  std::unique_ptr<ObjectStore> store_;
+  std::unique_ptr<StoreConnection> store_;
   boost::asio::steady_timer timer_;
   std::string kind_;
   Millis wait_;
--- a/packages/node/src/agent_entry.cc
+++ b/packages/node/src/agent_entry.cc
@@ -55,7 +55,7 @@
 }
 
 AgentEntry::AgentEntry(boost::asio::io_context& loop,
-                       std::unique_ptr<ObjectStore> store, std::string name,
+                       std::unique_ptr<StoreConnection> store, std::string name,
                        std::string content, uint64_t seed)
     : store_(std::move(store)),
       timer_(loop),
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -285,7 +285,7 @@
   }
   Log(LogLevel::kWarning, "flow_reset",
       {{"flow", FlowText(reset.flow)},
-       {"reason", ResetReasonName(reset.reason)},
+       {"reason", FlowResetReasonName(reset.reason)},
        {"sequence", static_cast<int64_t>(reset.sequence)},
        {"upstream", relay_.host.id},
        {"beat_age_ms", (MonotonicNow() - relay_.host.last_beat).value}});
@@ -388,10 +388,10 @@
         {{"reason", RefusalReasonName(static_cast<RefusalReason>(reason))}},
         static_cast<double>(counters.passed_on[reason]));
   }
-  for (size_t reason = 0; reason < kResetReasons; ++reason) {
+  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
     metrics_.Set(
         "medlarwinch_agent_resets",
-        {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
         static_cast<double>(counters.resets[reason]));
   }
   return metrics_.Render();
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -31,7 +31,7 @@
 constexpr double kOpenLinesPerSecond = 20;
 constexpr double kFailureLinesPerSecond = 100;
 
-uint64_t Total(const std::array<uint64_t, kResetReasons>& counts) {
+uint64_t Total(const std::array<uint64_t, kFlowResetReasons>& counts) {
   uint64_t total = 0;
   for (const uint64_t count : counts) total += count;
   return total;
@@ -262,7 +262,7 @@
                                 const AgentStatus& status) {
   const TimePoint now = MonotonicNow();
   const ReportEffect effect =
-      ApplyReport(relay_.directory, from, status.report, now);
+      TakeReport(relay_.directory, from, status.report, now);
   if (!effect.is_taken) return;
   if (effect.phase_before != status.report.phase || effect.is_new_process) {
     Log(LogLevel::kInfo, "upstream_phase",
@@ -337,7 +337,7 @@
   }
   Log(LogLevel::kWarning, "flow_reset",
       {{"flow", FlowText(reset.flow)},
-       {"reason", ResetReasonName(reset.reason)},
+       {"reason", FlowResetReasonName(reset.reason)},
        {"sequence", static_cast<int64_t>(reset.sequence)},
        {"agents", static_cast<int64_t>(relay_.directory.upstreams.size())},
        {"revision", static_cast<int64_t>(relay_.routes.revision)}});
@@ -414,10 +414,10 @@
   set("flows_evicted", relay_.cache.evictions());
   set("resets", Total(counters.resets));
   set("configuration_revision", relay_.routes.revision);
-  for (size_t reason = 0; reason < kResetReasons; ++reason) {
+  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
     metrics_.Set(
         "medlarwinch_balancer_resets_by_reason",
-        {{"reason", ResetReasonName(static_cast<ResetReason>(reason))}},
+        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
         static_cast<double>(counters.resets[reason]));
   }
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 StoreWatch::StoreWatch(boost::asio::io_context& loop,
-                       std::unique_ptr<ObjectStore> store, std::string kind,
+                       std::unique_ptr<StoreConnection> store, std::string kind,
                        Millis wait, uint64_t seed, StoreObserver observer)
     : store_(std::move(store)),
       timer_(loop),
@@ -29,7 +29,7 @@
 
 void StoreWatch::Start() { List(); }
 
-void StoreWatch::Refresh(std::unique_ptr<ObjectStore> store) {
+void StoreWatch::Refresh(std::unique_ptr<StoreConnection> store) {
   timer_.cancel();
   store_ = std::move(store);
   failures_ = 0;
