--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -5,6 +5,8 @@
 #include "medlarwinch/protocol/data_messages.h"
 #include "medlarwinch/protocol/frames.h"
 #include "medlarwinch/protocol/packet_header.h"
+#include "medlarwinch/protocol/relay_messages.h"
+#include "mutation.h"
 
 namespace medlarwinch {
 namespace {
@@ -12,20 +14,6 @@
 constexpr int kMutations = 20'000;
 constexpr uint32_t kSeed = 20261204;
 
-// Returns `bytes` with a few of them changed, dropped or added.
-Bytes Mutate(Bytes bytes, std::mt19937& random) {
-  const uint32_t changes = 1 + random() % 4;
-  for (uint32_t change = 0; change < changes; ++change) {
-    const size_t at = bytes.empty() ? 0 : random() % bytes.size();
-    const uint32_t kind = random() % 4;
-    if (kind == 0) bytes.resize(at);
-    if (kind == 1 && !bytes.empty()) bytes[at] = static_cast<uint8_t>(random());
-    if (kind == 2) bytes.insert(bytes.begin() + at, 0xff);
-    if (kind == 3 && !bytes.empty()) bytes[at] = 0xff;
-  }
-  return bytes;
-}
-
 // Decodes mutations of `message`. It guards against decoders that crash, read
 // past the end, or accept what they can't encode again.
 template <typename Message>
@@ -74,6 +62,33 @@
   CheckMutations(FabricPacket{{1, 2}, {3, 4}, Bytes(80, 5)});
 }
 
+BOOST_AUTO_TEST_CASE(MutatedRelayMessage_Decoded_FailsOrReencodes) {
+  RelayHeader header;
+  header.allowed = {MakeServiceId("probe-hub"), MakeServiceId("report-desk")};
+  header.alternates = {{1, 2}, {3, 4}};
+  CheckMutations(RelayMessage(RelayedPacket{header, Bytes(200, 7)}));
+  CheckMutations(
+      RelayMessage(FlowQuestion{{{1, 2}, {3, 4}}, 9, header.allowed}));
+  CheckMutations(RelayMessage(
+      FlowAnswer{{{1, 2}, {3, 4}}, FlowOwnership::kUnsure, Bytes(50, 1)}));
+  CheckMutations(RelayMessage(AgentPoll{false, 12}));
+  AgentReport report;
+  report.phase = UpstreamPhase::kDraining;
+  report.busy = 2.5;
+  CheckMutations(RelayMessage(AgentStatus{report, 12}));
+}
+
+// Guards against a relayed packet that does not fit into one datagram.
+BOOST_AUTO_TEST_CASE(LargestRelayedPacket_Encoded_FitsOneMessage) {
+  RelayHeader header;
+  header.allowed.resize(kMaxRelayServices);
+  header.alternates.resize(kMaxRelayAlternates);
+  Bytes bytes;
+  EncodeRelayMessage(RelayedPacket{header, Bytes(kMaxFlowPacketBytes, 1)},
+                     bytes);
+  BOOST_TEST(bytes.size() <= kMaxRelayMessageBytes);
+}
+
 BOOST_AUTO_TEST_CASE(MutatedControlMessage_Decoded_FailsOrReencodes) {
   Heartbeat heartbeat;
   heartbeat.entry.service = "probe-hub";
--- a/packages/transport/include/medlarwinch/transport/loop_http_server.h
+++ b/packages/transport/include/medlarwinch/transport/loop_http_server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "medlarwinch/state/endpoint.h"
 #include "medlarwinch/state/result.h"
@@ -17,10 +18,22 @@
   /// Called on the loop's thread; must not block.
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
 
+  /// Sends the answer to one request; without a response the connection is
+  /// closed. Called at most once, from the loop's thread.
+  using Responder = std::function<void(std::optional<HttpResponse>)>;
+  /// As Handler for answers that come later. A request whose responder is never
+  /// called is never answered.
+  using DeferredHandler = std::function<void(const HttpRequest&, Responder)>;
+
   /// Listens on `local`. Fails with kUnavailable, naming the address.
   static Result<std::unique_ptr<LoopHttpServer>> Listen(
       boost::asio::io_context& loop, const Endpoint& local, Handler handler);
 
+  /// As Listen() with answers that may come later.
+  static Result<std::unique_ptr<LoopHttpServer>> ListenDeferred(
+      boost::asio::io_context& loop, const Endpoint& local,
+      DeferredHandler handler);
+
   ~LoopHttpServer();
   LoopHttpServer(const LoopHttpServer&) = delete;
   LoopHttpServer& operator=(const LoopHttpServer&) = delete;
--- a/packages/transport/src/loop_http_server.cc
+++ b/packages/transport/src/loop_http_server.cc
@@ -37,14 +37,14 @@
 struct LoopHttpServer::State : std::enable_shared_from_this<State> {
   class Connection;
 
-  State(boost::asio::io_context& loop, Handler handler_function)
+  State(boost::asio::io_context& loop, DeferredHandler handler_function)
       : acceptor(loop), retry(loop), handler(std::move(handler_function)) {}
 
   void Accept();
 
   tcp::acceptor acceptor;
   boost::asio::steady_timer retry;
-  Handler handler;
+  DeferredHandler handler;
   size_t connections = 0;
   bool is_closed = false;
 };
@@ -74,8 +74,19 @@
 
  private:
   void Answer() {
+    server_->handler(ToRequest(parser_->get()),
+                     [self = shared_from_this()](
+                         std::optional<HttpResponse> answer) mutable {
+                       if (answer.has_value()) {
+                         self->Write(std::move(*answer));
+                       } else {
+                         self->stream_.close();
+                       }
+                     });
+  }
+
+  void Write(HttpResponse answer) {
     const http::request<http::string_body>& request = parser_->get();
-    HttpResponse answer = server_->handler(ToRequest(request));
     response_ = {};
     response_.version(request.version());
     response_.result(static_cast<unsigned>(answer.status));
@@ -118,6 +129,17 @@
 
 Result<std::unique_ptr<LoopHttpServer>> LoopHttpServer::Listen(
     boost::asio::io_context& loop, const Endpoint& local, Handler handler) {
+  return ListenDeferred(
+      loop, local,
+      [handler = std::move(handler)](const HttpRequest& request,
+                                     const Responder& respond) {
+        respond(handler(request));
+      });
+}
+
+Result<std::unique_ptr<LoopHttpServer>> LoopHttpServer::ListenDeferred(
+    boost::asio::io_context& loop, const Endpoint& local,
+    DeferredHandler handler) {
   const std::shared_ptr<State> state =
       std::make_shared<State>(loop, std::move(handler));
   const tcp::endpoint endpoint(boost::asio::ip::address_v4(local.ip),
