Add stand-ins for the platform's side and a randomized fault soak of the real daemons

The soak starts medlarwinch_platformd as processes between a store, routers, callers and hosts on loopback, pauses, kills, stops and restarts them, crashes and drains hosts, and lets the store refuse, hang, reset, lose answers and its history for single daemons. It checks what callers and hosts see. A first run failed because restarted daemons inherited the runner's sockets; the stand-in now closes them.

--- /dev/null
+++ b/standins/platform_side/app/platform_soak.cc
@@ -0,0 +1,81 @@
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+#include "medlarwinch/platform_side/soak_world.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr int kExitViolated = 1;
+constexpr int kExitUsage = 2;
+
+int RunSeed(SoakSettings settings, uint64_t seed) {
+  settings.seed = seed;
+  settings.folder += "/seed-" + std::to_string(seed);
+  std::filesystem::remove_all(settings.folder);
+  std::filesystem::create_directories(settings.folder);
+  boost::asio::io_context loop(1);
+  SoakWorld world(loop, settings);
+  const Result<Ok> started = world.Start();
+  if (!IsOk(started)) {
+    std::cerr << ErrorOf(started).message << "\n";
+    return kExitViolated;
+  }
+  loop.run();
+  const CallerCounts counts = world.Counts();
+  std::cout << "seed " << seed << ": " << counts.answered << " of "
+            << counts.asked << " requests answered on " << counts.flows
+            << " flows, " << world.violations().size() << " violations\n";
+  for (const std::string& violation : world.violations()) {
+    std::cout << "seed " << seed << ": " << violation << "\n";
+  }
+  if (world.violations().empty()) {
+    std::filesystem::remove_all(settings.folder);
+    return 0;
+  }
+  return kExitViolated;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app{"Randomized fault soak of the platform's daemons",
+               "platform_soak"};
+  SoakSettings settings;
+  settings.folder = "soak-out";
+  uint64_t first = 1;
+  uint64_t seeds = 1;
+  app.add_option("daemon", settings.daemon_program,
+                 "the program medlarwinch_platformd")
+      ->required();
+  app.add_option("--seed", first, "first seed");
+  app.add_option("--seeds", seeds, "number of seeds, one after the other");
+  app.add_option("--seconds", settings.seconds, "length of a run")
+      ->check(CLI::Range(12, 3'600));
+  app.add_option("--balancers", settings.balancers)->check(CLI::Range(1, 60));
+  app.add_option("--hosts", settings.hub_hosts, "hosts of the larger service")
+      ->check(CLI::Range(1, 150));
+  app.add_option("--users", settings.users)->check(CLI::Range(1, 5'000));
+  app.add_option("--folder", settings.folder,
+                 "for the settings and logs of failed seeds");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& help) {
+    return app.exit(help);
+  } catch (const CLI::ParseError& error) {
+    app.exit(error);
+    return kExitUsage;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  int result = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    result = std::max(result, RunSeed(settings, seed));
+  }
+  return result;
+}
+
+}  // namespace
+}  // namespace medlarwinch
+
+int main(int argc, char** argv) { return medlarwinch::Main(argc, argv); }
--- /dev/null
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_world.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/platform_side/flow_callers.h"
+#include "medlarwinch/platform_side/flow_host.h"
+#include "medlarwinch/platform_side/metadata_service.h"
+#include "medlarwinch/standins/child_process.h"
+
+namespace medlarwinch {
+
+struct SoakSettings {
+  std::string daemon_program;
+  /// Folder for settings files and logs.
+  std::string folder;
+  uint64_t seed = 1;
+  int seconds = 20;
+  int balancers = 3;
+  int hub_hosts = 4;
+  int desk_hosts = 2;
+  int users = 40;
+};
+
+/// Runs real daemons as processes between stand-ins of the platform's store,
+/// routers, callers and hosts, injects faults from outside, and checks what
+/// callers and hosts see. Faults and their times follow from the seed.
+class SoakWorld {
+ public:
+  SoakWorld(boost::asio::io_context& loop, SoakSettings settings);
+
+  /// Starts everything. Fails with kUnavailable when a program or an address
+  /// can't be used.
+  Result<Ok> Start();
+
+  /// What broke a promise, in order; empty when all were kept.
+  const std::vector<std::string>& violations() const { return violations_; }
+  CallerCounts Counts() const;
+
+ private:
+  struct Daemon {
+    std::string name;
+    uint32_t ip = 0;
+    bool is_agent = false;
+    std::string settings_file;
+    std::unique_ptr<ChildProcess> process;
+    std::unique_ptr<LoopHttpServer> store;
+    std::unique_ptr<LoopHttpClient> readiness;
+    StoreFault fault = StoreFault::kNone;
+    TimePoint disturbed;
+    TimePoint restart_at;
+    int misses = 2;
+    bool is_paused = false;
+  };
+  /// One agent and the host beside it.
+  struct Machine {
+    size_t daemon = 0;
+    std::unique_ptr<FlowHost> host;
+    FlowHostSettings host_settings;
+    TimePoint host_started;
+    TimePoint host_restart_at;
+  };
+
+  Result<Ok> AddDaemon(const std::string& name, uint32_t ip, bool is_agent,
+                       const std::string& service);
+  Result<Ok> StartProcess(Daemon& daemon);
+  Result<Ok> StartHost(Machine& machine);
+  void Disturb(Daemon& daemon);
+  void Tick();
+  void CheckReadiness();
+  void InjectFault();
+  void FaultOfDaemon(Daemon& daemon);
+  void FaultOfHost(Machine& machine);
+  void FaultOfStore();
+  void ChangeConfiguration();
+  void EndFaults();
+  Endpoint BalancerOf(const FlowTuple& flow) const;
+  void CheckReset(const FlowTuple& flow, uint32_t sender);
+  void Note(const std::string& event);
+  void Violate(const std::string& what);
+  double Second() const;
+
+  boost::asio::io_context& loop_;
+  SoakSettings settings_;
+  std::mt19937_64 random_;
+  /// First address of the loopback network of this run.
+  uint32_t net_;
+  MetadataService store_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<std::unique_ptr<FlowCallers>> callers_;
+  boost::asio::steady_timer timer_;
+  TimePoint started_;
+  TimePoint next_fault_;
+  TimePoint next_readiness_;
+  TimePoint store_disturbed_;
+  CallerCounts before_end_;
+  uint32_t incarnations_ = 0;
+  uint64_t version_ = 1;
+  bool faults_ended_ = false;
+  bool counts_taken_ = false;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace medlarwinch
--- a/standins/src/child_process.cc
+++ b/standins/src/child_process.cc
@@ -26,6 +26,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the child inherits would keep its address in use.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
   sigset_t none;
