--- a/packages/node/include/medlarwinch/node/agent_entry.h
+++ b/packages/node/include/medlarwinch/node/agent_entry.h
@@ -28,8 +28,9 @@
 /// one that takes effect late changes nothing that was written since.
 class AgentEntry {
  public:
-  AgentEntry(boost::asio::io_context& loop, std::unique_ptr<StoreConnection> store,
-             std::string name, std::string content, uint64_t seed);
+  AgentEntry(boost::asio::io_context& loop,
+             std::unique_ptr<StoreConnection> store, std::string name,
+             std::string content, uint64_t seed);
 
   /// Writes the entry unless a write is in progress.
   void Publish();
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -9,6 +9,7 @@
 #include "medlarwinch/node/agent_entry.h"
 #include "medlarwinch/node/node_base.h"
 #include "medlarwinch/node/platform_ports.h"
+#include "medlarwinch/node/settings_reload.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/datagram_port.h"
 
@@ -61,6 +62,8 @@
   std::unique_ptr<NodeStatusServers> status_;
   std::unique_ptr<Periodic> tick_timer_;
   std::unique_ptr<NodeSignals> signals_;
+  SettingsReload reload_;
+  std::unique_ptr<Periodic> reload_timer_;
   TimePoint stop_requested_;
   TimePoint republished_;
   bool is_withdrawn_ = false;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -9,6 +9,7 @@
 #include "medlarwinch/coordination/balancer_relay.h"
 #include "medlarwinch/node/node_base.h"
 #include "medlarwinch/node/platform_ports.h"
+#include "medlarwinch/node/settings_reload.h"
 #include "medlarwinch/node/store_watch.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/datagram_port.h"
@@ -61,6 +62,8 @@
   std::unique_ptr<Periodic> poll_timer_;
   std::unique_ptr<Periodic> tick_timer_;
   std::unique_ptr<NodeSignals> signals_;
+  SettingsReload reload_;
+  std::unique_ptr<Periodic> reload_timer_;
   TimePoint listed_;
   TimePoint last_packet_;
   TimePoint last_tick_;
--- /dev/null
+++ b/packages/node/include/medlarwinch/node/node_metrics.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "medlarwinch/coordination/agent_relay.h"
+#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/transport/metrics.h"
+
+namespace medlarwinch {
+
+/// Sets the metrics of a balancer from its state and the numbers of packets and
+/// messages that could not be read.
+void SetBalancerMetrics(const BalancerRelay& relay, uint64_t malformed_packets,
+                        uint64_t malformed_messages, Metrics& metrics);
+
+/// Sets the metrics of an agent of `service` from its state.
+void SetAgentMetrics(const AgentRelay& relay, const std::string& service,
+                     Metrics& metrics);
+
+}  // namespace medlarwinch
--- a/packages/node/include/medlarwinch/node/platform_ports.h
+++ b/packages/node/include/medlarwinch/node/platform_ports.h
@@ -11,6 +11,7 @@
 #include "medlarwinch/coordination/relay_routes.h"
 #include "medlarwinch/coordination/upstream_directory.h"
 #include "medlarwinch/coordination/upstream_host.h"
+#include "medlarwinch/node/node_settings.h"
 #include "medlarwinch/node/store_connection.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/state/flow_packet.h"
@@ -51,6 +52,10 @@
   std::string configuration_name;
   std::function<Result<RelayConfiguration>(const std::string& content)>
       decode_configuration;
+  /// Reads this node's settings again; fails as at the start.
+  std::function<Result<NodeSettings>()> read_settings;
+  /// Changes with every change of the settings file.
+  std::function<uint64_t()> settings_stamp;
   /// Path of the readiness checks.
   std::string readiness_path;
 };
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -25,9 +25,9 @@
 /// the objects are listed again.
 class StoreWatch {
  public:
-  StoreWatch(boost::asio::io_context& loop, std::unique_ptr<StoreConnection> store,
-             std::string kind, Millis wait, uint64_t seed,
-             StoreObserver observer);
+  StoreWatch(boost::asio::io_context& loop,
+             std::unique_ptr<StoreConnection> store, std::string kind,
+             Millis wait, uint64_t seed, StoreObserver observer);
   ~StoreWatch();
   StoreWatch(const StoreWatch&) = delete;
   StoreWatch& operator=(const StoreWatch&) = delete;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
@@ -44,7 +45,8 @@
       ports_(std::move(ports)),
       boot_(seed),
       entry_(loop, ports_.open_store(), AgentEntryName(settings.datagrams),
-             EncodeAgentEntry(OwnEntry(settings), settings.service), seed) {
+             EncodeAgentEntry(OwnEntry(settings), settings.service), seed),
+      reload_(settings_, ports_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
   relay_.beat_interval = settings.beat_interval;
@@ -82,10 +84,10 @@
       std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
   tick_timer_->Start();
   signals_ = std::make_unique<NodeSignals>(
-      loop_, [this] { BeginStop(); },
-      [] {
-        Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}});
-      });
+      loop_, [this] { BeginStop(); }, [this] { reload_.Reload(); });
+  reload_timer_ = std::make_unique<Periodic>(
+      loop_, kSettingsCheckInterval, [this] { reload_.ReloadIfChanged(); });
+  reload_timer_->Start();
   Log(LogLevel::kInfo, "start",
       {{"role", "agent"},
        {"service", settings_.service},
@@ -329,6 +331,7 @@
 
 void AgentNode::Tick() {
   const TimePoint now = MonotonicNow();
+  relay_.beat_interval = settings_.beat_interval;
   actions_.clear();
   HandleAgentTick(relay_, now, actions_);
   Carry(actions_, {});
@@ -366,34 +369,14 @@
 }
 
 std::string AgentNode::RenderMetrics() {
-  const AgentCounters& counters = relay_.counters;
-  const auto set = [&](const char* name, double value) {
-    metrics_.Set(std::string("medlarwinch_agent_") + name,
-                 {{"service", settings_.service}}, value);
-  };
-  set("packets_delivered", static_cast<double>(counters.delivered));
-  set("flows_opened", static_cast<double>(counters.opened));
-  set("packets_to_callers", static_cast<double>(counters.to_callers));
-  set("ownership_denied", static_cast<double>(counters.denied));
-  set("openings_dropped", static_cast<double>(counters.dropped_openings));
-  set("flows", relay_.flows.open);
-  set("requests_outstanding", relay_.flows.outstanding);
-  set("busy", relay_.flows.busy);
-  set("packets_malformed", static_cast<double>(malformed_));
-  set("messages_malformed", static_cast<double>(malformed_messages_));
-  set("notices_refused", static_cast<double>(refused_notices_));
-  for (size_t reason = 0; reason < kRefusalReasons; ++reason) {
-    metrics_.Set(
-        "medlarwinch_agent_openings_passed_on",
-        {{"reason", RefusalReasonName(static_cast<RefusalReason>(reason))}},
-        static_cast<double>(counters.passed_on[reason]));
-  }
-  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
-    metrics_.Set(
-        "medlarwinch_agent_resets",
-        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
-        static_cast<double>(counters.resets[reason]));
-  }
+  SetAgentMetrics(relay_, settings_.service, metrics_);
+  const MetricLabels labels = {{"service", settings_.service}};
+  metrics_.Set("medlarwinch_agent_packets_malformed", labels,
+               static_cast<double>(malformed_));
+  metrics_.Set("medlarwinch_agent_messages_malformed", labels,
+               static_cast<double>(malformed_messages_));
+  metrics_.Set("medlarwinch_agent_notices_refused", labels,
+               static_cast<double>(refused_notices_));
   return metrics_.Render();
 }
 
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "medlarwinch/node/agent_entry.h"
+#include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
@@ -31,18 +32,15 @@
 constexpr double kOpenLinesPerSecond = 20;
 constexpr double kFailureLinesPerSecond = 100;
 
-uint64_t Total(const std::array<uint64_t, kFlowResetReasons>& counts) {
-  uint64_t total = 0;
-  for (const uint64_t count : counts) total += count;
-  return total;
-}
-
 }  // namespace
 
 BalancerNode::BalancerNode(boost::asio::io_context& loop,
                            const NodeSettings& settings, PlatformPorts ports,
                            uint64_t seed)
-    : loop_(loop), settings_(settings), ports_(std::move(ports)) {
+    : loop_(loop),
+      settings_(settings),
+      ports_(std::move(ports)),
+      reload_(settings_, ports_) {
   relay_.self = settings.relay;
   relay_.random.seed(seed);
   relay_.directory.own_failure_domain = settings.failure_domain;
@@ -77,10 +75,10 @@
       std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
   tick_timer_->Start();
   signals_ = std::make_unique<NodeSignals>(
-      loop_, [this] { BeginStop(); },
-      [] {
-        Log(LogLevel::kInfo, "reload", {{"outcome", "unchanged"}});
-      });
+      loop_, [this] { BeginStop(); }, [this] { reload_.Reload(); });
+  reload_timer_ = std::make_unique<Periodic>(
+      loop_, kSettingsCheckInterval, [this] { reload_.ReloadIfChanged(); });
+  reload_timer_->Start();
   Log(LogLevel::kInfo, "start",
       {{"role", "balancer"},
        {"failure_domain", settings_.failure_domain},
@@ -394,37 +392,7 @@
 }
 
 std::string BalancerNode::RenderMetrics() {
-  const BalancerCounters& counters = relay_.counters;
-  const auto set = [&](const char* name, uint64_t value) {
-    metrics_.Set(std::string("medlarwinch_balancer_") + name, {},
-                 static_cast<double>(value));
-  };
-  set("flows_opened", counters.opened);
-  set("opening_copies", counters.open_copies);
-  set("packets_relayed", counters.relayed);
-  set("owner_searches", counters.searches);
-  set("owners_found", counters.found);
-  set("searches_unresolved", counters.searches_unresolved);
-  set("searches_refused", counters.searches_refused);
-  set("openings_dropped_waiting", counters.waiting_for_upstream);
-  set("packets_dropped_no_route", counters.dropped_no_route);
-  set("packets_malformed", malformed_);
-  set("messages_malformed", malformed_messages_);
-  set("flows_cached", relay_.cache.size());
-  set("flows_evicted", relay_.cache.evictions());
-  set("resets", Total(counters.resets));
-  set("configuration_revision", relay_.routes.revision);
-  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
-    metrics_.Set(
-        "medlarwinch_balancer_resets_by_reason",
-        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
-        static_cast<double>(counters.resets[reason]));
-  }
-  for (const auto& [agent, upstream] : relay_.directory.upstreams) {
-    const MetricLabels labels = {{"agent", ToString(agent)}};
-    metrics_.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
-    metrics_.Set("medlarwinch_upstream_busy", labels, upstream.report.busy);
-  }
+  SetBalancerMetrics(relay_, malformed_, malformed_messages_, metrics_);
   return metrics_.Render();
 }
 
