--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -19,7 +19,7 @@
 constexpr Millis kAgentWatchWait{3'000};
 // After the list of agents was read, how long readiness waits for those that do
 // not answer.
-constexpr Millis kFirstReportsWait{400};
+constexpr Millis kFirstReportsWait{100};
 // Least time between two extra reads of the configuration.
 constexpr Millis kRefreshInterval{500};
 // The routers notice within two checks, 500 ms apart, that a balancer is not
