--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -30,18 +30,6 @@
 /// has run for this long: the longest life of a flow on the platform, 60 s.
 inline constexpr Millis kFlowLifetime{60'000};
 
-/// Why an agent did not hand a packet to its upstream.
-enum class RefusalReason : uint8_t {
-  kOtherService = 0,
-  kNotReady = 1,
-  kUnresponsive = 2,
-  kBusy = 3,
-  /// The upstream returned the packet.
-  kBounced = 4,
-};
-inline constexpr size_t kRefusalReasons = 5;
-const char* RefusalReasonName(RefusalReason reason);
-
 struct AgentCounters {
   uint64_t delivered = 0;
   uint64_t opened = 0;
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -24,10 +25,43 @@
 inline constexpr size_t kFlowResetReasons = 6;
 const char* FlowResetReasonName(FlowResetReason reason);
 
+/// Why an agent did not hand a packet to its upstream.
+enum class RefusalReason : uint8_t {
+  kOtherService = 0,
+  kNotReady = 1,
+  kUnresponsive = 2,
+  kBusy = 3,
+  /// The upstream returned the packet.
+  kBounced = 4,
+};
+inline constexpr size_t kRefusalReasons = 5;
+const char* RefusalReasonName(RefusalReason reason);
+
+/// Why a packet goes nowhere, without an answer to its caller.
+enum class PacketDropReason : uint8_t {
+  /// No agent takes the opening now; the caller sends it again.
+  kLeftToNextCopy = 0,
+  /// Upstreams of the route are starting or have only just fallen silent.
+  kNoUpstreamYet = 1,
+  /// Nobody was found to hold the flow, and there is no proof that nobody does.
+  kOwnerNotProved = 2,
+  /// No configuration of this process names the address.
+  kRouteNotKnown = 3,
+};
+const char* PacketDropReasonName(PacketDropReason reason);
+
 /// Hand the packet in hand to the agent at `to`.
 struct RelayToAgent {
   Endpoint to;
   RelayHeader header;
+  /// At an agent: why it does not take the packet itself.
+  std::optional<RefusalReason> refusal;
+};
+
+/// The packet in hand, or kept ones of the flow, go nowhere.
+struct DropPackets {
+  FlowTuple flow;
+  PacketDropReason reason = PacketDropReason::kLeftToNextCopy;
 };
 
 /// Hand a packet that was kept to the agent at `to`.
@@ -69,7 +103,8 @@
 
 using RelayAction =
     std::variant<RelayToAgent, RelayKeptPacket, DeliverToUpstream,
-                 DeliverToCaller, AskOwnership, TellOwnership, ResetCaller>;
+                 DeliverToCaller, AskOwnership, TellOwnership, DropPackets,
+                 ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 }  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -88,7 +88,7 @@
 /// Takes the report of the agent at `from`. What an agent says of itself goes
 /// before what the store lists.
 ReportEffect TakeReport(UpstreamDirectory& directory, const Endpoint& from,
-                         const AgentReport& report, TimePoint now);
+                        const AgentReport& report, TimePoint now);
 
 /// Whether new flows may be placed at the upstream.
 bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now);
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -85,11 +85,13 @@
     const Endpoint next = header.alternates.front();
     header.alternates.erase(header.alternates.begin());
     ++header.hops;
-    actions.push_back(RelayToAgent{next, std::move(header)});
+    actions.push_back(RelayToAgent{next, std::move(header), reason});
     return;
   }
   if (WaitsForCopy(relay, packet, reason)) {
     ++relay.counters.dropped_openings;
+    actions.push_back(
+        DropPackets{FlowFromCaller(packet), PacketDropReason::kLeftToNextCopy});
     return;
   }
   Reset(relay, FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream,
@@ -211,22 +213,6 @@
 
 }  // namespace
 
-const char* RefusalReasonName(RefusalReason reason) {
-  switch (reason) {
-    case RefusalReason::kOtherService:
-      return "other_service";
-    case RefusalReason::kNotReady:
-      return "not_ready";
-    case RefusalReason::kUnresponsive:
-      return "unresponsive";
-    case RefusalReason::kBusy:
-      return "busy";
-    case RefusalReason::kBounced:
-      return "bounced";
-  }
-  return "invalid";
-}
-
 bool IsUnresponsive(const AgentRelay& relay, TimePoint now) {
   return relay.unanswered_since.has_value() &&
          now - *relay.unanswered_since >= kUnansweredOpening;
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -38,6 +38,7 @@
   if (ranked.empty()) {
     if (MayAcceptSoon(relay.directory, route, now)) {
       ++relay.counters.waiting_for_upstream;
+      actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
     Reset(relay, flow, 0, FlowResetReason::kNoUpstream, actions);
@@ -66,7 +67,7 @@
   relay.directory.upstreams.at(first).placed += 1;
   relay.cache.Put(flow, first, !is_copy, now);
   ++(is_copy ? relay.counters.open_copies : relay.counters.opened);
-  actions.push_back(RelayToAgent{first, std::move(header)});
+  actions.push_back(RelayToAgent{first, std::move(header), std::nullopt});
 }
 
 std::vector<ServiceId> HoldingServicesOf(const BalancerRelay& relay,
@@ -111,6 +112,7 @@
           actions);
   } else {
     ++relay.counters.searches_unresolved;
+    actions.push_back(DropPackets{flow, PacketDropReason::kOwnerNotProved});
   }
   relay.searches.erase(found);
 }
@@ -152,9 +154,10 @@
   }
   for (const Endpoint& agent : search.unsure) {
     if (Contains(search.denied, agent)) continue;
-    actions.push_back(
-        RelayToAgent{agent, MakeHeader(relay, RelayPurpose::kProbe,
-                                       HoldingServicesOf(relay, flow))});
+    actions.push_back(RelayToAgent{
+        agent,
+        MakeHeader(relay, RelayPurpose::kProbe, HoldingServicesOf(relay, flow)),
+        std::nullopt});
   }
 }
 
@@ -221,6 +224,7 @@
       // Another balancer may know a newer configuration with this route, so an
       // open flow is left alone.
       ++relay.counters.dropped_no_route;
+      actions.push_back(DropPackets{flow, PacketDropReason::kRouteNotKnown});
       return;
     }
     relay.cache.Remove(flow);
@@ -243,7 +247,8 @@
   ++relay.counters.relayed;
   actions.push_back(RelayToAgent{
       cached->agent,
-      MakeHeader(relay, RelayPurpose::kEstablished, HoldingServices(*route))});
+      MakeHeader(relay, RelayPurpose::kEstablished, HoldingServices(*route)),
+      std::nullopt});
 }
 
 void HandleOwnership(BalancerRelay& relay, const OwnershipAnswer& answer,
@@ -272,6 +277,8 @@
       denied.push_back(position->first);
     } else if (now - position->second.started >= kSearchTimeout) {
       ++relay.counters.searches_unresolved;
+      actions.push_back(
+          DropPackets{position->first, PacketDropReason::kOwnerNotProved});
       position = relay.searches.erase(position);
       continue;
     }
--- a/packages/coordination/src/relay_actions.cc
+++ b/packages/coordination/src/relay_actions.cc
@@ -20,4 +20,34 @@
   return "invalid";
 }
 
+const char* RefusalReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kOtherService:
+      return "other_service";
+    case RefusalReason::kNotReady:
+      return "not_ready";
+    case RefusalReason::kUnresponsive:
+      return "unresponsive";
+    case RefusalReason::kBusy:
+      return "busy";
+    case RefusalReason::kBounced:
+      return "bounced";
+  }
+  return "invalid";
+}
+
+const char* PacketDropReasonName(PacketDropReason reason) {
+  switch (reason) {
+    case PacketDropReason::kLeftToNextCopy:
+      return "left_to_next_copy";
+    case PacketDropReason::kNoUpstreamYet:
+      return "no_upstream_yet";
+    case PacketDropReason::kOwnerNotProved:
+      return "owner_not_proved";
+    case PacketDropReason::kRouteNotKnown:
+      return "route_not_known";
+  }
+  return "invalid";
+}
+
 }  // namespace medlarwinch
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -37,7 +37,7 @@
 }
 
 ReportEffect TakeReport(UpstreamDirectory& directory, const Endpoint& from,
-                         const AgentReport& report, TimePoint now) {
+                        const AgentReport& report, TimePoint now) {
   ReportEffect effect;
   const auto found = directory.upstreams.find(from);
   if (found == directory.upstreams.end()) return effect;
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(RestartedAgent_BeforeFirstBeat_DeliversNoOpening) {
   relay.host = UpstreamHost{};
   const RelayActions actions = Relay(OpeningPacket(1));
-  BOOST_TEST(actions.empty());
+  BOOST_TEST(AreOnlyDropped(actions, PacketDropReason::kLeftToNextCopy));
 }
 
 BOOST_AUTO_TEST_CASE(BouncedOpening_WithAlternate_IsPassedOn) {
@@ -239,8 +239,10 @@
     BOOST_REQUIRE(port < 100);
   }
   BOOST_TEST(port > 10);
-  BOOST_TEST(Relay(OpeningPacket(200, 0)).empty());
-  BOOST_TEST(Relay(OpeningPacket(200, 1)).empty());
+  for (uint32_t copies_before = 0; copies_before < 2; ++copies_before) {
+    BOOST_TEST(AreOnlyDropped(Relay(OpeningPacket(200, copies_before)),
+                              PacketDropReason::kLeftToNextCopy));
+  }
   BOOST_TEST(ActionsOf<ResetCaller>(Relay(OpeningPacket(200, 2))).size() == 1U);
 }
 
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -171,7 +171,7 @@
 BOOST_AUTO_TEST_CASE(UnknownRoute_OpenFlow_IsLeftAlone) {
   FlowPacket packet = CallerPacket(1, 77);
   packet.destination.port = 9'999;
-  BOOST_TEST(Send(packet).empty());
+  BOOST_TEST(AreOnlyDropped(Send(packet), PacketDropReason::kRouteNotKnown));
   packet.is_syn = true;
   BOOST_TEST(ActionsOf<ResetCaller>(Send(packet)).size() == 1U);
 }
@@ -181,7 +181,8 @@
     Report(AgentAddress(index),
            index == 0 ? UpstreamPhase::kUnknown : UpstreamPhase::kDraining);
   }
-  BOOST_TEST(Send(OpeningPacket(1)).empty());
+  BOOST_TEST(
+      AreOnlyDropped(Send(OpeningPacket(1)), PacketDropReason::kNoUpstreamYet));
   Report(AgentAddress(0), UpstreamPhase::kAbsent);
   BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(1))).size() == 1U);
 }
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/relay_fixture.h
@@ -44,6 +44,13 @@
   return found;
 }
 
+/// Whether the packets go nowhere, for `reason` and without an answer.
+inline bool AreOnlyDropped(const RelayActions& actions,
+                           PacketDropReason reason) {
+  const std::vector<DropPackets> drops = ActionsOf<DropPackets>(actions);
+  return actions.size() == 1 && drops.size() == 1 && drops[0].reason == reason;
+}
+
 /// A balancer with one route to `probe-hub` and some ready agents.
 struct RelayWithAgents {
   static constexpr uint32_t kAgents = 7;
--- a/packages/node/include/medlarwinch/node/agent_entry.h
+++ b/packages/node/include/medlarwinch/node/agent_entry.h
@@ -17,6 +17,8 @@
 /// The object of the agent at `agent`: one for each address, so that an agent
 /// at a reused address replaces the entry of its predecessor.
 std::string AgentEntryName(const Endpoint& agent);
+/// The address that such a name stands for.
+Result<Endpoint> AgentOfEntryName(std::string name);
 std::string EncodeAgentEntry(const DirectoryEntry& entry,
                              const std::string& service);
 /// Fails with kInvalidInput when the content is not an entry or does not belong
@@ -41,6 +43,8 @@
   /// True once the store holds the entry, and again after Withdraw() once it
   /// does not.
   bool is_settled() const { return is_settled_; }
+  /// True while the entry is in the store as far as this agent knows.
+  bool is_published() const { return is_settled_ && is_wanted_; }
 
  private:
   void Step();
--- a/packages/node/include/medlarwinch/node/node_base.h
+++ b/packages/node/include/medlarwinch/node/node_base.h
@@ -63,6 +63,9 @@
 /// Writes one line with the counts of lines that `budget` left out.
 void LogSuppressed(LogBudget& budget);
 
+/// Writes a line for packets that go nowhere, within `budget`.
+void LogDrop(LogBudget& budget, const DropPackets& drop, TimePoint now);
+
 /// Text of a flow in log lines: "caller>service_address".
 std::string FlowText(const FlowTuple& flow);
 
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -16,6 +16,9 @@
   /// All objects; those not in it are gone.
   std::function<void(const ObjectListing&)> on_listing;
   std::function<void(const ObjectChange&)> on_change;
+  /// How long to wait after changes before the next watch, so that changes in
+  /// quick succession cost one call. Optional; no wait without it.
+  std::function<Millis()> pause_after_changes;
   /// The store was lost, with the reason, or answers again.
   std::function<void(bool is_current, const std::string& reason)> on_contact;
 };
@@ -45,6 +48,7 @@
   void List();
   void Watch();
   void Retry(const std::string& reason, bool needs_listing);
+  void After(Millis delay, void (StoreWatch::*step)());
   void SetCurrent(bool is_current, const std::string& reason);
 
   std::unique_ptr<StoreConnection> store_;
--- a/packages/node/src/agent_entry.cc
+++ b/packages/node/src/agent_entry.cc
@@ -26,6 +26,11 @@
   return name;
 }
 
+Result<Endpoint> AgentOfEntryName(std::string name) {
+  std::replace(name.begin(), name.end(), '-', ':');
+  return ParseEndpoint(name);
+}
+
 std::string EncodeAgentEntry(const DirectoryEntry& entry,
                              const std::string& service) {
   const nlohmann::json content = {{"relay", ToString(entry.agent)},
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -234,7 +234,7 @@
       break;
   }
   is_withdrawn_ = false;
-  entry_.Publish();
+  if (!entry_.is_published()) entry_.Publish();
 }
 
 void AgentNode::Carry(const RelayActions& actions, ByteView packet) {
@@ -256,7 +256,10 @@
       if (log_budget_.Allows("flow_passed_on", kFailureLinesPerSecond,
                              MonotonicNow())) {
         Log(LogLevel::kInfo, "flow_passed_on",
-            {{"to", ToString(relayed->to)},
+            {{"flow", FlowText(FlowFromCaller(*ports_.decode_packet(packet)))},
+             {"to", ToString(relayed->to)},
+             {"reason", RefusalReasonName(
+                            relayed->refusal.value_or(RefusalReason::kBusy))},
              {"hops", static_cast<int64_t>(relayed->header.hops)},
              {"phase", UpstreamPhaseName(relay_.host.phase)},
              {"outstanding", static_cast<int64_t>(relay_.flows.outstanding)}});
@@ -272,6 +275,10 @@
       relay_port_->Send(tell->balancer, message_);
       continue;
     }
+    if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
+      LogDrop(log_budget_, *drop, MonotonicNow());
+      continue;
+    }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
       SendReset(*reset);
     }
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/node/agent_entry.h"
 #include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
@@ -12,11 +11,6 @@
 namespace {
 
 constexpr Millis kTickInterval{100};
-// Waiting time of a watch. A connection that has gone silent is noticed after
-// it, which has to be less than the 4 s after which the platform counts the VM
-// as undisturbed again.
-constexpr Millis kConfigurationWatchWait{3'000};
-constexpr Millis kAgentWatchWait{3'000};
 // After the list of agents was read, how long readiness waits for those that do
 // not answer.
 constexpr Millis kFirstReportsWait{100};
@@ -87,117 +81,6 @@
   return Ok{};
 }
 
-void BalancerNode::FollowConfiguration() {
-  StoreObserver observer;
-  observer.on_listing = [this](const ObjectListing& listing) {
-    for (const StoredObject& object : listing.objects) {
-      HandleConfiguration(object);
-    }
-  };
-  observer.on_change = [this](const ObjectChange& change) {
-    if (!change.is_removed) HandleConfiguration(change.object);
-  };
-  observer.on_contact = [](bool is_current, const std::string& reason) {
-    Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
-        is_current ? "store_regained" : "store_lost",
-        {{"watch", "configuration"}, {"reason", reason}});
-  };
-  configuration_watch_ = std::make_unique<StoreWatch>(
-      loop_, ports_.open_store(), ports_.configuration_kind,
-      kConfigurationWatchWait, relay_.random(), std::move(observer));
-  configuration_watch_->Start();
-}
-
-void BalancerNode::FollowAgents() {
-  StoreObserver observer;
-  observer.on_listing = [this](const ObjectListing& listing) {
-    HandleAgents(listing);
-  };
-  observer.on_change = [this](const ObjectChange& change) {
-    HandleAgentChange(change);
-  };
-  observer.on_contact = [this](bool is_current, const std::string& reason) {
-    relay_.directory_is_current = is_current;
-    Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
-        is_current ? "store_regained" : "store_lost",
-        {{"watch", "agents"}, {"reason", reason}});
-  };
-  agent_watch_ = std::make_unique<StoreWatch>(
-      loop_, ports_.open_store(), kAgentKind, kAgentWatchWait, relay_.random(),
-      std::move(observer));
-  agent_watch_->Start();
-}
-
-void BalancerNode::HandleConfiguration(const StoredObject& object) {
-  if (object.name != ports_.configuration_name) return;
-  Result<RelayConfiguration> decoded =
-      ports_.decode_configuration(object.content);
-  if (!IsOk(decoded)) {
-    Log(LogLevel::kError, "configuration_refused",
-        {{"revision", static_cast<int64_t>(object.revision)},
-         {"message", ErrorOf(decoded).message}});
-    return;
-  }
-  RelayConfiguration configuration = TakeValue(std::move(decoded));
-  const uint64_t version = configuration.version;
-  const size_t routes = configuration.routes.size();
-  if (!AdoptConfiguration(relay_.routes, std::move(configuration),
-                          object.revision)) {
-    return;
-  }
-  Log(LogLevel::kInfo, "configuration_in_force",
-      {{"version", static_cast<int64_t>(version)},
-       {"revision", static_cast<int64_t>(object.revision)},
-       {"routes", static_cast<int64_t>(routes)}});
-}
-
-void BalancerNode::HandleAgents(const ObjectListing& listing) {
-  std::vector<DirectoryEntry> entries;
-  for (const StoredObject& object : listing.objects) {
-    Result<DirectoryEntry> entry = DecodeAgentEntry(object);
-    if (!IsOk(entry)) {
-      Log(LogLevel::kWarning, "agent_entry_refused",
-          {{"message", ErrorOf(entry).message}});
-      continue;
-    }
-    entries.push_back(TakeValue(std::move(entry)));
-  }
-  const bool is_first = !relay_.directory.is_complete;
-  ApplyListing(relay_.directory, entries, MonotonicNow());
-  if (is_first) listed_ = MonotonicNow();
-  Log(LogLevel::kInfo, "agents_listed",
-      {{"agents", static_cast<int64_t>(entries.size())},
-       {"revision", static_cast<int64_t>(listing.revision)}});
-  PollAgents();
-}
-
-void BalancerNode::HandleAgentChange(const ObjectChange& change) {
-  if (change.is_removed) {
-    std::string address = change.object.name;
-    std::replace(address.begin(), address.end(), '-', ':');
-    const Result<Endpoint> agent = ParseEndpoint(address);
-    if (!IsOk(agent)) return;
-    ApplyRemoval(relay_.directory, ValueOf(agent));
-    Log(LogLevel::kInfo, "agent_unlisted",
-        {{"agent", change.object.name},
-         {"revision", static_cast<int64_t>(change.object.revision)}});
-    return;
-  }
-  const Result<DirectoryEntry> entry = DecodeAgentEntry(change.object);
-  if (!IsOk(entry)) {
-    Log(LogLevel::kWarning, "agent_entry_refused",
-        {{"message", ErrorOf(entry).message}});
-    return;
-  }
-  ApplyEntry(relay_.directory, ValueOf(entry), MonotonicNow());
-  Log(LogLevel::kInfo, "agent_listed",
-      {{"agent", change.object.name},
-       {"failure_domain", ValueOf(entry).failure_domain},
-       {"revision", static_cast<int64_t>(change.object.revision)}});
-  EncodeRelayMessage(AgentPoll{true, relay_.routes.revision}, message_);
-  agents_->Send(ValueOf(entry).agent, message_);
-}
-
 void BalancerNode::PollAgents() {
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     EncodeRelayMessage(AgentPoll{upstream.is_listed, relay_.routes.revision},
@@ -312,6 +195,10 @@
       agents_->Send(ask->to, message_);
       continue;
     }
+    if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
+      LogDrop(log_budget_, *drop, MonotonicNow());
+      continue;
+    }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
       SendReset(*reset);
     }
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -93,6 +93,14 @@
   }
 }
 
+void LogDrop(LogBudget& budget, const DropPackets& drop, TimePoint now) {
+  constexpr double kLinesPerSecond = 50;
+  if (!budget.Allows("packet_dropped", kLinesPerSecond, now)) return;
+  Log(LogLevel::kWarning, "packet_dropped",
+      {{"flow", FlowText(drop.flow)},
+       {"reason", PacketDropReasonName(drop.reason)}});
+}
+
 std::string FlowText(const FlowTuple& flow) {
   return ToString(flow.caller) + ">" + ToString(flow.service_address);
 }
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -68,7 +68,15 @@
     for (const ObjectChange& change : changes.changes) {
       observer_.on_change(change);
     }
-    Watch();
+    const bool may_pause =
+        !changes.changes.empty() && observer_.pause_after_changes != nullptr;
+    const Millis pause =
+        may_pause ? observer_.pause_after_changes() : Millis{0};
+    if (pause > Millis{0}) {
+      After(pause, &StoreWatch::Watch);
+    } else {
+      Watch();
+    }
   });
 }
 
@@ -76,14 +84,13 @@
   SetCurrent(false, reason);
   const Millis delay = BackoffDelay(kStoreBackoff, failures_, random_());
   ++failures_;
+  After(delay, needs_listing ? &StoreWatch::List : &StoreWatch::Watch);
+}
+
+void StoreWatch::After(Millis delay, void (StoreWatch::*step)()) {
   timer_.expires_after(std::chrono::milliseconds(delay.value));
-  timer_.async_wait([this, needs_listing](boost::system::error_code error) {
-    if (error) return;
-    if (needs_listing) {
-      List();
-    } else {
-      Watch();
-    }
+  timer_.async_wait([this, step](boost::system::error_code error) {
+    if (!error) (this->*step)();
   });
 }
 
--- /dev/null
+++ b/packages/node/tests/store_fixture.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "medlarwinch/node/store_connection.h"
+
+namespace medlarwinch {
+
+/// What the connections of a test share: objects, and errors to give instead of
+/// answers.
+struct FakeStore {
+  std::map<std::string, StoredObject> objects;
+  uint64_t revision = 1;
+  /// Given to the next calls, one each.
+  std::deque<Error> errors;
+  std::vector<std::string> calls;
+  /// Answers to watches that wait.
+  std::vector<std::function<void(Result<ObjectChanges>)>> waiting;
+
+  /// Changes an object and answers the watches.
+  void Put(const std::string& name, const std::string& content) {
+    objects[name] = StoredObject{name, ++revision, content};
+    Answer(ObjectChanges{{ObjectChange{objects[name], false}}, revision});
+  }
+
+  void Answer(const Result<ObjectChanges>& result) {
+    std::vector<std::function<void(Result<ObjectChanges>)>> answered;
+    answered.swap(waiting);
+    for (const auto& callback : answered) callback(result);
+  }
+};
+
+/// A connection to a FakeStore; answers come from the loop.
+class FakeConnection final : public StoreConnection {
+ public:
+  FakeConnection(boost::asio::io_context& loop, FakeStore& store)
+      : loop_(loop), store_(store) {}
+
+  void List(const std::string& /*kind*/,
+            Callback<ObjectListing> callback) override {
+    Call<ObjectListing>("list", callback, [this]() -> Result<ObjectListing> {
+      ObjectListing listing;
+      listing.revision = store_.revision;
+      for (const auto& [name, object] : store_.objects) {
+        listing.objects.push_back(object);
+      }
+      return listing;
+    });
+  }
+
+  void Watch(const std::string& /*kind*/, uint64_t revision, Millis /*wait*/,
+             Callback<ObjectChanges> callback) override {
+    store_.calls.push_back("watch " + std::to_string(revision));
+    if (!store_.errors.empty()) {
+      const Error error = TakeError();
+      boost::asio::post(loop_, [callback, error] { callback(error); });
+      return;
+    }
+    store_.waiting.push_back(callback);
+  }
+
+  void Get(const std::string& /*kind*/, const std::string& name,
+           Callback<StoredObject> callback) override {
+    Call<StoredObject>("get", callback, [this, name]() -> Result<StoredObject> {
+      const auto found = store_.objects.find(name);
+      if (found != store_.objects.end()) return found->second;
+      return Error{ErrorCode::kNotFound, "none"};
+    });
+  }
+
+  void Create(const std::string& /*kind*/, const StoredObject& object,
+              Callback<StoredObject> callback) override {
+    Call<StoredObject>("create", callback,
+                       [this, object]() -> Result<StoredObject> {
+                         if (store_.objects.count(object.name) != 0) {
+                           return Error{ErrorCode::kConflict, "exists"};
+                         }
+                         return Write(object);
+                       });
+  }
+
+  void Replace(const std::string& /*kind*/, const StoredObject& object,
+               Callback<StoredObject> callback) override {
+    Call<StoredObject>("replace", callback,
+                       [this, object]() -> Result<StoredObject> {
+                         const auto found = store_.objects.find(object.name);
+                         if (found == store_.objects.end()) {
+                           return Error{ErrorCode::kNotFound, "none"};
+                         }
+                         if (found->second.revision != object.revision) {
+                           return Error{ErrorCode::kConflict, "other revision"};
+                         }
+                         return Write(object);
+                       });
+  }
+
+  void Remove(const std::string& /*kind*/, const std::string& name,
+              uint64_t revision, Callback<Ok> callback) override {
+    Call<Ok>("remove", callback, [this, name, revision]() -> Result<Ok> {
+      const auto found = store_.objects.find(name);
+      if (found == store_.objects.end()) {
+        return Error{ErrorCode::kNotFound, "none"};
+      }
+      if (found->second.revision != revision) {
+        return Error{ErrorCode::kConflict, "other revision"};
+      }
+      store_.objects.erase(found);
+      return Ok{};
+    });
+  }
+
+ private:
+  Error TakeError() {
+    const Error error = store_.errors.front();
+    store_.errors.pop_front();
+    return error;
+  }
+
+  Result<StoredObject> Write(StoredObject object) {
+    object.revision = ++store_.revision;
+    store_.objects[object.name] = object;
+    return object;
+  }
+
+  // With kTimeout the call is done and its answer lost.
+  template <typename T>
+  void Call(const char* name, Callback<T> callback,
+            const std::function<Result<T>()>& act) {
+    store_.calls.push_back(name);
+    std::optional<Error> error;
+    if (!store_.errors.empty()) error = TakeError();
+    if (!error.has_value() || error->code == ErrorCode::kTimeout) {
+      const Result<T> result = act();
+      if (!error.has_value()) {
+        boost::asio::post(loop_, [callback, result] { callback(result); });
+        return;
+      }
+    }
+    const Error refused = *error;
+    boost::asio::post(loop_, [callback, refused] { callback(refused); });
+  }
+
+  boost::asio::io_context& loop_;
+  FakeStore& store_;
+};
+
+}  // namespace medlarwinch
--- /dev/null
+++ b/standins/platform_side/tests/metadata_service_test.cc
@@ -0,0 +1,67 @@
+#include "medlarwinch/platform_side/metadata_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+namespace medlarwinch {
+namespace {
+
+struct EmptyMetadataService {
+  // Returns the answer, or nothing when there is none yet.
+  std::optional<HttpResponse> Call(const std::string& method,
+                                   const std::string& target,
+                                   const std::string& body = "",
+                                   StoreFault fault = StoreFault::kNone) {
+    std::optional<HttpResponse> answer;
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    service.Handle(request, fault, now,
+                   [&answer](std::optional<HttpResponse> response) {
+                     answer = std::move(response);
+                   });
+    return answer;
+  }
+
+  TimePoint now{0};
+  MetadataService service;
+};
+
+const std::string kCreateA = R"({"meta":{"name":"a"},"spec":{"x":1}})";
+
+BOOST_FIXTURE_TEST_SUITE(MetadataServiceWhenEmpty, EmptyMetadataService)
+
+BOOST_AUTO_TEST_CASE(Create_Twice_ConflictsWithTheObject) {
+  BOOST_TEST(Call("POST", "/objects/k", kCreateA)->status == 200);
+  BOOST_TEST(Call("POST", "/objects/k", kCreateA)->status == 409);
+  BOOST_TEST(Call("GET", "/objects/k/a")->status == 200);
+  BOOST_TEST(Call("GET", "/objects/k/b")->status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(Replace_WithOldRevision_Conflicts) {
+  Call("POST", "/objects/k", kCreateA);
+  BOOST_TEST(Call("PUT", "/objects/k/a",
+                  R"({"meta":{"name":"a","revision":1},"spec":{"x":2}})")
+                 ->status == 409);
+  BOOST_TEST(Call("DELETE", "/objects/k/a?revision=2")->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(Watch_OldRevisionAfterCompaction_IsGone) {
+  Call("POST", "/objects/k", kCreateA);
+  service.Compact();
+  BOOST_TEST(Call("GET", "/objects/k?watch=1&wait_ms=10")->status == 410);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswer_Write_IsDoneAndNotAnswered) {
+  BOOST_TEST(!Call("POST", "/objects/k", kCreateA, StoreFault::kLostAnswers)
+                  .has_value());
+  BOOST_TEST(Call("GET", "/objects/k/a")->status == 200);
+  BOOST_TEST(
+      !Call("POST", "/objects/k", kCreateA, StoreFault::kSilent).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
