Watch the agents' list from stale copies and confirm it before a reset

The watch now accepts stale answers at a tenth of the price, and a flow is reset as held by nobody only with a list that was read, not stale, at most 150 ms before the search began. That is a stricter proof than before: an agent that registered meanwhile is asked too.

--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 
 #include "medlarwinch/coordination/flow_cache.h"
@@ -17,6 +18,11 @@
 /// the smallest machines have that much memory for everything.
 inline constexpr size_t kMaxCachedFlows = 262'144;
 
+/// A list of agents asked for this long before a search began still proves that
+/// no other agent holds the flow: an agent that registered meanwhile would have
+/// had to get the flow, and the routers to move it here, within this time.
+inline constexpr Millis kListTolerance{150};
+
 /// What a balancer counts, for its metrics.
 struct BalancerCounters {
   uint64_t opened = 0;
@@ -46,9 +52,9 @@
   FlowCache cache{kMaxCachedFlows};
   OwnerSearches searches;
   Random random;
-  /// False while the store can't be reached, so that an upstream may exist that
-  /// the directory does not name.
-  bool directory_is_current = false;
+  /// When the newest list of agents that is in the directory was asked for;
+  /// lists that may be stale don't count.
+  std::optional<TimePoint> directory_confirmed;
   BalancerCounters counters;
 };
 
@@ -70,6 +76,11 @@
                      const FlowPacket& packet, std::span<const uint8_t> raw,
                      TimePoint now, RelayActions& actions);
 
+/// Notes that a list of agents which was asked for at `asked` is in the
+/// directory; concludes the searches that waited for it.
+void HandleDirectoryConfirmed(BalancerRelay& relay, TimePoint asked,
+                              TimePoint now, RelayActions& actions);
+
 /// Ends searches that have waited long enough and forgets idle flows. Called
 /// every 100 ms or so; `lateness` is by how much the call came late.
 void HandleBalancerTick(BalancerRelay& relay, Millis lateness, TimePoint now,
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -101,10 +101,14 @@
   FlowResetReason reason = FlowResetReason::kNoRoute;
 };
 
+/// Read the store's list of agents anew, not from a stale copy, and report it
+/// by HandleDirectoryConfirmed().
+struct ConfirmDirectory {};
+
 using RelayAction =
     std::variant<RelayToAgent, RelayKeptPacket, DeliverToUpstream,
-                 DeliverToCaller, AskOwnership, TellOwnership, DropPackets,
-                 ResetCaller>;
+                 DeliverToCaller, AskOwnership, TellOwnership, ConfirmDirectory,
+                 DropPackets, ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -103,9 +103,15 @@
         AskOwnership{agent, FlowQuestion{flow, search.acknowledged, holding}});
   }
   if (!next.empty()) return;
-  const bool is_proof = relay.directory.is_complete &&
-                        relay.directory_is_current &&
-                        now >= relay.directory.distrusted_until &&
+  // An agent that has registered since the last list may hold the flow.
+  const bool is_confirmed =
+      relay.directory_confirmed.has_value() &&
+      *relay.directory_confirmed + kListTolerance >= search.started;
+  if (!is_confirmed) {
+    actions.push_back(ConfirmDirectory{});
+    return;
+  }
+  const bool is_proof = now >= relay.directory.distrusted_until &&
                         search.asked.size() < kMaxSearchedAgents;
   if (is_proof) {
     Reset(relay, flow, search.acknowledged, FlowResetReason::kNobodyHolds,
@@ -267,15 +273,26 @@
   }
 }
 
+void HandleDirectoryConfirmed(BalancerRelay& relay, TimePoint asked,
+                              TimePoint now, RelayActions& actions) {
+  relay.directory_confirmed = asked;
+  std::vector<FlowTuple> waiting;
+  for (const auto& [flow, search] : relay.searches) waiting.push_back(flow);
+  for (const FlowTuple& flow : waiting) {
+    ContinueSearch(relay, flow, now, actions);
+  }
+}
+
 void HandleBalancerTick(BalancerRelay& relay, Millis lateness, TimePoint now,
                         RelayActions& actions) {
   ReviewTrust(relay.directory, lateness, now);
   std::vector<FlowTuple> denied;
   for (auto position = relay.searches.begin();
        position != relay.searches.end();) {
-    if (IsDeniedByAll(relay.directory, position->second, now)) {
+    const bool is_over = now - position->second.started >= kSearchTimeout;
+    if (!is_over && IsDeniedByAll(relay.directory, position->second, now)) {
       denied.push_back(position->first);
-    } else if (now - position->second.started >= kSearchTimeout) {
+    } else if (is_over) {
       ++relay.counters.searches_unresolved;
       actions.push_back(
           DropPackets{position->first, PacketDropReason::kOwnerNotProved});
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -109,11 +109,34 @@
 // Guards against a reset of a flow at an upstream that only other balancers
 // know.
 BOOST_AUTO_TEST_CASE(StoreLost_EveryAgentDenies_IsNotReset) {
-  relay.directory_is_current = false;
+  relay.directory_confirmed.reset();
   BOOST_TEST(DenyAll(*this, CallerPacket(1, 77)).empty());
+  now = now + kSearchTimeout;
+  RelayActions actions;
+  HandleBalancerTick(relay, Millis{0}, now, actions);
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
   BOOST_TEST(relay.counters.searches_unresolved == 1U);
 }
 
+// Guards against the same with a list of agents that is seconds old.
+BOOST_AUTO_TEST_CASE(StaleList_ConfirmationNamesNewAgent_NewAgentIsAsked) {
+  now = now + kListTolerance + Millis{1};
+  const FlowPacket packet = CallerPacket(1, 77);
+  BOOST_TEST(DenyAll(*this, packet).empty());
+  const Endpoint newcomer = AgentAddress(50);
+  ApplyEntry(relay.directory, DirectoryEntry{newcomer, service, "catania", 9},
+             now);
+  RelayActions actions;
+  HandleDirectoryConfirmed(relay, now, now, actions);
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+  const std::vector<AskOwnership> asked = ActionsOf<AskOwnership>(actions);
+  BOOST_REQUIRE(asked.size() == 1);
+  BOOST_CHECK(asked[0].to == newcomer);
+  BOOST_TEST(
+      ActionsOf<ResetCaller>(Answer(newcomer, packet, FlowOwnership::kNotOwned))
+          .size() == 1U);
+}
+
 // Guards against a reset while one agent restarts and can't answer.
 BOOST_AUTO_TEST_CASE(OneAgentRestarting_OthersDeny_IsNotReset) {
   Report(AgentAddress(2), UpstreamPhase::kAgentRestarting);
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/relay_fixture.h
@@ -58,7 +58,7 @@
   RelayWithAgents() {
     relay.self = kBalancerAddress;
     relay.directory.own_failure_domain = "catania";
-    relay.directory_is_current = true;
+    relay.directory_confirmed = now;
     RelayConfiguration configuration;
     configuration.version = 3;
     configuration.routes[kServiceAddress] =
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -36,6 +36,7 @@
   void SendReset(const ResetCaller& reset);
   void HandleConfiguration(const StoredObject& object);
   void HandleAgents(const ObjectListing& listing);
+  void ConfirmAgents();
   void HandleAgentChange(const ObjectChange& change);
   void FollowConfiguration();
   void FollowAgents();
@@ -59,6 +60,7 @@
   std::unique_ptr<NodeStatusServers> status_;
   std::unique_ptr<StoreWatch> configuration_watch_;
   std::unique_ptr<StoreWatch> agent_watch_;
+  std::unique_ptr<StoreConnection> confirmation_;
   std::unique_ptr<Periodic> poll_timer_;
   std::unique_ptr<Periodic> tick_timer_;
   std::unique_ptr<NodeSignals> signals_;
@@ -68,9 +70,11 @@
   TimePoint last_packet_;
   TimePoint last_tick_;
   TimePoint last_refresh_;
+  TimePoint last_confirmation_;
   TimePoint stop_requested_;
   uint64_t malformed_ = 0;
   uint64_t malformed_messages_ = 0;
+  bool is_confirming_ = false;
   bool is_stopping_ = false;
   bool was_ready_ = false;
 };
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -11,6 +11,15 @@
 
 namespace medlarwinch {
 
+/// Which objects are watched, and how.
+struct WatchedKind {
+  std::string kind;
+  /// Waiting time of one call.
+  Millis wait{3'000};
+  /// Changes may be seen seconds late, at a lower price.
+  bool may_be_stale = false;
+};
+
 /// What follows the objects of a kind.
 struct StoreObserver {
   /// All objects; those not in it are gone.
@@ -29,8 +38,8 @@
 class StoreWatch {
  public:
   StoreWatch(boost::asio::io_context& loop,
-             std::unique_ptr<StoreConnection> store, std::string kind,
-             Millis wait, uint64_t seed, StoreObserver observer);
+             std::unique_ptr<StoreConnection> store, WatchedKind watched,
+             uint64_t seed, StoreObserver observer);
   ~StoreWatch();
   StoreWatch(const StoreWatch&) = delete;
   StoreWatch& operator=(const StoreWatch&) = delete;
@@ -53,8 +62,7 @@
 
   std::unique_ptr<StoreConnection> store_;
   boost::asio::steady_timer timer_;
-  std::string kind_;
-  Millis wait_;
+  WatchedKind watched_;
   Random random_;
   StoreObserver observer_;
   uint64_t revision_ = 0;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -195,6 +195,10 @@
       agents_->Send(ask->to, message_);
       continue;
     }
+    if (std::holds_alternative<ConfirmDirectory>(action)) {
+      ConfirmAgents();
+      continue;
+    }
     if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
       LogDrop(log_budget_, *drop, MonotonicNow());
       continue;
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -10,10 +10,13 @@
 namespace {
 
 // Waiting time of a watch. A connection that has gone silent is noticed after
-// it, which has to be less than the 4 s after which the platform counts the VM
-// as undisturbed again.
+// it. For the configuration that has to be less than the 4 s after which the
+// platform counts the VM as undisturbed again.
 constexpr Millis kConfigurationWatchWait{3'000};
-constexpr Millis kAgentWatchWait{3'000};
+constexpr Millis kAgentWatchWait{5'000};
+// Least time between two confirmations of the list: a loss of many upstreams
+// makes many searches end within the same time.
+constexpr Millis kConfirmInterval{150};
 // Agents that start together with this balancer are taken in together. Once it
 // has traffic, an agent that it does not know yet could hold a flow that it is
 // asked for, so it does not wait.
@@ -36,8 +39,9 @@
         {{"watch", "configuration"}, {"reason", reason}});
   };
   configuration_watch_ = std::make_unique<StoreWatch>(
-      loop_, ports_.open_store(), ports_.configuration_kind,
-      kConfigurationWatchWait, relay_.random(), std::move(observer));
+      loop_, ports_.open_store(),
+      WatchedKind{ports_.configuration_kind, kConfigurationWatchWait, false},
+      relay_.random(), std::move(observer));
   configuration_watch_->Start();
 }
 
@@ -49,8 +53,7 @@
   observer.on_change = [this](const ObjectChange& change) {
     HandleAgentChange(change);
   };
-  observer.on_contact = [this](bool is_current, const std::string& reason) {
-    relay_.directory_is_current = is_current;
+  observer.on_contact = [](bool is_current, const std::string& reason) {
     Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
         is_current ? "store_regained" : "store_lost",
         {{"watch", "agents"}, {"reason", reason}});
@@ -59,7 +62,8 @@
     return last_packet_ == TimePoint{} ? kFirstChangesPause : Millis{0};
   };
   agent_watch_ = std::make_unique<StoreWatch>(
-      loop_, ports_.open_store(), kAgentKind, kAgentWatchWait, relay_.random(),
+      loop_, ports_.open_store(),
+      WatchedKind{kAgentKind, kAgentWatchWait, true}, relay_.random(),
       std::move(observer));
   agent_watch_->Start();
 }
@@ -99,12 +103,35 @@
     entries.push_back(TakeValue(std::move(entry)));
   }
   const bool is_first = !relay_.directory.is_complete;
+  const size_t known = relay_.directory.upstreams.size();
   ApplyListing(relay_.directory, entries, MonotonicNow());
   if (is_first) listed_ = MonotonicNow();
   Log(LogLevel::kInfo, "agents_listed",
       {{"agents", static_cast<int64_t>(entries.size())},
        {"revision", static_cast<int64_t>(listing.revision)}});
-  PollAgents();
+  if (is_first || relay_.directory.upstreams.size() > known) PollAgents();
+}
+
+// A proof that nobody holds a flow needs a list that is not stale.
+void BalancerNode::ConfirmAgents() {
+  const TimePoint asked = MonotonicNow();
+  if (is_confirming_ || asked - last_confirmation_ < kConfirmInterval) return;
+  is_confirming_ = true;
+  last_confirmation_ = asked;
+  if (confirmation_ == nullptr) confirmation_ = ports_.open_store();
+  confirmation_->List(
+      kAgentKind, [this, asked](const Result<ObjectListing>& result) {
+        is_confirming_ = false;
+        if (!IsOk(result)) {
+          Log(LogLevel::kWarning, "agents_not_confirmed",
+              {{"message", ErrorOf(result).message}});
+          return;
+        }
+        HandleAgents(ValueOf(result));
+        RelayActions actions;
+        HandleDirectoryConfirmed(relay_, asked, MonotonicNow(), actions);
+        Carry(actions, {});
+      });
 }
 
 void BalancerNode::HandleAgentChange(const ObjectChange& change) {
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -16,12 +16,12 @@
 }  // namespace
 
 StoreWatch::StoreWatch(boost::asio::io_context& loop,
-                       std::unique_ptr<StoreConnection> store, std::string kind,
-                       Millis wait, uint64_t seed, StoreObserver observer)
+                       std::unique_ptr<StoreConnection> store,
+                       WatchedKind watched, uint64_t seed,
+                       StoreObserver observer)
     : store_(std::move(store)),
       timer_(loop),
-      kind_(std::move(kind)),
-      wait_(wait),
+      watched_(std::move(watched)),
       random_(seed),
       observer_(std::move(observer)) {}
 
@@ -37,7 +37,7 @@
 }
 
 void StoreWatch::List() {
-  store_->List(kind_, [this](Result<ObjectListing> result) {
+  store_->List(watched_.kind, [this](Result<ObjectListing> result) {
     if (!IsOk(result)) {
       Retry(ErrorOf(result).message, true);
       return;
@@ -51,33 +51,35 @@
 }
 
 void StoreWatch::Watch() {
-  store_->Watch(kind_, revision_, wait_, [this](Result<ObjectChanges> result) {
-    if (!IsOk(result)) {
-      const bool history_is_gone =
-          ErrorOf(result).code == ErrorCode::kLimitExceeded;
-      if (history_is_gone) {
-        List();
-        return;
-      }
-      Retry(ErrorOf(result).message, false);
-      return;
-    }
-    const ObjectChanges changes = TakeValue(std::move(result));
-    revision_ = std::max(revision_, changes.revision);
-    SetCurrent(true, "watched");
-    for (const ObjectChange& change : changes.changes) {
-      observer_.on_change(change);
-    }
-    const bool may_pause =
-        !changes.changes.empty() && observer_.pause_after_changes != nullptr;
-    const Millis pause =
-        may_pause ? observer_.pause_after_changes() : Millis{0};
-    if (pause > Millis{0}) {
-      After(pause, &StoreWatch::Watch);
-    } else {
-      Watch();
-    }
-  });
+  store_->Watch(watched_.kind, revision_, watched_.wait, watched_.may_be_stale,
+                [this](Result<ObjectChanges> result) {
+                  if (!IsOk(result)) {
+                    const bool history_is_gone =
+                        ErrorOf(result).code == ErrorCode::kLimitExceeded;
+                    if (history_is_gone) {
+                      List();
+                      return;
+                    }
+                    Retry(ErrorOf(result).message, false);
+                    return;
+                  }
+                  const ObjectChanges changes = TakeValue(std::move(result));
+                  revision_ = std::max(revision_, changes.revision);
+                  SetCurrent(true, "watched");
+                  for (const ObjectChange& change : changes.changes) {
+                    observer_.on_change(change);
+                  }
+                  const bool may_pause =
+                      !changes.changes.empty() &&
+                      observer_.pause_after_changes != nullptr;
+                  const Millis pause =
+                      may_pause ? observer_.pause_after_changes() : Millis{0};
+                  if (pause > Millis{0}) {
+                    After(pause, &StoreWatch::Watch);
+                  } else {
+                    Watch();
+                  }
+                });
 }
 
 void StoreWatch::Retry(const std::string& reason, bool needs_listing) {
--- a/packages/node/tests/store_fixture.h
+++ b/packages/node/tests/store_fixture.h
@@ -57,7 +57,7 @@
   }
 
   void Watch(const std::string& /*kind*/, uint64_t revision, Millis /*wait*/,
-             Callback<ObjectChanges> callback) override {
+             bool /*may_be_stale*/, Callback<ObjectChanges> callback) override {
     store_.calls.push_back("watch " + std::to_string(revision));
     if (!store_.errors.empty()) {
       const Error error = TakeError();
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -24,8 +24,8 @@
     };
     observer.pause_after_changes = [this] { return pause; };
     watch = std::make_unique<StoreWatch>(
-        loop, std::make_unique<FakeConnection>(loop, store), "config",
-        Millis{1'000}, 1, std::move(observer));
+        loop, std::make_unique<FakeConnection>(loop, store),
+        WatchedKind{"config", Millis{1'000}, false}, 1, std::move(observer));
     watch->Start();
   }
 
