--- a/packages/coordination/src/host_flows.cc
+++ b/packages/coordination/src/host_flows.cc
@@ -90,6 +90,8 @@
   const auto [position, is_new] =
       flows.flows.try_emplace(FlowFromUpstream(packet));
   HostFlow& flow = position->second;
+  // The caller uses the port of an ended flow for a new one.
+  if (packet.is_syn && HasEnded(flow)) flow = HostFlow{};
   const uint32_t end = packet.sequence + packet.data_bytes + 1;
   if (packet.is_syn && !flow.is_open) {
     flow.upstream_first = packet.sequence;
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -270,6 +270,19 @@
   BOOST_TEST(relay.flows.outstanding == 0U);
 }
 
+// Guards against a flow that is taken for ended because an earlier one of the
+// same addresses and ports was.
+BOOST_AUTO_TEST_CASE(EndedFlow_PortUsedAgain_NewFlowIsOpen) {
+  OpenWithRequest(1);
+  FlowPacket reset = CallerPacket(1, kUpstreamSequence + 1);
+  reset.is_reset = true;
+  Relay(reset);
+  BOOST_TEST(relay.flows.open == 0U);
+  OpenWithRequest(1);
+  BOOST_TEST(relay.flows.open == 1U);
+  BOOST_TEST(relay.flows.outstanding == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(HalfOpenFlow_NeverCompleted_IsForgotten) {
   Relay(OpeningPacket(1));
   FlowPacket answer;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -55,20 +55,18 @@
 }
 
 Result<Ok> AgentNode::Start() {
-  Result<std::unique_ptr<DatagramPort>> relay_port = DatagramPort::Open(
-      loop_, settings_.datagrams,
+  const Result<Ok> relay_port_opened = DatagramPort::OpenInto(
+      relay_port_, loop_, settings_.datagrams,
       [this](const Endpoint& from, std::span<uint8_t> datagram) {
         HandleMessage(from, datagram);
       });
-  if (!IsOk(relay_port)) return ErrorOf(relay_port);
-  relay_port_ = TakeValue(std::move(relay_port));
-  Result<std::unique_ptr<DatagramPort>> upstream_port = DatagramPort::Open(
-      loop_, settings_.upstream_packets,
+  if (!IsOk(relay_port_opened)) return relay_port_opened;
+  const Result<Ok> upstream_port_opened = DatagramPort::OpenInto(
+      upstream_port_, loop_, settings_.upstream_packets,
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
         HandleFromUpstream(datagram);
       });
-  if (!IsOk(upstream_port)) return ErrorOf(upstream_port);
-  upstream_port_ = TakeValue(std::move(upstream_port));
+  if (!IsOk(upstream_port_opened)) return upstream_port_opened;
   Result<std::unique_ptr<LoopHttpServer>> beats = LoopHttpServer::Listen(
       loop_, settings_.upstream_beats,
       [this](const HttpRequest& request) { return HandleNotice(request); });
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -41,20 +41,18 @@
 }
 
 Result<Ok> BalancerNode::Start() {
-  Result<std::unique_ptr<DatagramPort>> agents = DatagramPort::Open(
-      loop_, settings_.relay,
+  const Result<Ok> agents_opened = DatagramPort::OpenInto(
+      agents_, loop_, settings_.relay,
       [this](const Endpoint& from, std::span<uint8_t> datagram) {
         HandleMessage(from, datagram);
       });
-  if (!IsOk(agents)) return ErrorOf(agents);
-  agents_ = TakeValue(std::move(agents));
-  Result<std::unique_ptr<DatagramPort>> callers = DatagramPort::Open(
-      loop_, settings_.datagrams,
+  if (!IsOk(agents_opened)) return agents_opened;
+  const Result<Ok> callers_opened = DatagramPort::OpenInto(
+      callers_, loop_, settings_.datagrams,
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
         HandleDatagram(datagram);
       });
-  if (!IsOk(callers)) return ErrorOf(callers);
-  callers_ = TakeValue(std::move(callers));
+  if (!IsOk(callers_opened)) return callers_opened;
   Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
       loop_, settings_, ports_.readiness_path, [this] { return IsReady(); },
       [this] { return RenderMetrics(); });
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -17,10 +17,10 @@
 // Least time between two confirmations of the list: a loss of many upstreams
 // makes many searches end within the same time.
 constexpr Millis kConfirmInterval{150};
-// Agents that start together with this balancer are taken in together. Once it
-// has traffic, an agent that it does not know yet could hold a flow that it is
-// asked for, so it does not wait.
+// Agents that start together with this balancer are taken in together; once it
+// has traffic, new agents are wanted without a pause.
 constexpr Millis kFirstChangesPause{200};
+
 }  // namespace
 
 void BalancerNode::FollowConfiguration() {
--- a/packages/transport/include/medlarwinch/transport/datagram_port.h
+++ b/packages/transport/include/medlarwinch/transport/datagram_port.h
@@ -25,6 +25,11 @@
   static Result<std::unique_ptr<DatagramPort>> Open(
       boost::asio::io_context& loop, const Endpoint& local, Handler handler);
 
+  /// As Open() into `port`, which is left alone on failure.
+  static Result<Ok> OpenInto(std::unique_ptr<DatagramPort>& port,
+                             boost::asio::io_context& loop,
+                             const Endpoint& local, Handler handler);
+
   DatagramPort(const DatagramPort&) = delete;
   DatagramPort& operator=(const DatagramPort&) = delete;
 
--- a/packages/transport/src/datagram_port.cc
+++ b/packages/transport/src/datagram_port.cc
@@ -44,6 +44,16 @@
   return port;
 }
 
+Result<Ok> DatagramPort::OpenInto(std::unique_ptr<DatagramPort>& port,
+                                  boost::asio::io_context& loop,
+                                  const Endpoint& local, Handler handler) {
+  Result<std::unique_ptr<DatagramPort>> opened =
+      Open(loop, local, std::move(handler));
+  if (!IsOk(opened)) return ErrorOf(opened);
+  port = TakeValue(std::move(opened));
+  return Ok{};
+}
+
 DatagramPort::DatagramPort(udp::socket socket, Handler handler)
     : socket_(std::move(socket)), handler_(std::move(handler)) {}
 
--- a/standins/platform_side/src/flow_callers.cc
+++ b/standins/platform_side/src/flow_callers.cc
@@ -37,13 +37,12 @@
       users_(static_cast<size_t>(users)) {}
 
 Result<Ok> FlowCallers::Start() {
-  Result<std::unique_ptr<DatagramPort>> port = DatagramPort::Open(
-      loop_, Endpoint{ip_, kDatagramPort},
+  const Result<Ok> port_opened = DatagramPort::OpenInto(
+      port_, loop_, Endpoint{ip_, kDatagramPort},
       [this](const Endpoint& from, std::span<uint8_t> datagram) {
         HandlePacket(from, datagram);
       });
-  if (!IsOk(port)) return ErrorOf(port);
-  port_ = TakeValue(std::move(port));
+  if (!IsOk(port_opened)) return port_opened;
   Tick();
   return Ok{};
 }
--- a/standins/platform_side/src/flow_host.cc
+++ b/standins/platform_side/src/flow_host.cc
@@ -35,13 +35,12 @@
 FlowHost::~FlowHost() { *alive_ = false; }
 
 Result<Ok> FlowHost::Start() {
-  Result<std::unique_ptr<DatagramPort>> port = DatagramPort::Open(
-      loop_, Endpoint{settings_.ip, kAppPort},
+  const Result<Ok> port_opened = DatagramPort::OpenInto(
+      port_, loop_, Endpoint{settings_.ip, kAppPort},
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
         HandlePacket(datagram);
       });
-  if (!IsOk(port)) return ErrorOf(port);
-  port_ = TakeValue(std::move(port));
+  if (!IsOk(port_opened)) return port_opened;
   Beat();
   return Ok{};
 }
