Reset the flows of a deregistered host only once it has fallen silent

Searches for flows that a restarted agent had not seen were denied in the same milliseconds. An agent told to stop beside a host that is gone reported its own restart, so that searches waited for it.

Change: a deregistered host counts as draining until it has sent nothing for 200 ms; then its flows are reset and its entry is withdrawn.

--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -25,6 +25,10 @@
 /// Heartbeats that an upstream may miss, sending nothing else either, before it
 /// is taken to be gone.
 inline constexpr int64_t kMissedBeats = 3;
+/// An upstream that has deregistered and sends nothing for this long is gone.
+/// It ends only after its notice was answered; the ends of a flow wait as long
+/// before they send a packet again.
+inline constexpr Millis kDepartureWait{200};
 
 /// A flow that the agent forgot is not answered as "not held" before the agent
 /// has run for this long: the longest life of a flow on the platform, 60 s.
@@ -97,17 +101,19 @@
 BeatEffect HandleBeat(AgentRelay& relay, const UpstreamBeat& beat,
                       TimePoint now, RelayActions& actions);
 
-/// Takes the upstream's notice that it is gone; returns false when the notice
-/// is not from the current incarnation.
+/// Takes the upstream's notice that it leaves: it gets no new flows, and keeps
+/// its flows until it has been silent for kDepartureWait. Returns false when
+/// the notice is not from the current incarnation.
 bool HandleDeregistration(AgentRelay& relay, const std::string& id,
-                          TimePoint now, RelayActions& actions);
+                          TimePoint now);
 
 /// Renews averages, forgets what is over, and draws conclusions from silence of
 /// the upstream. Called every 100 ms or so.
 void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions);
 
 /// The upstream's phase as the agent reports it: kUnknown while an upstream
-/// that was ready does not answer.
+/// that was ready does not answer, kAgentRestarting while the agent stops
+/// beside one that may hold flows.
 UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now);
 
 /// Whether the upstream leaves packets without an answer that it would answer
--- a/packages/coordination/include/medlarwinch/coordination/upstream_host.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_host.h
@@ -37,6 +37,9 @@
   uint32_t slots = 0;
   TimePoint cold_until;
   TimePoint last_beat;
+  /// When this incarnation gave notice that it leaves; it ends soon after the
+  /// answer.
+  std::optional<TimePoint> deregistered;
 
   friend bool operator==(const UpstreamHost&, const UpstreamHost&) = default;
 };
@@ -57,9 +60,10 @@
 BeatEffect ApplyBeat(UpstreamHost& host, const UpstreamBeat& beat,
                      TimePoint now);
 
-/// Takes the notice that the incarnation `id` is gone; returns false when it is
-/// not the current one.
-bool ApplyDeregistration(UpstreamHost& host, const std::string& id);
+/// Takes the notice that the incarnation `id` leaves, which takes no new flows
+/// from then on; returns false when it is not the current one.
+bool ApplyDeregistration(UpstreamHost& host, const std::string& id,
+                         TimePoint now);
 
 /// Highest sequence number of a heartbeat that proves that the upstream has
 /// only just started.
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -202,6 +202,13 @@
   relay.probes.clear();
 }
 
+// Whether an upstream that has deregistered has fallen silent.
+bool HasDeparted(const AgentRelay& relay, TimePoint now) {
+  if (!relay.host.deregistered.has_value()) return false;
+  const TimePoint heard = relay.upstream_heard.value_or(relay.started);
+  return now - std::max(*relay.host.deregistered, heard) >= kDepartureWait;
+}
+
 void DenyProbes(AgentRelay& relay, RelayActions& actions) {
   for (const auto& [flow, probe] : relay.probes) {
     ++relay.counters.denied;
@@ -219,6 +226,8 @@
 }
 
 UpstreamPhase ReportedPhase(const AgentRelay& relay, TimePoint now) {
+  // An upstream that is gone holds no flow, whatever becomes of its agent.
+  if (relay.host.phase == UpstreamPhase::kAbsent) return relay.host.phase;
   if (relay.is_stopping) return UpstreamPhase::kAgentRestarting;
   if (relay.host.phase == UpstreamPhase::kReady && IsUnresponsive(relay, now)) {
     return UpstreamPhase::kUnknown;
@@ -315,11 +324,8 @@
 }
 
 bool HandleDeregistration(AgentRelay& relay, const std::string& id,
-                          TimePoint now, RelayActions& actions) {
-  if (!ApplyDeregistration(relay.host, id)) return false;
-  ResetAllFlows(relay, now, actions);
-  relay.knows_all_flows = true;
-  return true;
+                          TimePoint now) {
+  return ApplyDeregistration(relay.host, id, now);
 }
 
 void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions) {
@@ -327,8 +333,11 @@
   const TimePoint heard = relay.upstream_heard.value_or(relay.started);
   const bool is_silent =
       now - heard >= relay.beat_interval * kMissedBeats + kSilenceMargin;
-  if (is_silent && relay.host.phase != UpstreamPhase::kAbsent) {
+  const bool has_departed = HasDeparted(relay, now);
+  if ((is_silent || has_departed) &&
+      relay.host.phase != UpstreamPhase::kAbsent) {
     relay.host.phase = UpstreamPhase::kAbsent;
+    if (has_departed) relay.knows_all_flows = true;
     DenyProbes(relay, actions);
     ResetAllFlows(relay, now, actions);
   }
--- a/packages/coordination/src/upstream_host.cc
+++ b/packages/coordination/src/upstream_host.cc
@@ -28,16 +28,21 @@
   host.slots = beat.slots;
   host.cold_until = now + beat.cold_left;
   host.last_beat = now;
+  if (!is_same) host.deregistered.reset();
   if (is_first) return BeatEffect::kFirst;
   if (!is_same) return BeatEffect::kNewIncarnation;
   if (host.phase != before) return BeatEffect::kDraining;
   return BeatEffect::kUnchanged;
 }
 
-bool ApplyDeregistration(UpstreamHost& host, const std::string& id) {
+bool ApplyDeregistration(UpstreamHost& host, const std::string& id,
+                         TimePoint now) {
   if (host.phase != UpstreamPhase::kUnknown && host.id != id) return false;
-  host.phase = UpstreamPhase::kAbsent;
   host.id = id;
+  // The notice is repeated when its answer was lost.
+  if (host.deregistered.has_value()) return true;
+  host.deregistered = now;
+  host.phase = UpstreamPhase::kDraining;
   return true;
 }
 
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -46,6 +46,8 @@
     return actions;
   }
 
+  void Deregister() { BOOST_TEST(HandleDeregistration(relay, beat.id, now)); }
+
   RelayActions Tick() {
     RelayActions actions;
     HandleAgentTick(relay, now, actions);
@@ -108,6 +110,64 @@
   BOOST_CHECK(relay.host.phase == UpstreamPhase::kDraining);
 }
 
+// Guards against resets of flows whose upstream still lives: it ends only after
+// its notice was answered.
+BOOST_AUTO_TEST_CASE(DeregisteredUpstream_OpenFlow_IsResetOnlyOnceItIsSilent) {
+  OpenWithRequest(1);
+  Deregister();
+  BOOST_TEST(Tick().empty());
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kDraining);
+  now = now + Millis{100};
+  FlowPacket answer;
+  answer.source = kServiceAddress;
+  answer.destination = OpeningPacket(1).source;
+  answer.sequence = kUpstreamSequence + 1;
+  answer.data_bytes = 100;
+  BOOST_TEST(ActionsOf<DeliverToCaller>(FromUpstream(answer)).size() == 1U);
+  now = now + kDepartureWait - Millis{1};
+  BOOST_TEST(Tick().empty());
+  BOOST_CHECK(Ask(1, kUpstreamSequence + 1) == FlowOwnership::kOwned);
+  now = now + Millis{1};
+  const std::vector<ResetCaller> resets = ActionsOf<ResetCaller>(Tick());
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kUpstreamRestarted);
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kAbsent);
+}
+
+// Guards against a proof that nobody holds a flow while its upstream lives: a
+// restarted agent has not seen the flow.
+BOOST_AUTO_TEST_CASE(DeregisteredUpstream_UnseenFlow_IsDeniedOnlyOnceSilent) {
+  relay.knows_all_flows = false;
+  Deregister();
+  BOOST_CHECK(Ask(1, 999'999) == FlowOwnership::kUnsure);
+  now = now + kDepartureWait;
+  Tick();
+  BOOST_CHECK(Ask(1, 999'999) == FlowOwnership::kNotOwned);
+}
+
+BOOST_AUTO_TEST_CASE(DeregisteredUpstream_NewIncarnation_IsReadyAtOnce) {
+  Deregister();
+  beat.id = "i-2";
+  beat.started_ms = 200;
+  beat.sequence = 1;
+  Beat();
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kReady);
+  now = now + kDepartureWait;
+  Tick();
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kReady);
+}
+
+// Guards against searches that wait for an agent beside an upstream that has
+// left: the agent is told to stop after its upstream has ended.
+BOOST_AUTO_TEST_CASE(StoppingAgent_UpstreamAbsent_IsReportedAbsent) {
+  Deregister();
+  relay.is_stopping = true;
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kAgentRestarting);
+  now = now + kDepartureWait;
+  Tick();
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kAbsent);
+}
+
 // Guards against traffic of one service at another.
 BOOST_AUTO_TEST_CASE(OtherService_Packets_AreNeverDelivered) {
   relay.knows_all_flows = false;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -194,16 +194,10 @@
     return response;
   }
   const std::string& id = std::get<UpstreamDeregistration>(ValueOf(notice)).id;
-  actions_.clear();
-  const bool is_current =
-      HandleDeregistration(relay_, id, MonotonicNow(), actions_);
+  const bool is_current = HandleDeregistration(relay_, id, MonotonicNow());
   Log(LogLevel::kInfo, "upstream_deregistered",
       {{"upstream", id}, {"current", is_current ? "true" : "false"}});
-  Carry(actions_, {});
-  if (is_current) {
-    entry_.Withdraw();
-    AnnouncePhase("deregistered");
-  }
+  if (is_current) AnnouncePhase("deregistered");
   return response;
 }
 
@@ -344,20 +338,20 @@
     return now - entry.second > kBalancerForgottenAfter;
   });
   if (ReportedPhase(relay_, now) != announced_) AnnouncePhase("liveness");
+  const bool has_left = relay_.host.deregistered.has_value();
+  const bool is_absent = relay_.host.phase == UpstreamPhase::kAbsent;
   const bool is_gone_for_long =
-      relay_.host.phase == UpstreamPhase::kAbsent &&
       now - relay_.upstream_heard.value_or(relay_.started) >= kWithdrawAfter;
-  if (is_gone_for_long && !is_withdrawn_) {
+  if (is_absent && (has_left || is_gone_for_long) && !is_withdrawn_) {
     is_withdrawn_ = true;
     entry_.Withdraw();
   }
   LogSuppressed(log_budget_);
   if (!relay_.is_stopping) return;
   const Millis stopping_for = now - stop_requested_;
-  const bool upstream_is_gone = relay_.host.phase == UpstreamPhase::kAbsent;
-  const bool may_exit =
-      upstream_is_gone ? entry_.is_settled() || stopping_for >= kWithdrawLimit
-                       : stopping_for >= kStopDelay;
+  const bool is_withdrawn = is_absent && entry_.is_settled();
+  const Millis limit = is_absent || has_left ? kWithdrawLimit : kStopDelay;
+  const bool may_exit = is_withdrawn || stopping_for >= limit;
   if (!may_exit) return;
   Log(LogLevel::kInfo, "stop",
       {{"role", "agent"},
