Keep a route's services with it, remove entries of lost agents, share what both nodes start

Cause: entries of agents that were lost with their VMs stayed in the store for ever, since only an agent removes its own, and every balancer polled them. Addresses that a configuration dropped were kept for the life of a process. The list of services that may hold a flow was built for each packet.

Change: balancers remove the entry of an agent that is listed and silent for 60 s, one each 5 s, on condition of its revision; an agent that nobody polls for 10 s checks its entry, so that one that was cut off comes back. Dropped addresses are forgotten after the life of a flow. A route holds its services; relayed packets are encoded without an allocation. NodeRuntime starts what both nodes have; the choice of allowed services and the counted reset stand once.

--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -30,10 +30,6 @@
 /// before they send a packet again.
 inline constexpr Millis kDepartureWait{200};
 
-/// A flow that the agent forgot is not answered as "not held" before the agent
-/// has run for this long: the longest life of a flow on the platform, 60 s.
-inline constexpr Millis kFlowLifetime{60'000};
-
 struct AgentCounters {
   uint64_t delivered = 0;
   uint64_t opened = 0;
@@ -43,7 +39,7 @@
   std::array<uint64_t, kRefusalReasons> passed_on{};
   /// Opening packets that no other agent could take and that were not reset.
   uint64_t dropped_openings = 0;
-  std::array<uint64_t, kFlowResetReasons> resets{};
+  FlowResetCounts resets{};
 };
 
 /// The state of an agent's packet path.
--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -39,7 +38,7 @@
   uint64_t searches_unresolved = 0;
   /// Searches refused because kMaxSearches were in progress.
   uint64_t searches_refused = 0;
-  std::array<uint64_t, kFlowResetReasons> resets{};
+  FlowResetCounts resets{};
 };
 
 /// The state of a balancer's packet path. It routes any packet from this state
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -23,6 +24,8 @@
   kUpstreamRestarted = 5,
 };
 inline constexpr size_t kFlowResetReasons = 6;
+/// Resets that a relay has sent, by reason.
+using FlowResetCounts = std::array<uint64_t, kFlowResetReasons>;
 const char* FlowResetReasonName(FlowResetReason reason);
 
 /// Why an agent did not hand a packet to its upstream.
@@ -111,4 +114,8 @@
                  DropPackets, ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
+/// Adds `reset` to the actions and counts it.
+void AddReset(const ResetCaller& reset, FlowResetCounts& counts,
+              RelayActions& actions);
+
 }  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/relay_routes.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_routes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,9 +23,12 @@
 struct RelayRoute {
   std::string name;
   std::vector<RouteTarget> targets;
-  /// Services that an earlier configuration allowed; they may still hold open
-  /// flows but get no new ones.
-  std::vector<ServiceId> former;
+  /// Services whose upstreams may hold flows: the targets, then those that an
+  /// earlier configuration of this process allowed, which get no new flows; at
+  /// most kMaxRelayServices. AdoptConfiguration() fills it in.
+  std::vector<ServiceId> holding = {};
+  /// The first services in `holding` that get new flows.
+  size_t accepting = 0;
 
   friend bool operator==(const RelayRoute&, const RelayRoute&) = default;
 };
@@ -46,8 +50,9 @@
   /// Revision of the object that the configuration was read from; 0 before the
   /// first one.
   uint64_t revision = 0;
-  /// Addresses that an earlier configuration routed and this one does not.
-  std::map<Endpoint, RelayRoute> dropped;
+  /// Addresses that an earlier configuration routed and this one does not, and
+  /// when they were dropped; forgotten after kFlowLifetime.
+  std::map<Endpoint, TimePoint> dropped;
 
   friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
@@ -55,11 +60,10 @@
 /// Puts `configuration` in force unless `revision` is not above the one that
 /// is: revisions only rise within a process. Returns whether it was taken.
 bool AdoptConfiguration(RouteTable& table, RelayConfiguration configuration,
-                        uint64_t revision);
+                        uint64_t revision, TimePoint now);
 
-/// Returns the services whose upstreams may hold flows of the route: at most
-/// kMaxRelayServices, the targets first.
-std::vector<ServiceId> HoldingServices(const RelayRoute& route);
+/// True when the route sends new flows to `service`.
+bool HasTarget(const RelayRoute& route, ServiceId service);
 
 /// Returns the route of `service_address` or null.
 const RelayRoute* FindRoute(const RouteTable& table,
--- a/packages/coordination/include/medlarwinch/coordination/relay_types.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -10,6 +11,10 @@
 
 namespace medlarwinch {
 
+/// Longest life of a flow on the platform. What is known of flows is kept for
+/// as long.
+inline constexpr Millis kFlowLifetime{60'000};
+
 /// Hash of a service's name, the same in every process.
 struct ServiceId {
   uint64_t value = 0;
@@ -19,6 +24,9 @@
 
 ServiceId MakeServiceId(std::string_view name);
 
+/// True when `services` contains `service`.
+bool Contains(std::span<const ServiceId> services, ServiceId service);
+
 /// 64-bit hash of a flow, the same in every process.
 uint64_t HashFlow(const FlowTuple& flow);
 
--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -119,9 +119,18 @@
 /// and not while it hears fewer than two thirds of the agents it knows.
 void ReviewTrust(UpstreamDirectory& directory, Millis lateness, TimePoint now);
 
-/// Removes the unlisted agents that hold no flows any more and returns those
-/// that are listed, and silent for `silence` or longer.
-std::vector<DirectoryEntry> RemoveGone(UpstreamDirectory& directory,
-                                       Millis silence, TimePoint now);
+/// Forgets the agents that the store does not list and that are silent for so
+/// long that they hold no flows.
+void ForgetUnlisted(UpstreamDirectory& directory, TimePoint now);
+
+/// An agent that the store lists and that is silent for this long is lost with
+/// its VM: much longer than any disturbance after which agents come back by
+/// themselves, and the longest life of a flow.
+inline constexpr Millis kAgentLostAfter{60'000};
+
+/// Returns the listed agents that are lost, whose entries nobody else removes;
+/// none while this balancer can't trust what it hears.
+std::vector<DirectoryEntry> LostAgents(const UpstreamDirectory& directory,
+                                       TimePoint now);
 
 }  // namespace medlarwinch
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -19,12 +19,6 @@
 // makes answers too late to be of use and upstreams refuse it.
 constexpr std::array<uint32_t, 4> kToleratedQueue = {0, 2, 5, 12};
 
-void Reset(AgentRelay& relay, const FlowTuple& flow, uint32_t sequence,
-           FlowResetReason reason, RelayActions& actions) {
-  ++relay.counters.resets[static_cast<size_t>(reason)];
-  actions.push_back(ResetCaller{flow, sequence, reason});
-}
-
 // Delivers a packet that the upstream answers at once if it runs.
 void DeliverForAnswer(AgentRelay& relay, TimePoint now, RelayActions& actions) {
   if (!relay.unanswered_since.has_value()) relay.unanswered_since = now;
@@ -37,15 +31,11 @@
   relay.unanswered_since.reset();
 }
 
-bool IsAllowed(const AgentRelay& relay, const std::vector<ServiceId>& allowed) {
-  return std::find(allowed.begin(), allowed.end(), relay.service) !=
-         allowed.end();
-}
-
 std::optional<RefusalReason> RefuseOpening(const AgentRelay& relay,
                                            const RelayHeader& header,
                                            TimePoint now) {
-  if (!IsAllowed(relay, header.allowed)) return RefusalReason::kOtherService;
+  if (!Contains(header.allowed, relay.service))
+    return RefusalReason::kOtherService;
   if (relay.is_stopping || relay.host.phase != UpstreamPhase::kReady) {
     return RefusalReason::kNotReady;
   }
@@ -94,8 +84,8 @@
         DropPackets{FlowFromCaller(packet), PacketDropReason::kLeftToNextCopy});
     return;
   }
-  Reset(relay, FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream,
-        actions);
+  AddReset(ResetCaller{FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream},
+           relay.counters.resets, actions);
 }
 
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
@@ -129,7 +119,7 @@
                    const std::vector<ServiceId>& allowed, TimePoint now) {
   return relay.flows.flows.count(flow) == 0 && !relay.knows_all_flows &&
          relay.host.phase != UpstreamPhase::kAbsent &&
-         !IsNotRunning(relay, now) && IsAllowed(relay, allowed);
+         !IsNotRunning(relay, now) && Contains(allowed, relay.service);
 }
 
 void HandleFlowPacket(AgentRelay& relay, const RelayHeader& header,
@@ -185,8 +175,9 @@
   ForgetFlow(relay.flows, flow, now);
   if (packet.is_reset || had_ended) return;
   // The flow was here, so no other upstream has it.
-  Reset(relay, flow, packet.acknowledged, FlowResetReason::kUpstreamLost,
-        actions);
+  AddReset(
+      ResetCaller{flow, packet.acknowledged, FlowResetReason::kUpstreamLost},
+      relay.counters.resets, actions);
 }
 
 void ResetAllFlows(AgentRelay& relay, TimePoint now, RelayActions& actions) {
@@ -194,8 +185,9 @@
   for (const auto& [tuple, flow] : relay.flows.flows) {
     gone.push_back(tuple);
     if (!flow.is_open) continue;
-    Reset(relay, tuple, flow.upstream_end, FlowResetReason::kUpstreamRestarted,
-          actions);
+    AddReset(ResetCaller{tuple, flow.upstream_end,
+                         FlowResetReason::kUpstreamRestarted},
+             relay.counters.resets, actions);
   }
   for (const FlowTuple& tuple : gone) ForgetFlow(relay.flows, tuple, now);
   relay.openings.clear();
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -13,18 +13,12 @@
 // Idle time after which a flow is forgotten when the configuration names none.
 constexpr Millis kDefaultFlowIdle{60'000};
 
-void Reset(BalancerRelay& relay, const FlowTuple& flow, uint32_t sequence,
-           FlowResetReason reason, RelayActions& actions) {
-  ++relay.counters.resets[static_cast<size_t>(reason)];
-  actions.push_back(ResetCaller{flow, sequence, reason});
-}
-
 RelayHeader MakeHeader(const BalancerRelay& relay, RelayPurpose purpose,
-                       std::vector<ServiceId> allowed) {
+                       std::span<const ServiceId> allowed) {
   RelayHeader header;
   header.purpose = purpose;
   header.balancer = relay.self;
-  header.allowed = std::move(allowed);
+  header.allowed.assign(allowed.begin(), allowed.end());
   return header;
 }
 
@@ -41,7 +35,8 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    Reset(relay, flow, 0, FlowResetReason::kNoUpstream, actions);
+    AddReset(ResetCaller{flow, 0, FlowResetReason::kNoUpstream},
+             relay.counters.resets, actions);
     return;
   }
   const CachedFlow* earlier = relay.cache.Find(flow);
@@ -55,11 +50,9 @@
                             return candidate.agent != tried;
                           });
   }
-  RelayHeader header = MakeHeader(relay, RelayPurpose::kOpen, {});
-  for (const RouteTarget& target : route.targets) {
-    if (header.allowed.size() >= kMaxRelayServices) break;
-    header.allowed.push_back(target.service);
-  }
+  RelayHeader header =
+      MakeHeader(relay, RelayPurpose::kOpen,
+                 std::span(route.holding).first(route.accepting));
   for (size_t index = 1; index < ranked.size(); ++index) {
     header.alternates.push_back(ranked[index].agent);
   }
@@ -70,10 +63,11 @@
   actions.push_back(RelayToAgent{first, std::move(header), std::nullopt});
 }
 
-std::vector<ServiceId> HoldingServicesOf(const BalancerRelay& relay,
-                                         const FlowTuple& flow) {
+std::span<const ServiceId> HoldingServicesOf(const BalancerRelay& relay,
+                                             const FlowTuple& flow) {
   const RelayRoute* route = FindRoute(relay.routes, flow.service_address);
-  return route == nullptr ? std::vector<ServiceId>{} : HoldingServices(*route);
+  if (route == nullptr) return {};
+  return route->holding;
 }
 
 // Sends the packets of a search that were kept to one agent.
@@ -94,13 +88,15 @@
   if (found == relay.searches.end()) return;
   OwnerSearch& search = found->second;
   if (!IsDeniedByAll(relay.directory, search, now)) return;
-  const std::vector<ServiceId> holding = HoldingServicesOf(relay, flow);
+  const std::span<const ServiceId> holding = HoldingServicesOf(relay, flow);
   const std::vector<Endpoint> next =
       NextToAsk(relay.directory, search, flow, holding, now);
   for (const Endpoint& agent : next) {
     search.asked.push_back(agent);
-    actions.push_back(
-        AskOwnership{agent, FlowQuestion{flow, search.acknowledged, holding}});
+    actions.push_back(AskOwnership{
+        agent,
+        FlowQuestion{
+            flow, search.acknowledged, {holding.begin(), holding.end()}}});
   }
   if (!next.empty()) return;
   // An agent that has registered since the last list may hold the flow.
@@ -114,8 +110,9 @@
   const bool is_proof = now >= relay.directory.distrusted_until &&
                         search.asked.size() < kMaxSearchedAgents;
   if (is_proof) {
-    Reset(relay, flow, search.acknowledged, FlowResetReason::kNobodyHolds,
-          actions);
+    AddReset(
+        ResetCaller{flow, search.acknowledged, FlowResetReason::kNobodyHolds},
+        relay.counters.resets, actions);
   } else {
     ++relay.counters.searches_unresolved;
     actions.push_back(DropPackets{flow, PacketDropReason::kOwnerNotProved});
@@ -234,10 +231,11 @@
       return;
     }
     relay.cache.Remove(flow);
-    Reset(relay, flow, packet.is_syn ? 0 : packet.acknowledged,
-          was_dropped ? FlowResetReason::kRouteDropped
-                      : FlowResetReason::kNoRoute,
-          actions);
+    const uint32_t sequence = packet.is_syn ? 0 : packet.acknowledged;
+    const FlowResetReason reason = was_dropped ? FlowResetReason::kRouteDropped
+                                               : FlowResetReason::kNoRoute;
+    AddReset(ResetCaller{flow, sequence, reason}, relay.counters.resets,
+             actions);
     return;
   }
   if (packet.is_syn) {
@@ -253,7 +251,7 @@
   ++relay.counters.relayed;
   actions.push_back(RelayToAgent{
       cached->agent,
-      MakeHeader(relay, RelayPurpose::kEstablished, HoldingServices(*route)),
+      MakeHeader(relay, RelayPurpose::kEstablished, route->holding),
       std::nullopt});
 }
 
@@ -286,22 +284,21 @@
 void HandleBalancerTick(BalancerRelay& relay, Millis lateness, TimePoint now,
                         RelayActions& actions) {
   ReviewTrust(relay.directory, lateness, now);
-  std::vector<FlowTuple> denied;
+  std::vector<FlowTuple> waiting;
   for (auto position = relay.searches.begin();
        position != relay.searches.end();) {
-    const bool is_over = now - position->second.started >= kSearchTimeout;
-    if (!is_over && IsDeniedByAll(relay.directory, position->second, now)) {
-      denied.push_back(position->first);
-    } else if (is_over) {
-      ++relay.counters.searches_unresolved;
-      actions.push_back(
-          DropPackets{position->first, PacketDropReason::kOwnerNotProved});
-      position = relay.searches.erase(position);
+    if (now - position->second.started < kSearchTimeout) {
+      waiting.push_back(position->first);
+      ++position;
       continue;
     }
-    ++position;
+    ++relay.counters.searches_unresolved;
+    actions.push_back(
+        DropPackets{position->first, PacketDropReason::kOwnerNotProved});
+    position = relay.searches.erase(position);
   }
-  for (const FlowTuple& flow : denied) {
+  // Agents that were asked may have turned out to be gone since.
+  for (const FlowTuple& flow : waiting) {
     ContinueSearch(relay, flow, now, actions);
   }
   const Millis configured = relay.routes.configuration.flow_idle_timeout;
--- a/packages/coordination/src/flow_placement.cc
+++ b/packages/coordination/src/flow_placement.cc
@@ -80,22 +80,21 @@
   std::vector<PlacementCandidate> chosen;
   if (route.targets.empty()) return chosen;
   std::map<ServiceId, ServiceLoad> loads;
+  std::vector<const KnownUpstream*> accepting;
   for (const auto& [agent, upstream] : directory.upstreams) {
-    if (!AcceptsFlows(upstream, now)) continue;
-    ServiceLoad& load = loads[upstream.report.service];
+    const ServiceId service = upstream.report.service;
+    if (!HasTarget(route, service) || !AcceptsFlows(upstream, now)) continue;
+    ServiceLoad& load = loads[service];
     load.busy += upstream.report.busy;
     load.flows += upstream.report.flows;
+    accepting.push_back(&upstream);
   }
   std::map<ServiceId, std::vector<Ranked>> ranked;
-  for (const auto& [agent, upstream] : directory.upstreams) {
-    if (!AcceptsFlows(upstream, now)) continue;
-    const ServiceId service = upstream.report.service;
-    const bool is_allowed = std::any_of(
-        route.targets.begin(), route.targets.end(),
-        [&](const RouteTarget& target) { return target.service == service; });
-    if (!is_allowed) continue;
-    const double load = ExpectedLoad(upstream, FlowLoad(loads[service]));
-    const double order = load + (upstream.is_local ? 0 : kRemotePenalty);
+  for (const KnownUpstream* upstream : accepting) {
+    const ServiceId service = upstream->report.service;
+    const Endpoint& agent = upstream->entry.agent;
+    const double load = ExpectedLoad(*upstream, FlowLoad(loads[service]));
+    const double order = load + (upstream->is_local ? 0 : kRemotePenalty);
     ranked[service].push_back(Ranked{PlacementCandidate{agent, service, load},
                                      order, PlacementScore(flow, agent)});
   }
@@ -136,10 +135,8 @@
   for (const auto& [agent, upstream] : directory.upstreams) {
     if (upstream.report.phase == UpstreamPhase::kAbsent) continue;
     if (upstream.report.phase == UpstreamPhase::kDraining) continue;
-    for (const RouteTarget& target : route.targets) {
-      if (target.service != upstream.report.service) continue;
-      if (MayHoldFlows(directory, upstream, now)) return true;
-    }
+    if (!HasTarget(route, upstream.report.service)) continue;
+    if (MayHoldFlows(directory, upstream, now)) return true;
   }
   return false;
 }
--- a/packages/coordination/src/owner_search.cc
+++ b/packages/coordination/src/owner_search.cc
@@ -26,8 +26,7 @@
     if (Contains(search.asked, agent)) continue;
     if (Contains(search.denied, agent)) continue;
     const ServiceId service = upstream.report.service;
-    const bool is_allowed =
-        std::find(allowed.begin(), allowed.end(), service) != allowed.end();
+    const bool is_allowed = Contains(allowed, service);
     scored.push_back(
         Scored{is_allowed, PlacementScore(flow, agent), agent, service});
   }
--- a/packages/coordination/src/relay_actions.cc
+++ b/packages/coordination/src/relay_actions.cc
@@ -50,4 +50,10 @@
   return "invalid";
 }
 
+void AddReset(const ResetCaller& reset, FlowResetCounts& counts,
+              RelayActions& actions) {
+  ++counts[static_cast<size_t>(reset.reason)];
+  actions.push_back(reset);
+}
+
 }  // namespace medlarwinch
--- a/packages/coordination/src/relay_routes.cc
+++ b/packages/coordination/src/relay_routes.cc
@@ -6,52 +6,47 @@
 namespace medlarwinch {
 namespace {
 
-bool HasTarget(const RelayRoute& route, ServiceId service) {
-  return std::any_of(
-      route.targets.begin(), route.targets.end(),
-      [&](const RouteTarget& target) { return target.service == service; });
-}
-
-// Carries the services that may hold flows from `before` over to `route`.
-void KeepFormerServices(const RelayRoute& before, RelayRoute& route) {
-  for (const ServiceId service : HoldingServices(before)) {
-    if (HasTarget(route, service)) continue;
-    route.former.push_back(service);
-  }
+void AddHolding(RelayRoute& route, ServiceId service) {
+  if (route.holding.size() >= kMaxRelayServices) return;
+  if (Contains(route.holding, service)) return;
+  route.holding.push_back(service);
 }
 
 }  // namespace
 
 bool AdoptConfiguration(RouteTable& table, RelayConfiguration configuration,
-                        uint64_t revision) {
+                        uint64_t revision, TimePoint now) {
   if (revision <= table.revision) return false;
-  for (auto& [address, route] : table.configuration.routes) {
+  for (auto& [address, route] : configuration.routes) {
+    route.holding.clear();
+    for (const RouteTarget& target : route.targets) {
+      AddHolding(route, target.service);
+    }
+    route.accepting = route.holding.size();
+    table.dropped.erase(address);
+  }
+  for (const auto& [address, before] : table.configuration.routes) {
     const auto kept = configuration.routes.find(address);
-    if (kept != configuration.routes.end()) {
-      KeepFormerServices(route, kept->second);
+    if (kept == configuration.routes.end()) {
+      table.dropped.insert_or_assign(address, now);
       continue;
     }
-    table.dropped.insert_or_assign(address, std::move(route));
-  }
-  for (const auto& [address, route] : configuration.routes) {
-    table.dropped.erase(address);
+    for (const ServiceId service : before.holding) {
+      AddHolding(kept->second, service);
+    }
   }
+  std::erase_if(table.dropped, [now](const auto& entry) {
+    return now - entry.second >= kFlowLifetime;
+  });
   table.configuration = std::move(configuration);
   table.revision = revision;
   return true;
 }
 
-std::vector<ServiceId> HoldingServices(const RelayRoute& route) {
-  std::vector<ServiceId> services;
-  for (const RouteTarget& target : route.targets) {
-    if (services.size() >= kMaxRelayServices) return services;
-    services.push_back(target.service);
-  }
-  for (const ServiceId service : route.former) {
-    if (services.size() >= kMaxRelayServices) return services;
-    services.push_back(service);
-  }
-  return services;
+bool HasTarget(const RelayRoute& route, ServiceId service) {
+  return std::any_of(
+      route.targets.begin(), route.targets.end(),
+      [&](const RouteTarget& target) { return target.service == service; });
 }
 
 const RelayRoute* FindRoute(const RouteTable& table,
--- a/packages/coordination/src/relay_types.cc
+++ b/packages/coordination/src/relay_types.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 #include "medlarwinch/coordination/rendezvous.h"
 
 namespace medlarwinch {
@@ -10,6 +12,10 @@
   return ServiceId{HashKey(name)};
 }
 
+bool Contains(std::span<const ServiceId> services, ServiceId service) {
+  return std::find(services.begin(), services.end(), service) != services.end();
+}
+
 uint64_t HashFlow(const FlowTuple& flow) {
   const uint32_t input[3] = {flow.caller.ip, flow.service_address.ip,
                              static_cast<uint32_t>(flow.caller.port) << 16 |
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -91,23 +91,23 @@
   directory.distrusted_until = now + kDistrustTime;
 }
 
-std::vector<DirectoryEntry> RemoveGone(UpstreamDirectory& directory,
-                                       Millis silence, TimePoint now) {
-  std::vector<DirectoryEntry> silent;
-  for (auto position = directory.upstreams.begin();
-       position != directory.upstreams.end();) {
-    const KnownUpstream& upstream = position->second;
-    const Millis silent_for = now - upstream.heard;
-    if (!upstream.is_listed && silent_for >= kRestartGoneAfter) {
-      position = directory.upstreams.erase(position);
-      continue;
-    }
-    if (upstream.is_listed && silent_for >= silence) {
-      silent.push_back(upstream.entry);
-    }
-    ++position;
+void ForgetUnlisted(UpstreamDirectory& directory, TimePoint now) {
+  std::erase_if(directory.upstreams, [now](const auto& known) {
+    const KnownUpstream& upstream = known.second;
+    return !upstream.is_listed && now - upstream.heard >= kRestartGoneAfter;
+  });
+}
+
+std::vector<DirectoryEntry> LostAgents(const UpstreamDirectory& directory,
+                                       TimePoint now) {
+  std::vector<DirectoryEntry> lost;
+  if (now < directory.distrusted_until) return lost;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (!upstream.is_listed) continue;
+    if (now - upstream.heard < kAgentLostAfter) continue;
+    lost.push_back(upstream.entry);
   }
-  return silent;
+  return lost;
 }
 
 }  // namespace medlarwinch
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -182,7 +182,7 @@
 
 BOOST_AUTO_TEST_CASE(DroppedRoute_OpenFlow_IsReset) {
   Send(OpeningPacket(1));
-  AdoptConfiguration(relay.routes, RelayConfiguration{}, 11);
+  AdoptConfiguration(relay.routes, RelayConfiguration{}, 11, now);
   const std::vector<ResetCaller> resets =
       ActionsOf<ResetCaller>(Send(CallerPacket(1, 77)));
   BOOST_REQUIRE(resets.size() == 1);
--- a/packages/coordination/tests/flow_placement_test.cc
+++ b/packages/coordination/tests/flow_placement_test.cc
@@ -67,8 +67,8 @@
     HearAll();
   }
   const ServiceId other = MakeServiceId("report-desk");
-  const RelayRoute route{
-      "feed", {RouteTarget{service, 90}, RouteTarget{other, 10}}, {}};
+  const RelayRoute route{"feed",
+                         {RouteTarget{service, 90}, RouteTarget{other, 10}}};
   const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
 };
 
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/relay_fixture.h
@@ -62,8 +62,8 @@
     RelayConfiguration configuration;
     configuration.version = 3;
     configuration.routes[kServiceAddress] =
-        RelayRoute{"feed", {RouteTarget{service, 1}}, {}};
-    AdoptConfiguration(relay.routes, configuration, 10);
+        RelayRoute{"feed", {RouteTarget{service, 1}}};
+    AdoptConfiguration(relay.routes, configuration, 10, now);
     std::vector<DirectoryEntry> entries;
     for (uint32_t index = 0; index < kAgents; ++index) {
       entries.push_back(
--- a/packages/coordination/tests/upstream_directory_test.cc
+++ b/packages/coordination/tests/upstream_directory_test.cc
@@ -67,13 +67,28 @@
 
 BOOST_AUTO_TEST_CASE(UnlistedAgent_WhileItAnswers_StaysKnown) {
   ApplyRemoval(relay.directory, AgentAddress(0));
-  RemoveGone(relay.directory, kRestartGoneAfter, now);
+  ForgetUnlisted(relay.directory, now);
   BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 1U);
-  RemoveGone(relay.directory, kRestartGoneAfter, now + kRestartGoneAfter);
+  ForgetUnlisted(relay.directory, now + kRestartGoneAfter);
   BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 0U);
   BOOST_TEST(relay.directory.upstreams.count(AgentAddress(1)) == 1U);
 }
 
+// Guards against entries of lost VMs that every balancer polls for ever.
+BOOST_AUTO_TEST_CASE(ListedAgent_SilentForGood_IsLostUnlessDistrusted) {
+  const TimePoint later = now + kAgentLostAfter;
+  now = later;
+  for (uint32_t index = 1; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kReady);
+  }
+  BOOST_TEST(LostAgents(relay.directory, later - Millis{1}).empty());
+  const std::vector<DirectoryEntry> lost = LostAgents(relay.directory, later);
+  BOOST_REQUIRE(lost.size() == 1);
+  BOOST_CHECK(lost[0].agent == AgentAddress(0));
+  relay.directory.distrusted_until = later + Millis{1};
+  BOOST_TEST(LostAgents(relay.directory, later).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/node/include/medlarwinch/node/agent_entry.h
+++ b/packages/node/include/medlarwinch/node/agent_entry.h
@@ -14,6 +14,10 @@
 /// Kind of the objects by which agents are found.
 inline constexpr const char* kAgentKind = "medlarwinch-agents";
 
+/// An agent that no balancer polls for this long checks its entry: longer than
+/// a restart of all balancers takes, and much shorter than kAgentLostAfter.
+inline constexpr Millis kUnpolledCheck{10'000};
+
 /// The object of the agent at `agent`: one for each address, so that an agent
 /// at a reused address replaces the entry of its predecessor.
 std::string AgentEntryName(const Endpoint& agent);
@@ -40,6 +44,15 @@
   /// Removes the entry. `Publish` brings it back.
   void Withdraw();
 
+  /// Notes a poll of `balancer`, and writes the entry again when the balancer
+  /// does not find it in the store.
+  void NotePoll(const Endpoint& balancer, bool is_listed, TimePoint now);
+
+  /// Checks the entry when no balancer polls: it may have been removed while
+  /// this agent was cut off, and balancers poll only agents that they find.
+  /// Called at every tick.
+  void Review(TimePoint now);
+
   /// True once the store holds the entry, and again after Withdraw() once it
   /// does not.
   bool is_settled() const { return is_settled_; }
@@ -65,6 +78,9 @@
   bool is_settled_ = false;
   bool is_busy_ = false;
   uint32_t failures_ = 0;
+  /// When a balancer last polled, and when the entry was last written again.
+  TimePoint polled_;
+  TimePoint checked_;
   /// Revision of the entry as last seen; 0 when unknown.
   uint64_t revision_ = 0;
 };
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -9,7 +9,6 @@
 #include "medlarwinch/node/agent_entry.h"
 #include "medlarwinch/node/node_base.h"
 #include "medlarwinch/node/platform_ports.h"
-#include "medlarwinch/node/settings_reload.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/datagram_port.h"
 
@@ -47,6 +46,7 @@
   AgentRelay relay_;
   RelayActions actions_;
   Bytes message_;
+  RelayedPacketEncoder relayed_;
   LogBudget log_budget_;
   Metrics metrics_;
   uint64_t boot_;
@@ -59,13 +59,8 @@
   std::unique_ptr<DatagramPort> relay_port_;
   std::unique_ptr<DatagramPort> upstream_port_;
   std::unique_ptr<LoopHttpServer> beats_;
-  std::unique_ptr<NodeStatusServers> status_;
-  std::unique_ptr<Periodic> tick_timer_;
-  std::unique_ptr<NodeSignals> signals_;
-  SettingsReload reload_;
-  std::unique_ptr<Periodic> reload_timer_;
+  NodeRuntime runtime_;
   TimePoint stop_requested_;
-  TimePoint republished_;
   bool is_withdrawn_ = false;
   uint64_t malformed_ = 0;
   uint64_t malformed_messages_ = 0;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -9,7 +9,6 @@
 #include "medlarwinch/coordination/balancer_relay.h"
 #include "medlarwinch/node/node_base.h"
 #include "medlarwinch/node/platform_ports.h"
-#include "medlarwinch/node/settings_reload.h"
 #include "medlarwinch/node/store_watch.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/datagram_port.h"
@@ -32,7 +31,6 @@
   void HandleMessage(const Endpoint& from, ByteView datagram);
   void HandleStatus(const Endpoint& from, const AgentStatus& status);
   void Carry(RelayActions& actions, ByteView packet);
-  void SendToAgent(const Endpoint& agent, RelayHeader header, ByteView packet);
   void SendReset(const ResetCaller& reset);
   void HandleConfiguration(const StoredObject& object);
   void HandleAgents(const ObjectListing& listing);
@@ -42,6 +40,7 @@
   void FollowAgents();
   void PollAgents();
   void PollStartingAgents();
+  void RemoveLostEntry();
   void Tick();
   bool IsReady() const;
   void BeginStop();
@@ -53,19 +52,18 @@
   BalancerRelay relay_;
   RelayActions actions_;
   Bytes message_;
+  RelayedPacketEncoder relayed_;
   LogBudget log_budget_;
   Metrics metrics_;
   std::unique_ptr<DatagramPort> callers_;
   std::unique_ptr<DatagramPort> agents_;
-  std::unique_ptr<NodeStatusServers> status_;
   std::unique_ptr<StoreWatch> configuration_watch_;
   std::unique_ptr<StoreWatch> agent_watch_;
-  std::unique_ptr<StoreConnection> confirmation_;
+  /// For the calls that are not part of a watch.
+  std::unique_ptr<StoreConnection> calls_;
   std::unique_ptr<Periodic> poll_timer_;
-  std::unique_ptr<Periodic> tick_timer_;
-  std::unique_ptr<NodeSignals> signals_;
-  SettingsReload reload_;
-  std::unique_ptr<Periodic> reload_timer_;
+  std::unique_ptr<Periodic> lost_timer_;
+  NodeRuntime runtime_;
   TimePoint listed_;
   TimePoint last_packet_;
   TimePoint last_tick_;
--- a/packages/node/include/medlarwinch/node/node_base.h
+++ b/packages/node/include/medlarwinch/node/node_base.h
@@ -10,6 +10,9 @@
 #include "medlarwinch/coordination/relay_actions.h"
 #include "medlarwinch/node/log_budget.h"
 #include "medlarwinch/node/node_settings.h"
+#include "medlarwinch/node/platform_ports.h"
+#include "medlarwinch/node/settings_reload.h"
+#include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/loop_http_server.h"
 #include "medlarwinch/transport/metrics.h"
 
@@ -60,6 +63,52 @@
   std::unique_ptr<LoopHttpServer> metrics_;
 };
 
+/// Time between two ticks of a node.
+inline constexpr Millis kTickInterval{100};
+
+/// What a node of either role does for the parts that all nodes have.
+struct NodeCallbacks {
+  std::function<bool()> is_ready;
+  std::function<std::string()> render_metrics;
+  /// Called every kTickInterval.
+  std::function<void()> tick;
+  /// Called at SIGTERM or SIGINT.
+  std::function<void()> begin_stop;
+};
+
+/// The parts that all nodes have: status servers, the tick, signals, and the
+/// reload of settings.
+class NodeRuntime {
+ public:
+  /// `settings` are changed by a reload; they and `ports` outlive this object.
+  NodeRuntime(boost::asio::io_context& loop, NodeSettings& settings,
+              const PlatformPorts& ports);
+
+  /// Fails with kUnavailable when the readiness address can't be bound.
+  Result<Ok> Start(NodeCallbacks callbacks);
+
+ private:
+  boost::asio::io_context& loop_;
+  const NodeSettings& settings_;
+  const PlatformPorts& ports_;
+  SettingsReload reload_;
+  std::unique_ptr<NodeStatusServers> status_;
+  std::unique_ptr<Periodic> tick_timer_;
+  std::unique_ptr<Periodic> reload_timer_;
+  std::unique_ptr<NodeSignals> signals_;
+};
+
+/// Encodes relayed packets without an allocation for each of them.
+class RelayedPacketEncoder {
+ public:
+  /// The result is valid until the next call.
+  const Bytes& Encode(RelayHeader header, ByteView packet);
+
+ private:
+  RelayMessage message_ = RelayedPacket{};
+  Bytes encoded_;
+};
+
 /// Writes one line with the counts of lines that `budget` left out.
 void LogSuppressed(LogBudget& budget);
 
--- a/packages/node/src/agent_entry.cc
+++ b/packages/node/src/agent_entry.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr BackoffPolicy kEntryBackoff{Millis{80}, Millis{1'000}};
+// Least time between two repairs of an entry that balancers miss.
+constexpr Millis kRepublishInterval{2'000};
 
 Error BadEntry(const StoredObject& object, const std::string& reason) {
   return Error{ErrorCode::kInvalidInput,
@@ -80,6 +82,27 @@
   Step();
 }
 
+void AgentEntry::NotePoll(const Endpoint& balancer, bool is_listed,
+                          TimePoint now) {
+  polled_ = now;
+  if (is_listed || !is_published()) return;
+  if (now - checked_ < kRepublishInterval) return;
+  checked_ = now;
+  Log(LogLevel::kWarning, "entry_missed", {{"balancer", ToString(balancer)}});
+  Publish();
+}
+
+void AgentEntry::Review(TimePoint now) {
+  if (polled_ == TimePoint{}) polled_ = now;
+  if (!is_published() || now - std::max(polled_, checked_) < kUnpolledCheck) {
+    return;
+  }
+  checked_ = now;
+  Log(LogLevel::kWarning, "entry_checked",
+      {{"entry", name_}, {"unpolled_ms", (now - polled_).value}});
+  Publish();
+}
+
 void AgentEntry::Step() {
   is_busy_ = true;
   is_settled_ = false;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -10,7 +10,6 @@
 namespace medlarwinch {
 namespace {
 
-constexpr Millis kTickInterval{100};
 // A balancer that has not polled for this long gets no unasked reports: four
 // polls.
 constexpr Millis kBalancerForgottenAfter{1'000};
@@ -22,8 +21,6 @@
 // An agent whose upstream is gone ends as soon as its entry is withdrawn, or
 // after this time.
 constexpr Millis kWithdrawLimit{1'500};
-// Least time between two repairs of an entry that balancers miss.
-constexpr Millis kRepublishInterval{2'000};
 constexpr double kOrdinaryLinesPerSecond = 10;
 constexpr double kFailureLinesPerSecond = 100;
 constexpr int kHttpOk = 200;
@@ -46,7 +43,7 @@
       boot_(seed),
       entry_(loop, ports_.open_store(), AgentEntryName(settings.datagrams),
              EncodeAgentEntry(OwnEntry(settings), settings.service), seed),
-      reload_(settings_, ports_) {
+      runtime_(loop, settings_, ports_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
   relay_.beat_interval = settings.beat_interval;
@@ -72,20 +69,11 @@
       [this](const HttpRequest& request) { return HandleNotice(request); });
   if (!IsOk(beats)) return ErrorOf(beats);
   beats_ = TakeValue(std::move(beats));
-  Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
-      loop_, settings_, ports_.readiness_path,
-      [this] { return !relay_.is_stopping; },
-      [this] { return RenderMetrics(); });
-  if (!IsOk(status)) return ErrorOf(status);
-  status_ = TakeValue(std::move(status));
-  tick_timer_ =
-      std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
-  tick_timer_->Start();
-  signals_ = std::make_unique<NodeSignals>(
-      loop_, [this] { BeginStop(); }, [this] { reload_.Reload(); });
-  reload_timer_ = std::make_unique<Periodic>(
-      loop_, kSettingsCheckInterval, [this] { reload_.ReloadIfChanged(); });
-  reload_timer_->Start();
+  const Result<Ok> started = runtime_.Start(
+      NodeCallbacks{[this] { return !relay_.is_stopping; },
+                    [this] { return RenderMetrics(); }, [this] { Tick(); },
+                    [this] { BeginStop(); }});
+  if (!IsOk(started)) return started;
   Log(LogLevel::kInfo, "start",
       {{"role", "agent"},
        {"service", settings_.service},
@@ -137,12 +125,7 @@
   configuration_revision_ =
       std::max(configuration_revision_, poll.configuration_revision);
   SendStatus(from);
-  const bool is_missed = !poll.is_listed && entry_.is_settled() &&
-                         relay_.host.phase != UpstreamPhase::kAbsent;
-  if (!is_missed || now - republished_ < kRepublishInterval) return;
-  republished_ = now;
-  Log(LogLevel::kWarning, "entry_missed", {{"balancer", ToString(from)}});
-  entry_.Publish();
+  entry_.NotePoll(from, poll.is_listed, now);
 }
 
 void AgentNode::HandleFromUpstream(std::span<uint8_t> datagram) {
@@ -241,10 +224,7 @@
       continue;
     }
     if (const RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
-      EncodeRelayMessage(
-          RelayedPacket{relayed->header, Bytes(packet.begin(), packet.end())},
-          message_);
-      relay_port_->Send(relayed->to, message_);
+      relay_port_->Send(relayed->to, relayed_.Encode(relayed->header, packet));
       if (log_budget_.Allows("flow_passed_on", kFailureLinesPerSecond,
                              MonotonicNow())) {
         Log(LogLevel::kInfo, "flow_passed_on",
@@ -346,6 +326,7 @@
     is_withdrawn_ = true;
     entry_.Withdraw();
   }
+  entry_.Review(now);
   LogSuppressed(log_budget_);
   if (!relay_.is_stopping) return;
   const Millis stopping_for = now - stop_requested_;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -10,7 +10,8 @@
 namespace medlarwinch {
 namespace {
 
-constexpr Millis kTickInterval{100};
+// Time between two looks for entries of lost agents, one of which is removed.
+constexpr Millis kLostCheckInterval{5'000};
 // After the list of agents was read, how long readiness waits for those that do
 // not answer.
 constexpr Millis kFirstReportsWait{100};
@@ -34,7 +35,7 @@
     : loop_(loop),
       settings_(settings),
       ports_(std::move(ports)),
-      reload_(settings_, ports_) {
+      runtime_(loop, settings_, ports_) {
   relay_.self = settings.relay;
   relay_.random.seed(seed);
   relay_.directory.own_failure_domain = settings.failure_domain;
@@ -53,24 +54,18 @@
         HandleDatagram(datagram);
       });
   if (!IsOk(callers_opened)) return callers_opened;
-  Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
-      loop_, settings_, ports_.readiness_path, [this] { return IsReady(); },
-      [this] { return RenderMetrics(); });
-  if (!IsOk(status)) return ErrorOf(status);
-  status_ = TakeValue(std::move(status));
+  const Result<Ok> started = runtime_.Start(NodeCallbacks{
+      [this] { return IsReady(); }, [this] { return RenderMetrics(); },
+      [this] { Tick(); }, [this] { BeginStop(); }});
+  if (!IsOk(started)) return started;
   FollowConfiguration();
   FollowAgents();
   poll_timer_ = std::make_unique<Periodic>(loop_, kAgentPollInterval,
                                            [this] { PollAgents(); });
   poll_timer_->Start();
-  tick_timer_ =
-      std::make_unique<Periodic>(loop_, kTickInterval, [this] { Tick(); });
-  tick_timer_->Start();
-  signals_ = std::make_unique<NodeSignals>(
-      loop_, [this] { BeginStop(); }, [this] { reload_.Reload(); });
-  reload_timer_ = std::make_unique<Periodic>(
-      loop_, kSettingsCheckInterval, [this] { reload_.ReloadIfChanged(); });
-  reload_timer_->Start();
+  lost_timer_ = std::make_unique<Periodic>(loop_, kLostCheckInterval,
+                                           [this] { RemoveLostEntry(); });
+  lost_timer_->Start();
   Log(LogLevel::kInfo, "start",
       {{"role", "balancer"},
        {"failure_domain", settings_.failure_domain},
@@ -181,11 +176,13 @@
              {"report_age_ms", (MonotonicNow() - chosen.heard).value},
              {"revision", static_cast<int64_t>(relay_.routes.revision)}});
       }
-      SendToAgent(relayed->to, std::move(relayed->header), packet);
+      agents_->Send(relayed->to,
+                    relayed_.Encode(std::move(relayed->header), packet));
       continue;
     }
     if (RelayKeptPacket* kept = std::get_if<RelayKeptPacket>(&action)) {
-      SendToAgent(kept->to, std::move(kept->header), kept->packet);
+      agents_->Send(kept->to,
+                    relayed_.Encode(std::move(kept->header), kept->packet));
       continue;
     }
     if (const AskOwnership* ask = std::get_if<AskOwnership>(&action)) {
@@ -207,14 +204,6 @@
   }
 }
 
-void BalancerNode::SendToAgent(const Endpoint& agent, RelayHeader header,
-                               ByteView packet) {
-  EncodeRelayMessage(
-      RelayedPacket{std::move(header), Bytes(packet.begin(), packet.end())},
-      message_);
-  agents_->Send(agent, message_);
-}
-
 void BalancerNode::SendReset(const ResetCaller& reset) {
   callers_->Send(ports_.caller_gateway(reset.flow.caller),
                  ports_.make_reset(reset.flow, reset.sequence));
@@ -239,7 +228,7 @@
   last_tick_ = now;
   HandleBalancerTick(relay_, lateness, now, actions_);
   Carry(actions_, {});
-  RemoveGone(relay_.directory, kRestartGoneAfter, now);
+  ForgetUnlisted(relay_.directory, now);
   PollStartingAgents();
   LogSuppressed(log_budget_);
   if (!is_stopping_) return;
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -82,7 +82,7 @@
   const uint64_t version = configuration.version;
   const size_t routes = configuration.routes.size();
   if (!AdoptConfiguration(relay_.routes, std::move(configuration),
-                          object.revision)) {
+                          object.revision, MonotonicNow())) {
     return;
   }
   Log(LogLevel::kInfo, "configuration_in_force",
@@ -118,20 +118,19 @@
   if (is_confirming_ || asked - last_confirmation_ < kConfirmInterval) return;
   is_confirming_ = true;
   last_confirmation_ = asked;
-  if (confirmation_ == nullptr) confirmation_ = ports_.open_store();
-  confirmation_->List(
-      kAgentKind, [this, asked](const Result<ObjectListing>& result) {
-        is_confirming_ = false;
-        if (!IsOk(result)) {
-          Log(LogLevel::kWarning, "agents_not_confirmed",
-              {{"message", ErrorOf(result).message}});
-          return;
-        }
-        HandleAgents(ValueOf(result));
-        RelayActions actions;
-        HandleDirectoryConfirmed(relay_, asked, MonotonicNow(), actions);
-        Carry(actions, {});
-      });
+  if (calls_ == nullptr) calls_ = ports_.open_store();
+  calls_->List(kAgentKind, [this, asked](const Result<ObjectListing>& result) {
+    is_confirming_ = false;
+    if (!IsOk(result)) {
+      Log(LogLevel::kWarning, "agents_not_confirmed",
+          {{"message", ErrorOf(result).message}});
+      return;
+    }
+    HandleAgents(ValueOf(result));
+    RelayActions actions;
+    HandleDirectoryConfirmed(relay_, asked, MonotonicNow(), actions);
+    Carry(actions, {});
+  });
 }
 
 void BalancerNode::HandleAgentChange(const ObjectChange& change) {
@@ -159,4 +158,28 @@
   agents_->Send(ValueOf(entry).agent, message_);
 }
 
+// Only an agent removes its own entry, so that of a lost VM would stay for
+// ever. Of several balancers that try, one succeeds; the others find it
+// removed.
+void BalancerNode::RemoveLostEntry() {
+  const std::vector<DirectoryEntry> lost =
+      LostAgents(relay_.directory, MonotonicNow());
+  if (lost.empty()) return;
+  const DirectoryEntry& entry = lost[relay_.random() % lost.size()];
+  const std::string name = AgentEntryName(entry.agent);
+  Log(LogLevel::kWarning, "agent_lost",
+      {{"agent", ToString(entry.agent)},
+       {"silent_for_ms", kAgentLostAfter.value},
+       {"revision", static_cast<int64_t>(entry.revision)}});
+  if (calls_ == nullptr) calls_ = ports_.open_store();
+  calls_->Remove(kAgentKind, name, entry.revision,
+                 [name](const Result<Ok>& result) {
+                   if (IsOk(result)) return;
+                   Log(LogLevel::kWarning, "agent_entry_not_removed",
+                       {{"agent", name},
+                        {"error", ErrorCodeName(ErrorOf(result).code)},
+                        {"message", ErrorOf(result).message}});
+                 });
+}
+
 }  // namespace medlarwinch
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -86,6 +86,38 @@
   return servers;
 }
 
+NodeRuntime::NodeRuntime(boost::asio::io_context& loop, NodeSettings& settings,
+                         const PlatformPorts& ports)
+    : loop_(loop),
+      settings_(settings),
+      ports_(ports),
+      reload_(settings, ports) {}
+
+Result<Ok> NodeRuntime::Start(NodeCallbacks callbacks) {
+  Result<std::unique_ptr<NodeStatusServers>> status = NodeStatusServers::Listen(
+      loop_, settings_, ports_.readiness_path, std::move(callbacks.is_ready),
+      std::move(callbacks.render_metrics));
+  if (!IsOk(status)) return ErrorOf(status);
+  status_ = TakeValue(std::move(status));
+  tick_timer_ = std::make_unique<Periodic>(loop_, kTickInterval,
+                                           std::move(callbacks.tick));
+  tick_timer_->Start();
+  reload_timer_ = std::make_unique<Periodic>(
+      loop_, kSettingsCheckInterval, [this] { reload_.ReloadIfChanged(); });
+  reload_timer_->Start();
+  signals_ = std::make_unique<NodeSignals>(
+      loop_, std::move(callbacks.begin_stop), [this] { reload_.Reload(); });
+  return Ok{};
+}
+
+const Bytes& RelayedPacketEncoder::Encode(RelayHeader header, ByteView packet) {
+  RelayedPacket& relayed = std::get<RelayedPacket>(message_);
+  relayed.header = std::move(header);
+  relayed.packet.assign(packet.begin(), packet.end());
+  EncodeRelayMessage(message_, encoded_);
+  return encoded_;
+}
+
 void LogSuppressed(LogBudget& budget) {
   for (const auto& [event, count] : budget.TakeSuppressed()) {
     Log(LogLevel::kInfo, "lines_suppressed",
--- a/packages/node/tests/agent_entry_test.cc
+++ b/packages/node/tests/agent_entry_test.cc
@@ -90,6 +90,36 @@
   BOOST_TEST(!entry->is_published());
 }
 
+BOOST_AUTO_TEST_CASE(MissedEntry_Polled_IsWrittenAgain) {
+  entry->Publish();
+  Run();
+  store.objects.clear();
+  const Endpoint balancer{0x0a010001, 7'000};
+  entry->NotePoll(balancer, true, TimePoint{5'000});
+  Run();
+  BOOST_TEST(store.objects.empty());
+  entry->NotePoll(balancer, false, TimePoint{5'000});
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+}
+
+// Guards against an agent that is lost for good once its entry was removed
+// while it was cut off: nobody polls an agent without an entry.
+BOOST_AUTO_TEST_CASE(RemovedEntry_NobodyPolls_IsWrittenAgain) {
+  entry->Publish();
+  Run();
+  TimePoint now{1'000};
+  entry->Review(now);
+  store.objects.clear();
+  now = now + kUnpolledCheck - Millis{1};
+  entry->Review(now);
+  Run();
+  BOOST_TEST(store.objects.empty());
+  entry->Review(now + Millis{1});
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(EntryOfOtherWriter_Decoded_NamesNoAgent) {
   const std::vector<std::string> contents = {
       "", "[]", "{}", R"({"relay":"10.1.0.9:8172","upstream_service":"a"})",
