Take a denial by every agent as proof that nobody holds a flow, also while silence is distrusted

Cause: for 2 s after its start a balancer does not trust the silence of agents, and in that time it also did not conclude from explicit denials.

Ruled out: missing lists of agents; they were read 150 ms after the start.

Change: with silence distrusted, a silent agent counts as one that may hold flows, so a search ends only when each agent has answered; that is a proof.

More callers come back at once; the queues at cold upstreams are what binds next.

--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -107,9 +107,10 @@
     actions.push_back(ConfirmDirectory{});
     return;
   }
-  const bool is_proof = now >= relay.directory.distrusted_until &&
-                        search.asked.size() < kMaxSearchedAgents;
-  if (is_proof) {
+  // While silence is not trusted, every agent that was asked has denied in so
+  // many words.
+  const bool were_all_asked = search.asked.size() < kMaxSearchedAgents;
+  if (were_all_asked) {
     AddReset(
         ResetCaller{flow, search.acknowledged, FlowResetReason::kNobodyHolds},
         relay.counters.resets, actions);
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -137,6 +137,31 @@
           .size() == 1U);
 }
 
+// Guards against dead flows that hang after a loss of power: a balancer that
+// has only just started does not trust silence, but every agent has answered.
+BOOST_AUTO_TEST_CASE(DistrustedSilence_EveryAgentDenies_IsReset) {
+  relay.directory.distrusted_until = now + kDistrustTime;
+  BOOST_TEST(DenyAll(*this, CallerPacket(1, 77)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DistrustedSilence_OneAgentSilent_IsNotReset) {
+  now = now + kAgentGoneAfter;
+  relay.directory_confirmed = now;
+  for (uint32_t index = 1; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kReady);
+  }
+  relay.directory.distrusted_until = now + kDistrustTime;
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions = Send(packet);
+  for (uint32_t index = 1; index < kAgents; ++index) {
+    for (const RelayAction& action :
+         Answer(AgentAddress(index), packet, FlowOwnership::kNotOwned)) {
+      actions.push_back(action);
+    }
+  }
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+}
+
 // Guards against a reset while one agent restarts and can't answer.
 BOOST_AUTO_TEST_CASE(OneAgentRestarting_OthersDeny_IsNotReset) {
   Report(AgentAddress(2), UpstreamPhase::kAgentRestarting);
