--- a/packages/cli/include/medlarwinch/cli/plot_command.h
+++ b/packages/cli/include/medlarwinch/cli/plot_command.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "medlarwinch/cli/exit_code.h"
+#include "medlarwinch/cli/log_records.h"
 #include "medlarwinch/cli/svg_chart.h"
 #include "medlarwinch/state/result.h"
 
@@ -28,6 +29,11 @@
 /// kInvalidInput when there is no sample in them.
 Result<PlotReport> RunPlot(const std::vector<std::string>& files);
 
+/// Makes the charts from log lines: flows by agent as the balancers that open
+/// flows there know them, resets by reason, and flows that were passed on or
+/// dropped, the last two as lines a second.
+PlotReport PlotFromLogs(const LogCollection& logs);
+
 /// Always kExitOk; failures are errors of the command itself.
 ExitCode ExitCodeOf(const PlotReport& report);
 /// The charts as an SVG document.
--- /dev/null
+++ b/packages/cli/src/log_explain.cc
@@ -0,0 +1,240 @@
+#include "medlarwinch/cli/log_explain.h"
+
+#include <algorithm>
+#include <set>
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+// How long after the last line of an upstream's agent other processes may still
+// act on what they heard of it: the silence after which it is taken to be gone,
+// and the removal of its entry.
+constexpr Millis kEchoTime{15'000};
+
+// A name of the subject, and when it stood for it.
+struct NamedSpan {
+  std::string name;
+  TimePoint since;
+  TimePoint until;
+};
+
+bool HasValue(const LogRecord& record, const std::string& name) {
+  if (record.process == name) return true;
+  return std::any_of(record.fields.begin(), record.fields.end(),
+                     [&](const auto& field) { return field.second == name; });
+}
+
+// "10.1.0.8:8172" as the name of an entry in the store.
+std::string EntryNameOf(std::string address) {
+  std::replace(address.begin(), address.end(), ':', '-');
+  return address;
+}
+
+bool IsUpstreamOf(const LogRecord& record, const std::string& name) {
+  return FieldOf(record, "upstream") == name &&
+         record.event.rfind("upstream", 0) == 0;
+}
+
+// The subject's own name and, for an upstream, those of its agent while it was
+// there: processes that hear of it name it by the agent's address.
+std::vector<NamedSpan> NamesOf(const LogCollection& logs,
+                               const LogQuery& query) {
+  std::vector<NamedSpan> names = {
+      NamedSpan{query.subject, query.since, query.until}};
+  std::map<std::string, NamedSpan> agents;
+  for (const LogRecord& record : logs.records) {
+    if (!IsUpstreamOf(record, query.subject)) continue;
+    NamedSpan& span = agents
+                          .try_emplace(record.process,
+                                       NamedSpan{"", record.time, record.time})
+                          .first->second;
+    span.until = record.time + kEchoTime;
+  }
+  for (const LogRecord& record : logs.records) {
+    if (record.event != "start" || FieldOf(record, "role") != "agent") continue;
+    const std::string relay = FieldOf(record, "relay");
+    const bool is_asked_for = query.subject == relay ||
+                              query.subject == record.process ||
+                              query.subject == FieldOf(record, "upstream");
+    const auto found = agents.find(record.process);
+    if (!is_asked_for && found == agents.end()) continue;
+    const NamedSpan span =
+        is_asked_for ? NamedSpan{"", query.since, query.until} : found->second;
+    for (const std::string& name :
+         {relay, EntryNameOf(relay), record.process}) {
+      names.push_back(NamedSpan{name, span.since, span.until});
+    }
+  }
+  return names;
+}
+
+bool IsFlow(const std::string& subject) {
+  return subject.find('>') != std::string::npos;
+}
+
+bool IsAboutFlow(const LogRecord& record, const std::string& subject) {
+  const std::string flow = FieldOf(record, "flow");
+  return flow == subject || flow.rfind(subject + ">", 0) == 0;
+}
+
+bool IsAbout(const LogRecord& record, const LogQuery& query,
+             const std::vector<NamedSpan>& names) {
+  if (IsAboutFlow(record, query.subject)) return true;
+  const size_t equals = query.subject.find('=');
+  if (equals != std::string::npos) {
+    return FieldOf(record, query.subject.substr(0, equals)) ==
+           query.subject.substr(equals + 1);
+  }
+  // Decisions about single flows would hide what was believed of the subject.
+  if (record.fields.count("flow") != 0) return false;
+  return std::any_of(names.begin(), names.end(), [&](const NamedSpan& named) {
+    return record.time >= named.since && record.time <= named.until &&
+           HasValue(record, named.name);
+  });
+}
+
+// Records that change what a process believes, by what they are about.
+std::string BeliefKeyOf(const LogRecord& record) {
+  if (record.event == "configuration_in_force") return "configuration";
+  if (record.event == "store_lost" || record.event == "store_regained") {
+    return "store " + FieldOf(record, "watch");
+  }
+  if (record.event == "agents_listed") return "agents";
+  if (record.event == "start") return "start";
+  if (record.event == "upstream_phase") {
+    return "upstream " + FieldOf(record, "agent");
+  }
+  return "";
+}
+
+bool EndsOrRefusesFlow(const LogRecord& record) {
+  return record.event == "flow_reset" || record.event == "packet_dropped" ||
+         record.event == "flow_passed_on";
+}
+
+std::string MeaningOf(const LogRecord& record) {
+  static const std::map<std::string, std::string> kMeanings = {
+      {"nobody_holds",
+       "every agent denied the flow, so its upstream has lost it"},
+      {"upstream_restarted",
+       "the upstream has a new incarnation, has left, or went silent"},
+      {"upstream_lost", "the upstream returned a packet of a flow it had held"},
+      {"no_route", "no configuration names the address"},
+      {"route_dropped", "the configuration in force dropped the route"},
+      {"no_upstream", "no upstream of the route could take the flow"},
+      {"left_to_next_copy",
+       "no agent took the opening; the caller's next copy was awaited"},
+      {"no_upstream_yet", "the upstreams of the route were starting"},
+      {"owner_not_proved",
+       "an agent did not answer, so that nobody could say who holds the flow"},
+      {"route_not_known", "this process had not heard of the route"},
+      {"other_service", "the agent's upstream belongs to another service"},
+      {"not_ready", "the upstream was not ready: see `phase`"},
+      {"unresponsive", "the upstream left earlier openings without an answer"},
+      {"busy",
+       "the upstream had no room: compare `outstanding` with its slots"},
+      {"bounced", "the upstream returned the opening"}};
+  if (!EndsOrRefusesFlow(record)) return "";
+  const auto found = kMeanings.find(FieldOf(record, "reason"));
+  return found == kMeanings.end() ? "" : found->second;
+}
+
+// The belief about an upstream matters only at its own agent and where the
+// record names that agent.
+bool IsBeliefFor(const std::string& key, const LogRecord& record) {
+  const std::string prefix = "upstream ";
+  if (key.rfind(prefix, 0) != 0) return true;
+  const std::string agent = key.substr(prefix.size());
+  return agent.empty() || agent == FieldOf(record, "agent") ||
+         agent == FieldOf(record, "to");
+}
+
+}  // namespace
+
+LogExplanation ExplainFromLogs(const LogCollection& logs,
+                               const LogQuery& query) {
+  LogExplanation report;
+  report.subject = query.subject;
+  report.suppressed = logs.suppressed;
+  const std::vector<NamedSpan> names =
+      IsFlow(query.subject) ? std::vector<NamedSpan>{} : NamesOf(logs, query);
+  std::set<std::string> others;
+  for (const NamedSpan& named : names) {
+    if (named.name != query.subject) others.insert(named.name);
+  }
+  report.names.assign(others.begin(), others.end());
+  std::map<std::string, std::map<std::string, const LogRecord*>> beliefs;
+  for (const LogRecord& record : logs.records) {
+    const std::string key = BeliefKeyOf(record);
+    // Nothing from before a start is known to a process.
+    if (key == "start") beliefs[record.process].clear();
+    if (!key.empty()) beliefs[record.process][key] = &record;
+    if (record.time < query.since || record.time > query.until) continue;
+    if (!IsAbout(record, query, names)) continue;
+    ExplainedRecord explained{record, {}, MeaningOf(record)};
+    if (EndsOrRefusesFlow(record)) {
+      for (const auto& [about, belief] : beliefs[record.process]) {
+        if (!IsBeliefFor(about, record)) continue;
+        explained.beliefs.push_back(
+            Belief{*belief, record.time - belief->time});
+      }
+    }
+    report.records.push_back(std::move(explained));
+  }
+  return report;
+}
+
+ExitCode ExitCodeOf(const LogExplanation& report) {
+  return report.records.empty() ? kExitFailed : kExitOk;
+}
+
+std::string FormatText(const LogExplanation& report) {
+  std::string text = report.subject + ": " +
+                     std::to_string(report.records.size()) + " records\n";
+  for (const std::string& name : report.names) {
+    text += "  also known as " + name + "\n";
+  }
+  for (const ExplainedRecord& explained : report.records) {
+    text += FormatRecord(explained.record) + "\n";
+    if (!explained.meaning.empty()) {
+      text += "  means: " + explained.meaning + "\n";
+    }
+    for (const Belief& belief : explained.beliefs) {
+      text += "  knew for " + std::to_string(belief.age.value) +
+              " ms: " + FormatRecord(belief.record) + "\n";
+    }
+  }
+  for (const auto& [event, count] : report.suppressed) {
+    text += "left out of the logs: " + std::to_string(count) + " lines of " +
+            event + "\n";
+  }
+  return text;
+}
+
+nlohmann::json ToJson(const LogExplanation& report) {
+  const auto to_json = [](const LogRecord& record) {
+    return nlohmann::json{{"time", FormatTime(record.time)},
+                          {"process", record.process},
+                          {"event", record.event},
+                          {"fields", record.fields}};
+  };
+  nlohmann::json records = nlohmann::json::array();
+  for (const ExplainedRecord& explained : report.records) {
+    nlohmann::json record = to_json(explained.record);
+    record["meaning"] = explained.meaning;
+    record["beliefs"] = nlohmann::json::array();
+    for (const Belief& belief : explained.beliefs) {
+      record["beliefs"].push_back(
+          {{"age_ms", belief.age.value}, {"record", to_json(belief.record)}});
+    }
+    records.push_back(record);
+  }
+  return {{"subject", report.subject},
+          {"names", report.names},
+          {"records", records},
+          {"suppressed", report.suppressed}};
+}
+
+}  // namespace medlarwinch
--- a/packages/cli/src/plot_command.cc
+++ b/packages/cli/src/plot_command.cc
@@ -17,6 +17,7 @@
 const std::string kFlows = "medlarwinch_flows";
 const std::string kLatencyBucket = "medlarwinch_request_latency_ms_bucket";
 constexpr double kPercentile = 0.99;
+constexpr int64_t kMillisPerSecond = 1'000;
 
 // Counts of a histogram by the upper bound of the bucket; cumulative.
 using Buckets = std::map<double, double>;
@@ -96,6 +97,22 @@
   return series;
 }
 
+// Points for every second from the first to the last, so that a line returns to
+// zero between two bursts.
+std::map<std::string, std::vector<ChartPoint>> PerSecond(
+    const std::map<std::string, std::map<int64_t, double>>& counts) {
+  std::map<std::string, std::vector<ChartPoint>> points;
+  for (const auto& [name, seconds] : counts) {
+    for (int64_t second = seconds.begin()->first;
+         second <= seconds.rbegin()->first; ++second) {
+      const auto found = seconds.find(second);
+      points[name].push_back({TimePoint{second * kMillisPerSecond},
+                              found == seconds.end() ? 0 : found->second});
+    }
+  }
+  return points;
+}
+
 }  // namespace
 
 PlotReport MakePlot(const std::string& text) {
@@ -141,6 +158,35 @@
                "TIME ADDRESS', as `medlarwinch metrics` prints it"};
 }
 
+PlotReport PlotFromLogs(const LogCollection& logs) {
+  using Points = std::map<std::string, std::vector<ChartPoint>>;
+  Points flows;
+  std::map<std::string, std::map<int64_t, double>> resets;
+  std::map<std::string, std::map<int64_t, double>> refused;
+  for (const LogRecord& record : logs.records) {
+    const int64_t second = record.time.value / kMillisPerSecond;
+    const std::string reason = FieldOf(record, "reason");
+    if (record.event == "flow_opening") {
+      const double count =
+          std::strtod(FieldOf(record, "flows").c_str(), nullptr);
+      flows[FieldOf(record, "agent")].push_back({record.time, count});
+    } else if (record.event == "flow_reset") {
+      ++resets[reason][second];
+    } else if (record.event == "flow_passed_on" ||
+               record.event == "packet_dropped") {
+      ++refused[reason][second];
+    }
+  }
+  PlotReport report;
+  report.samples = logs.records.size();
+  report.charts = {
+      Chart{"Flows by agent", ToSeries(std::move(flows))},
+      Chart{"Resets a second by reason", ToSeries(PerSecond(resets))},
+      Chart{"Passed on or dropped a second by reason",
+            ToSeries(PerSecond(refused))}};
+  return report;
+}
+
 ExitCode ExitCodeOf(const PlotReport& /*report*/) { return kExitOk; }
 
 std::string FormatText(const PlotReport& report) {
--- a/packages/cli/src/system_commands.cc
+++ b/packages/cli/src/system_commands.cc
@@ -2,6 +2,8 @@
 
 #include "medlarwinch/cli/command_registry.h"
 #include "medlarwinch/cli/explain_command.h"
+#include "medlarwinch/cli/log_explain.h"
+#include "medlarwinch/cli/log_status.h"
 #include "medlarwinch/cli/metrics_command.h"
 #include "medlarwinch/cli/plot_command.h"
 #include "medlarwinch/cli/report_text.h"
@@ -21,6 +23,7 @@
   std::string last = "15m";
   std::string address;
   std::vector<std::string> files;
+  std::vector<std::string> logs;
 };
 using SharedArguments = std::shared_ptr<SystemArguments>;
 
@@ -64,6 +67,49 @@
   return query;
 }
 
+// The span of the logs, or the part of it that the arguments name.
+LogQuery MakeLogQuery(const SystemArguments& arguments,
+                      const LogCollection& logs) {
+  const TimePoint begin = logs.records.front().time;
+  const TimePoint end = logs.records.back().time;
+  LogQuery query{arguments.subject, TimeOf(arguments.since, end, begin),
+                 TimeOf(arguments.until, end, end)};
+  if (arguments.at.empty()) return query;
+  const TimePoint at = TimeOf(arguments.at, end, end);
+  query.since = at - kAround;
+  query.until = at + kAround;
+  return query;
+}
+
+Result<CommandOutput> ExplainLogs(const SystemArguments& arguments) {
+  const Result<LogCollection> logs = ReadLogs(arguments.logs);
+  if (!IsOk(logs)) return ErrorOf(logs);
+  const LogQuery query = MakeLogQuery(arguments, ValueOf(logs));
+  return ToOutput<LogExplanation>(ExplainFromLogs(ValueOf(logs), query));
+}
+
+Result<CommandOutput> LogsStatus(const SystemArguments& arguments) {
+  const Result<LogCollection> logs = ReadLogs(arguments.logs);
+  if (!IsOk(logs)) return ErrorOf(logs);
+  const TimePoint end = ValueOf(logs).records.back().time;
+  return ToOutput<LogStatus>(
+      StatusFromLogs(ValueOf(logs), TimeOf(arguments.until, end, end)));
+}
+
+Result<CommandOutput> Plot(const SystemArguments& arguments) {
+  if (arguments.logs.empty()) return ToOutput(RunPlot(arguments.files));
+  const Result<LogCollection> logs = ReadLogs(arguments.logs);
+  if (!IsOk(logs)) return ErrorOf(logs);
+  return ToOutput<PlotReport>(PlotFromLogs(ValueOf(logs)));
+}
+
+CLI::Option* AddLogsOption(CLI::App& command,
+                           const SharedArguments& arguments) {
+  return command.add_option(
+      "--logs", arguments->logs,
+      "Read collected log files, or folders of them, instead");
+}
+
 void AddExplain(CLI::App& app, ChosenCommand& chosen) {
   const SharedArguments arguments = std::make_shared<SystemArguments>();
   CLI::App* command = app.add_subcommand(
@@ -71,7 +117,8 @@
   command
       ->add_option("SUBJECT", arguments->subject,
                    "Service, address of an upstream or balancer, or identifier "
-                   "of a flow or request")
+                   "of a flow or request; in logs a flow, its caller, an "
+                   "upstream, an agent, a process, or KEY=VALUE")
       ->required();
   command->add_option("--service", arguments->service,
                       "Read the account of this service only");
@@ -93,9 +140,14 @@
   command->footer(
       "Example:\n"
       "  medlarwinch --platform 127.0.9.1:8080 explain 127.0.2.1:9000 \\\n"
-      "    --since 2026-01-31T12:00:00Z --until 2026-01-31T12:05:00Z");
+      "    --since 2026-01-31T12:00:00Z --until 2026-01-31T12:05:00Z\n"
+      "  medlarwinch explain '10.7.0.5:1040>198.18.0.1:443' --logs logs/");
+  AddLogsOption(*command, arguments);
   command->callback([arguments, &chosen] {
-    chosen = {"explain", true, [arguments](const CommandContext& context) {
+    const bool needs_platform = arguments->logs.empty();
+    chosen = {"explain", needs_platform,
+              [arguments](const CommandContext& context) {
+                if (!arguments->logs.empty()) return ExplainLogs(*arguments);
                 return ToOutput(
                     RunExplain(context, MakeQuery(*arguments, context.now)));
               }};
@@ -103,14 +155,23 @@
 }
 
 void AddStatus(CLI::App& app, ChosenCommand& chosen) {
+  const SharedArguments arguments = std::make_shared<SystemArguments>();
   CLI::App* command = app.add_subcommand(
       "status", "Print what the daemons have in force and know of upstreams");
   command->footer(
       "Example:\n"
       "  medlarwinch --platform 127.0.9.1:8080 \\\n"
-      "    --admin 127.0.1.1:7300,127.0.2.1:7300 status");
-  command->callback([&chosen] {
-    chosen = {"status", false, [](const CommandContext& context) {
+      "    --admin 127.0.1.1:7300,127.0.2.1:7300 status\n"
+      "  medlarwinch status --logs logs/ --until 2026-01-31T12:05:00Z");
+  CLI::Option* logs = AddLogsOption(*command, arguments);
+  command
+      ->add_option("--until", arguments->until,
+                   "With --logs: the time (UTC) of which the state is printed")
+      ->check(CheckTime)
+      ->needs(logs);
+  command->callback([arguments, &chosen] {
+    chosen = {"status", false, [arguments](const CommandContext& context) {
+                if (!arguments->logs.empty()) return LogsStatus(*arguments);
                 return ToOutput(RunStatus(context));
               }};
   });
@@ -141,21 +202,22 @@
 void AddPlot(CLI::App& app, ChosenCommand& chosen) {
   const SharedArguments arguments = std::make_shared<SystemArguments>();
   CLI::App* command = app.add_subcommand(
-      "plot", "Draw flows by upstream and latency by tenant as SVG");
-  command
-      ->add_option("FILE", arguments->files,
-                   "Files of samples that `metrics` printed")
-      ->required();
+      "plot",
+      "Draw flows by upstream, and latency by tenant or, from logs, "
+      "resets and refusals by reason, as SVG");
+  CLI::Option* files = command->add_option(
+      "FILE", arguments->files, "Files of samples that `metrics` printed");
+  AddLogsOption(*command, arguments)->excludes(files);
   command->footer(
       "Example:\n"
       "  for i in 1 2 3 4 5; do\n"
       "    medlarwinch metrics 127.0.2.1:7300 >> samples.txt; sleep 1\n"
       "  done\n"
-      "  medlarwinch plot samples.txt > load.svg");
+      "  medlarwinch plot samples.txt > load.svg\n"
+      "  medlarwinch plot --logs logs/ > day.svg");
   command->callback([arguments, &chosen] {
-    chosen = {"plot", false, [arguments](const CommandContext&) {
-                return ToOutput(RunPlot(arguments->files));
-              }};
+    chosen = {"plot", false,
+              [arguments](const CommandContext&) { return Plot(*arguments); }};
   });
 }
 
