Fail the start when a certificate can't be read; split the sessions from FlowShard

Cause: a certificate file that could not be read turned HTTP/3 off without a message, and one that was refused only wrote a line. ReadCertificate() names the file, and the agent does not start.

--- a/packages/daemon/src/agent.cc
+++ b/packages/daemon/src/agent.cc
@@ -2,15 +2,14 @@
 #include <boost/asio/io_context.hpp>
 #include <caf/all.hpp>
 #include <chrono>
-#include <fstream>
 #include <random>
-#include <sstream>
 #include <thread>
 #include <utility>
 
 #include "medlarwinch/daemon/account_writer.h"
 #include "medlarwinch/daemon/agent_actor.h"
 #include "medlarwinch/daemon/agent_engine.h"
+#include "medlarwinch/daemon/certificate_files.h"
 #include "medlarwinch/daemon/control_plane.h"
 #include "medlarwinch/daemon/roles.h"
 #include "medlarwinch/transport/http_server.h"
@@ -81,14 +80,8 @@
   self->wait_for(actor);
 }
 
-std::string ReadFile(const std::string& file) {
-  std::ifstream stream(file);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
-AgentEngineOptions EngineOptions(const Settings& settings, int64_t boot) {
+AgentEngineOptions EngineOptions(const Settings& settings,
+                                 CertificatePair certificate, int64_t boot) {
   AgentEngineOptions options;
   options.identity =
       AgentIdentity{settings.agent->service, settings.data, boot};
@@ -96,11 +89,7 @@
   options.slots = settings.agent->slots;
   options.fleet_key = settings.fleet_key;
   options.seed = std::random_device{}();
-  if (!settings.agent->certificate_file.empty()) {
-    options.certificate =
-        CertificatePair{ReadFile(settings.agent->certificate_file),
-                        ReadFile(settings.agent->private_key_file)};
-  }
+  options.certificate = std::move(certificate);
   return options;
 }
 
@@ -123,6 +112,12 @@
   AgentProcess& operator=(const AgentProcess&) = delete;
 
   Result<Ok> Start() {
+    if (!settings_.agent->certificate_file.empty()) {
+      Result<CertificatePair> certificate = ReadCertificate(
+          settings_.agent->certificate_file, settings_.agent->private_key_file);
+      if (!IsOk(certificate)) return ErrorOf(certificate);
+      certificate_ = TakeValue(std::move(certificate));
+    }
     Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(settings_.data);
     if (!IsOk(socket)) return ErrorOf(socket);
     socket_ = TakeValue(std::move(socket));
@@ -169,7 +164,8 @@
     control_ = TakeValue(std::move(control));
     const std::shared_ptr<const ControlView> view = control_->view();
     std::unique_ptr<AgentEngine> engine = std::make_unique<AgentEngine>(
-        EngineOptions(settings_, view->self.version.boot),
+        EngineOptions(settings_, std::move(certificate_),
+                      view->self.version.boot),
         AgentEnginePorts{
             [this](const Endpoint& to, ByteView datagram) {
               socket_->Send(to, datagram);
@@ -186,6 +182,7 @@
 
   caf::actor_system& system_;
   const Settings& settings_;
+  CertificatePair certificate_;
   Metrics metrics_;
   AccountWriter account_;
   IoThread io_;
--- a/packages/transport/src/flow_shard.cc
+++ b/packages/transport/src/flow_shard.cc
@@ -8,9 +8,6 @@
 namespace medlarwinch {
 namespace {
 
-constexpr uint64_t kPortsPerAddress = 60'000;
-constexpr uint16_t kFirstPort = 1'024;
-constexpr size_t kOpenDestinationBytes = 8;
 // Bytes 1 to 12 of a flow identifier name agent, boot and flow; the rest
 // changes with the key epoch.
 constexpr size_t kOwnerFirst = 1;
@@ -27,10 +24,6 @@
   return std::equal(a.begin(), a.end(), b.begin(), b.end());
 }
 
-uint64_t KeyOf(const Endpoint& caller) {
-  return (static_cast<uint64_t>(caller.ip) << 16) | caller.port;
-}
-
 }  // namespace
 
 FlowShard::FlowShard(const FlowClientOptions& options, size_t index,
@@ -155,7 +148,7 @@
       ++counters_.datagrams_malformed;
       return;
     }
-    const SessionKey key = KeyOf(ValueOf(packet).caller);
+    const SessionKey key = SessionKeyOf(ValueOf(packet).caller);
     Session* session = FindSession(key);
     if (session == nullptr) {
       ++counters_.datagrams_unknown;
@@ -292,99 +285,6 @@
   if (is_current) BreakSession(key, now);
 }
 
-void FlowShard::StartSession(FlowHandle handle, TimePoint now) {
-  Flow& flow = flows_[handle];
-  const uint64_t number = next_caller_++;
-  Session session;
-  session.flow = handle;
-  session.caller =
-      Endpoint{options_.first_caller_ip +
-                   static_cast<uint32_t>(number / kPortsPerAddress),
-               static_cast<uint16_t>(kFirstPort + number % kPortsPerAddress)};
-  if (!flow.options.address_only) {
-    session.caller_identifier = RandomBytes(kCallerIdentifierBytes);
-  }
-  session.opened = now;
-  session.last_heard = now;
-  session.backoff = options_.resend_after;
-  const SessionKey key = KeyOf(session.caller);
-  flow.current = key;
-  Session& started = sessions_[key] = std::move(session);
-  SendOpen(started, now);
-  Schedule(TimerKind::kSession, key, started.due);
-}
-
-void FlowShard::BreakSession(SessionKey key, TimePoint now) {
-  const Session* session = FindSession(key);
-  const FlowHandle handle = session->flow;
-  Flow* flow = FindFlow(handle);
-  const bool is_current = flow != nullptr && flow->current == key;
-  const std::map<uint32_t, FlowRequestHandle> lost = session->requests;
-  // A flow that said GoAway and has nothing in progress may disappear.
-  if (is_current || !lost.empty()) {
-    ++counters_.flows_broken;
-    Notify(handle, FlowEvent::kBroken);
-  }
-  for (const auto& entry : lost) RetryLost(entry.second, now);
-  DropSession(key);
-  if (!is_current) return;
-  StartSession(handle, now);
-}
-
-void FlowShard::DropSession(SessionKey key) {
-  const Session* session = FindSession(key);
-  if (session == nullptr) return;
-  Flow* flow = FindFlow(session->flow);
-  if (flow != nullptr) flow->earlier.erase(key);
-  sessions_.erase(key);
-}
-
-void FlowShard::DropSessionIfDone(SessionKey key) {
-  const Session* session = FindSession(key);
-  if (session == nullptr || !session->go_away || !session->requests.empty()) {
-    return;
-  }
-  DropSession(key);
-}
-
-void FlowShard::SendOpen(Session& session, TimePoint now) {
-  Bytes packet;
-  AppendLongHeader(kThinProtocolVersion, RandomBytes(kOpenDestinationBytes),
-                   session.caller_identifier, packet);
-  EncodeTo(Frame(OpenFrame{}), packet);
-  SendPacket(session, std::move(packet));
-  session.due = now + session.backoff;
-  session.backoff = std::min(session.backoff * 2, options_.resend_after * 8);
-}
-
-void FlowShard::SendFrame(const Session& session, const Frame& frame) {
-  Bytes packet;
-  if (session.caller_identifier.empty() ||
-      session.identifier.size() != kFlowIdentifierBytes) {
-    AppendLongHeader(kThinProtocolVersion, {}, session.caller_identifier,
-                     packet);
-  } else {
-    FlowIdentifierBytes identifier{};
-    std::copy(session.identifier.begin(), session.identifier.end(),
-              identifier.begin());
-    AppendShortHeader(identifier, packet);
-  }
-  EncodeTo(frame, packet);
-  SendPacket(session, std::move(packet));
-}
-
-void FlowShard::SendPacket(const Session& session, Bytes packet) {
-  const Flow* flow = FindFlow(session.flow);
-  if (flow == nullptr) return;
-  FabricPacket fabric;
-  fabric.service_address = flow->options.service_address;
-  fabric.caller = session.caller;
-  fabric.payload = std::move(packet);
-  const Endpoint& target =
-      options_.targets[random_() % options_.targets.size()];
-  socket_->Send(target, EncodeFabricPacket(fabric));
-}
-
 void FlowShard::Notify(FlowHandle handle, FlowEvent event) {
   const Flow* flow = FindFlow(handle);
   if (flow == nullptr || !flow->options.on_event) return;
--- a/packages/transport/src/flow_shard.h
+++ b/packages/transport/src/flow_shard.h
@@ -170,6 +170,7 @@
   /// Runs the callbacks that were queued, in order, on one thread at a time and
   /// without the lock.
   void RunCallbacks();
+  static SessionKey SessionKeyOf(const Endpoint& caller);
   uint64_t NextHandle();
   Bytes RandomBytes(size_t size);
   Flow* FindFlow(FlowHandle handle);
