--- a/packages/coordination/src/balancer_control.cc
+++ b/packages/coordination/src/balancer_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "heartbeat_answer.h"
 #include "medlarwinch/coordination/balancer_liveness.h"
 #include "medlarwinch/coordination/digest_tree.h"
 #include "medlarwinch/coordination/keeper_selection.h"
@@ -33,84 +34,6 @@
   return others;
 }
 
-const ServiceSummary& SummaryOf(BalancerControl& state,
-                                const MemberEntry& entry) {
-  const std::map<std::string, ServiceSummary>::iterator found =
-      state.summaries.find(entry.service);
-  if (found != state.summaries.end()) return found->second;
-  ServiceSummary summary;
-  summary.roster = RosterOf(state.table, entry.service);
-  summary.roster_hash = HashRoster(summary.roster);
-  summary.keepers = KeepersOf(entry, state.ready_balancers);
-  return state.summaries[entry.service] = std::move(summary);
-}
-
-HeartbeatAck MakeAck(BalancerControl& state, const Heartbeat& heartbeat) {
-  const MemberEntry& entry = heartbeat.entry;
-  HeartbeatAck ack;
-  ack.sequence = heartbeat.sequence;
-  ack.key_ring_version = VersionInForce(state.records, kKeyRingName);
-  const std::map<Endpoint, MemberRecord>::const_iterator record =
-      state.table.members.find(entry.id);
-  if (record != state.table.members.end()) {
-    ack.recorded = record->second.entry.version;
-  }
-  if (entry.kind == MemberKind::kBalancer) return ack;
-  const ServiceSummary& summary = SummaryOf(state, entry);
-  ack.keepers = summary.keepers;
-  ack.roster_hash = summary.roster_hash;
-  const bool is_small = summary.roster.size() <= kMaxRosterEntries;
-  if (summary.roster_hash != heartbeat.roster_hash && is_small) {
-    ack.roster = summary.roster;
-  }
-  ack.document_version =
-      VersionInForce(state.records, kDocumentPrefix + entry.service);
-  const ComputedMeans::const_iterator own =
-      state.computed_means.find(entry.service);
-  const KnownMeans::const_iterator known = state.means.find(entry.service);
-  if (own != state.computed_means.end()) {
-    ack.mean_flows_per_slot = own->second;
-  } else if (known != state.means.end()) {
-    ack.mean_flows_per_slot = known->second.mean.mean_flows_per_slot;
-  }
-  return ack;
-}
-
-// True when the sender of a heartbeat needs the answer. The keepers of a member
-// answer in turn unless there is news, since each answer carries the same mean:
-// answers to every heartbeat would be a quarter of a balancer's traffic.
-bool NeedsAnswer(const BalancerControl& state, const Endpoint& to,
-                 const Heartbeat& heartbeat, const HeartbeatAck& ack) {
-  const MemberEntry& entry = heartbeat.entry;
-  if (ack.recorded != entry.version) return true;
-  if (entry.kind == MemberKind::kBalancer) return false;
-  if (ack.roster_hash != heartbeat.roster_hash) return true;
-  const KeptMembers::const_iterator kept = state.kept.find(to);
-  if (kept == state.kept.end()) return true;
-  if (kept->second.answered_document != ack.document_version) return true;
-  if (kept->second.answered_ring != ack.key_ring_version) return true;
-  const std::vector<Endpoint>& keepers = ack.keepers;
-  const std::vector<Endpoint>::const_iterator own =
-      std::find(keepers.begin(), keepers.end(), state.self.id);
-  if (own == keepers.end()) return true;
-  const size_t turn = heartbeat.sequence % keepers.size();
-  return turn == static_cast<size_t>(own - keepers.begin());
-}
-
-// Fills in what a brief heartbeat leaves out; false when the sender is unknown
-// or has restarted, since another process may then use its address.
-bool CompleteEntry(const MemberTable& table, Heartbeat& heartbeat) {
-  if (!heartbeat.is_brief) return true;
-  const std::map<Endpoint, MemberRecord>::const_iterator known =
-      table.members.find(heartbeat.entry.id);
-  if (known == table.members.end()) return false;
-  const MemberVersion version = heartbeat.entry.version;
-  if (known->second.entry.version.boot != version.boot) return false;
-  heartbeat.entry = known->second.entry;
-  heartbeat.entry.version = version;
-  return true;
-}
-
 BalancerStep HandleHeartbeat(BalancerControl state, const Endpoint& from,
                              Heartbeat heartbeat, TimePoint now,
                              Random& random) {
--- /dev/null
+++ b/packages/daemon/src/key_service_messages.cc
@@ -0,0 +1,156 @@
+// What a KeyService does with the messages of other agents.
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "medlarwinch/daemon/key_service.h"
+
+namespace medlarwinch {
+namespace {
+
+std::optional<KeyHolder> Superseded(const KeyReserve& message) {
+  if (message.superseded.port == 0) return std::nullopt;
+  return KeyHolder{message.superseded, message.superseded_boot};
+}
+
+}  // namespace
+
+void KeyService::OnMessage(const Endpoint& from, const DataMessage& message,
+                           TimePoint now) {
+  std::visit(
+      [&](const auto& content) {
+        using Content = std::decay_t<decltype(content)>;
+        if constexpr (!std::is_same_v<Content, ForwardedPacket>) {
+          Handle(from, content, now);
+        }
+      },
+      message);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyReserve& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  const KeyHolder holder{message.holder, message.holder_boot};
+  const ReserveStep step =
+      ReserveHere(message.key, holder, Superseded(message), now);
+  KeyReserveReply reply;
+  reply.query = message.query;
+  reply.key = message.key;
+  reply.state = step.state;
+  reply.holder = step.holder.agent;
+  reply.holder_boot = step.holder.boot;
+  ports_.send(from, reply);
+}
+
+ReserveStep KeyService::ReserveHere(const KeyHash& key, const KeyHolder& holder,
+                                    const std::optional<KeyHolder>& superseded,
+                                    TimePoint now) {
+  ReserveStep step =
+      ReserveKey(std::move(home_), key, holder, superseded, home_limits(), now);
+  home_ = std::move(step.home);
+  step.home = KeyHome{};
+  if (situation_.draining && step.state == ReserveState::kGranted) {
+    // The holder's roster still names this agent; the next home needs the
+    // record as well.
+    KeyHome granted;
+    granted.records[key] = home_.records[key];
+    std::vector<Endpoint> before = situation_.ready;
+    before.push_back(identity_.data);
+    StartTransfers(PlanKeyTransfers(granted, before, situation_.ready, now),
+                   now);
+  }
+  return step;
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyReserveReply& message,
+                        TimePoint now) {
+  const auto query = attempts_by_query_.find(message.query);
+  if (query == attempts_by_query_.end()) return;
+  const CallerRequestId id = query->second;
+  OpenAttempt& open = attempts_[id];
+  if (open.attempt.start.key != message.key) return;
+  Apply(id,
+        OnReserveAnswer(std::move(open.attempt), from, message.state,
+                        KeyHolder{message.holder, message.holder_boot},
+                        BootTag(message.holder_boot), situation_.context, now),
+        now);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyQuery& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  KeyQueryReply reply;
+  reply.query = message.query;
+  reply.key = message.key;
+  reply.boot_tag = message.boot_tag;
+  reply.state = KeyState::kOtherBoot;
+  const AgentBoot asker{from, message.asker_tag};
+  const KeyAttempt* own = FindAttempt(message.key);
+  if (message.boot_tag != BootTag(identity_.boot)) {
+    ports_.send(from, reply);
+    return;
+  }
+  if (own != nullptr && WinsReservation(*own, asker)) {
+    // This promises nothing; the asker asks again.
+    reply.state = KeyState::kRunning;
+    ports_.send(from, reply);
+    return;
+  }
+  QueryStep step =
+      QueryRequest(std::move(ledger_), message.key, ledger_limits(), now);
+  ledger_ = std::move(step.ledger);
+  reply.state = step.state;
+  reply.status = step.status;
+  reply.has_answer = step.answer != nullptr;
+  if (step.answer != nullptr) reply.answer = *step.answer;
+  ports_.send(from, reply);
+  if (!step.aborted || own == nullptr) return;
+  const CallerRequestId id = attempts_by_key_[message.key];
+  Apply(id, AbortKeyAttempt(std::move(attempts_[id].attempt), asker, now), now);
+}
+
+KeyAttempt* KeyService::FindAttempt(const KeyHash& key) {
+  const auto found = attempts_by_key_.find(key);
+  return found == attempts_by_key_.end() ? nullptr
+                                         : &attempts_[found->second].attempt;
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyQueryReply& message,
+                        TimePoint now) {
+  const auto query = attempts_by_query_.find(message.query);
+  if (query == attempts_by_query_.end()) return;
+  const CallerRequestId id = query->second;
+  OpenAttempt& open = attempts_[id];
+  const std::optional<AgentBoot> asked = open.attempt.asked;
+  const bool is_ours = open.attempt.start.key == message.key &&
+                       asked == AgentBoot{from, message.boot_tag};
+  if (!is_ours) return;
+  relayed_status_ = message.status;
+  relayed_answer_ =
+      std::make_shared<const std::vector<uint8_t>>(message.answer);
+  Apply(id,
+        OnKeyAnswer(std::move(open.attempt), *asked, message.state,
+                    message.has_answer, situation_.context, now),
+        now);
+}
+
+void KeyService::Handle(const Endpoint& from, const KeyTransfer& message,
+                        TimePoint now) {
+  if (message.service != identity_.service) return;
+  std::vector<MovedKey> keys;
+  keys.reserve(message.records.size());
+  for (const KeyRecord& record : message.records) {
+    keys.push_back(MovedKey{record.key,
+                            KeyHolder{record.holder, record.holder_boot},
+                            Millis{record.remaining_ms}});
+  }
+  home_ = AdoptKeys(std::move(home_), keys, home_limits(), now);
+  ports_.send(from, KeyTransferReply{message.query});
+}
+
+void KeyService::Handle(const Endpoint& /*from*/,
+                        const KeyTransferReply& message, TimePoint /*now*/) {
+  transfers_.erase(message.query);
+}
+
+}  // namespace medlarwinch
--- a/packages/daemon/src/quic_transport.cc
+++ b/packages/daemon/src/quic_transport.cc
@@ -1,7 +1,6 @@
 #include "medlarwinch/daemon/quic_transport.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -20,56 +19,8 @@
   return static_cast<int64_t>(id.number) * kStreamsPerRequest;
 }
 
-std::string HeaderOf(const Http3Request& request, const std::string& name) {
-  const auto found = request.headers.find(name);
-  return found == request.headers.end() ? "" : found->second;
-}
-
-uint32_t NumberOf(const Http3Request& request, const std::string& name,
-                  uint32_t fallback) {
-  const std::string text = HeaderOf(request, name);
-  uint32_t number = fallback;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
-Bytes DecodeHex(const std::string& text) {
-  Bytes bytes;
-  if (text.size() != 2 * kFlowIdentifierBytes) return bytes;
-  for (size_t index = 0; index < text.size(); index += 2) {
-    uint8_t byte = 0;
-    const char* end = text.data() + index + 2;
-    if (std::from_chars(text.data() + index, end, byte, 16).ptr != end) {
-      return {};
-    }
-    bytes.push_back(byte);
-  }
-  return bytes;
-}
-
 }  // namespace
 
-RequestFrame ToRequestFrame(const Http3Request& request, uint32_t number,
-                            const std::string& unique_key) {
-  RequestFrame frame;
-  frame.number = number;
-  frame.method = request.method;
-  frame.path = request.path;
-  frame.tenant = HeaderOf(request, "x-tenant");
-  frame.repeatable = request.method == "GET" || request.method == "HEAD" ||
-                     request.method == "OPTIONS";
-  frame.idempotency_key = HeaderOf(request, "idempotency-key");
-  if (!frame.repeatable && frame.idempotency_key.empty()) {
-    frame.idempotency_key = unique_key;
-  }
-  frame.attempt = NumberOf(request, "x-attempt", 1);
-  frame.age_ms = NumberOf(request, "x-age-ms", 0);
-  frame.deadline_ms = NumberOf(request, "x-deadline-ms", 0);
-  frame.earlier_flow = DecodeHex(HeaderOf(request, "x-earlier-flow"));
-  frame.body = request.body;
-  return frame;
-}
-
 struct QuicTransport::Connection {
   uint32_t number = 0;
   Endpoint service_address;
--- a/standins/include/medlarwinch/standins/load_caller.h
+++ b/standins/include/medlarwinch/standins/load_caller.h
@@ -16,6 +16,9 @@
 
 namespace medlarwinch {
 
+/// A feed that is silent this much longer than its interval has a gap.
+inline constexpr int64_t kFeedGapMs = 3'000;
+
 /// Holds many flows of several classes open, sends requests on them, checks
 /// every answer and logs what happened, one line for each event:
 /// flow_opened, flow_go_away, flow_broken, flow_shed, flow_open_timeout,
--- a/standins/include/medlarwinch/standins/scenario_run.h
+++ b/standins/include/medlarwinch/standins/scenario_run.h
@@ -16,6 +16,7 @@
 #include "medlarwinch/standins/scenario.h"
 #include "medlarwinch/standins/settings_writer.h"
 #include "medlarwinch/standins/topology.h"
+#include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
 
@@ -50,6 +51,13 @@
   Result<RunSummary> Run();
 
  private:
+  /// Time between two looks at what a run waits for.
+  static constexpr std::chrono::milliseconds kTick{10};
+  /// Time that a daemon's admin address may take for an answer.
+  static constexpr Millis kControlTimeout{2'000};
+
+  static Error UnknownName(const std::string& name);
+
   using Clock = std::chrono::steady_clock;
 
   struct BalancerUnit {
--- /dev/null
+++ b/standins/src/scenario_start.cc
@@ -0,0 +1,208 @@
+// The start of a ScenarioRun: its processes, and the wait until all are ready.
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+
+#include "medlarwinch/standins/process_main.h"
+#include "medlarwinch/standins/scenario_run.h"
+#include "medlarwinch/transport/http_client.h"
+
+namespace medlarwinch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStartLimit{20'000};
+constexpr int64_t kDefaultRampMs = 2'000;
+
+}  // namespace
+
+Result<Ok> ScenarioRun::StartAll() {
+  Result<Ok> done = StartPlatform();
+  if (IsOk(done)) done = WriteDocuments();
+  if (IsOk(done)) done = StartFabric();
+  next_balancer_ = static_cast<uint32_t>(scenario_.balancers) + 1;
+  for (uint32_t number = 1; IsOk(done) && number < next_balancer_; ++number) {
+    done = StartBalancer(number);
+  }
+  for (size_t home = 0; home < topology_.services.size(); ++home) {
+    const uint32_t hosts =
+        static_cast<uint32_t>(topology_.services[home].hosts);
+    for (uint32_t host = 1; IsOk(done) && host <= hosts; ++host) {
+      HostUnit unit;
+      unit.name = writer_.UpstreamName(home, host);
+      unit.home = home;
+      unit.host = host;
+      unit.service = home;
+      HostUnit& placed = hosts_[unit.name];
+      placed = std::move(unit);
+      done = StartUpstream(placed);
+      if (IsOk(done)) done = StartAgent(placed);
+    }
+  }
+  if (IsOk(done)) done = WaitUntilReady();
+  if (IsOk(done)) {
+    Pause(milliseconds(scenario_.warmup_ms));
+    done = StartCallers();
+  }
+  return done;
+}
+
+Result<Ok> ScenarioRun::WaitForControl(const std::string& name,
+                                       const Endpoint& control) {
+  return WaitFor(name, kStartLimit, [&control] {
+    return IsOk(SendHttpRequest(control,
+                                HttpRequest{"GET", "/control/stats", "", {}},
+                                kControlTimeout));
+  });
+}
+
+Result<Ok> ScenarioRun::StartPlatform() {
+  Result<std::unique_ptr<ChildProcess>> process =
+      Spawn("standin_platform", "platform", writer_.Platform());
+  if (!IsOk(process)) return ErrorOf(process);
+  platform_ = TakeValue(std::move(process));
+  return WaitForControl("the platform", topology_.PlatformControl());
+}
+
+Result<Ok> ScenarioRun::WriteDocuments() {
+  for (const TopologyService& service : topology_.services) {
+    const std::string file =
+        options_.scenarios + "/documents/" + service.name + ".yaml";
+    const ScenarioStep step{0, 0, 0, {"apply", service.name, file}};
+    const Result<std::string> text = ReadTextFile(file);
+    if (!IsOk(text)) return ErrorOf(text);
+    std::string adapted = ValueOf(text);
+    const std::string base = "127.0.";
+    const std::string net = "127." + std::to_string(options_.net) + ".";
+    for (size_t at = adapted.find(base); at != std::string::npos;
+         at = adapted.find(base, at + net.size())) {
+      adapted.replace(at, base.size(), net);
+    }
+    desk_->SetDocument(service.name, adapted);
+    const Result<uint64_t> version = desk_->Apply(service.name);
+    if (!IsOk(version)) return ErrorOf(version);
+  }
+  const Result<uint64_t> keys = desk_->RotateKeys();
+  if (!IsOk(keys)) return ErrorOf(keys);
+  return Ok{};
+}
+
+Result<Ok> ScenarioRun::StartFabric() {
+  Result<std::unique_ptr<ChildProcess>> process =
+      Spawn("standin_fabric", "fabric", writer_.Fabric());
+  if (!IsOk(process)) return ErrorOf(process);
+  fabric_ = TakeValue(std::move(process));
+  return WaitForControl("the fabric", topology_.FabricControl());
+}
+
+Result<Ok> ScenarioRun::StartCallers() {
+  for (size_t service = 0; service < topology_.services.size(); ++service) {
+    Result<std::unique_ptr<ChildProcess>> process =
+        Spawn("standin_caller", "caller-" + topology_.services[service].name,
+              writer_.Caller(service));
+    if (!IsOk(process)) return ErrorOf(process);
+    callers_.push_back(TakeValue(std::move(process)));
+  }
+  const auto ramp = scenario_.caller.find("ramp_ms");
+  const int64_t ramp_ms = ramp == scenario_.caller.end()
+                              ? kDefaultRampMs
+                              : std::strtoll(ramp->second.c_str(), nullptr, 10);
+  Pause(milliseconds(ramp_ms + scenario_.settle_ms));
+  return Ok{};
+}
+
+void ScenarioRun::Pause(milliseconds time) const {
+  const auto end = Clock::now() + time;
+  while (Clock::now() < end && !IsInterrupted()) {
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+Result<Ok> ScenarioRun::StartBalancer(uint32_t number) {
+  if (number == 0) return UnknownName("b0");
+  const std::string name = "b" + std::to_string(number);
+  Result<std::unique_ptr<ChildProcess>> process =
+      Spawn("medlarwinchd", name, writer_.Balancer(number, PeersFor(number)),
+            "balancer");
+  if (!IsOk(process)) return ErrorOf(process);
+  BalancerUnit& unit = balancers_[number];
+  unit.watcher.reset();
+  unit.process = TakeValue(std::move(process));
+  unit.is_leaving = false;
+  log_->Write("balancer_started", {{"balancer", name}});
+  WatchedBalancer watched;
+  watched.name = name;
+  watched.admin = topology_.BalancerAddress(number, kAdminPort);
+  watched.data = topology_.BalancerAddress(number, kDataPort);
+  watched.domain = topology_.DomainOf(number);
+  watched.fabric = topology_.FabricControl();
+  watched.documents = topology_.services.size();
+  unit.watcher = std::make_unique<BalancerWatcher>(watched, *log_);
+  return Ok{};
+}
+
+Result<Ok> ScenarioRun::StartUpstream(HostUnit& host) {
+  Result<std::unique_ptr<ChildProcess>> process =
+      Spawn("standin_upstream", "upstream-" + FileNameOf(host.name),
+            writer_.Upstream(host.home, host.host, host.service));
+  if (!IsOk(process)) return ErrorOf(process);
+  host.upstream = TakeValue(std::move(process));
+  return Ok{};
+}
+
+Result<Ok> ScenarioRun::StartAgent(HostUnit& host) {
+  Result<std::unique_ptr<ChildProcess>> process = Spawn(
+      "medlarwinchd", "agent-" + FileNameOf(host.name),
+      writer_.Agent(host.home, host.host, host.service, PeersFor(0)), "agent");
+  if (!IsOk(process)) return ErrorOf(process);
+  host.agent = TakeValue(std::move(process));
+  host.is_leaving = false;
+  LogStep("upstream_started", host, 0);
+  return Ok{};
+}
+
+Result<Ok> ScenarioRun::WaitUntilReady() {
+  const int agents = static_cast<int>(hosts_.size());
+  const auto are_ready = [&] {
+    return std::all_of(
+        balancers_.begin(), balancers_.end(), [&](const auto& entry) {
+          const BalancerWatcher& watcher = *entry.second.watcher;
+          return watcher.is_ready() && watcher.ready_agents() >= agents;
+        });
+  };
+  std::string ended;
+  const Result<Ok> waited = WaitFor("the daemons", kStartLimit, [&] {
+    ended = NameOfEndedDaemon();
+    return !ended.empty() || are_ready();
+  });
+  if (ended.empty()) return waited;
+  return Error{ErrorCode::kUnavailable, ended + " ended at its start"};
+}
+
+std::string ScenarioRun::NameOfEndedDaemon() const {
+  for (const auto& [number, unit] : balancers_) {
+    if (unit.process->HasEnded()) return "b" + std::to_string(number);
+  }
+  for (const auto& [name, host] : hosts_) {
+    if (host.agent->HasEnded() || host.upstream->HasEnded()) return name;
+  }
+  return "";
+}
+
+Result<Ok> ScenarioRun::WaitFor(const std::string& what, milliseconds limit,
+                                const std::function<bool()>& is_done) {
+  const auto end = Clock::now() + limit;
+  while (!is_done()) {
+    if (IsInterrupted()) return Error{ErrorCode::kUnavailable, "interrupted"};
+    if (Clock::now() > end) {
+      return Error{ErrorCode::kUnavailable,
+                   "timed out while waiting for " + what};
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+  return Ok{};
+}
+
+}  // namespace medlarwinch
