Let a busy upstream queue two rounds of work at most

Cause: the last agent of an opening took 12 requests beyond its slots, three to six rounds of work, so that after a loss of power most requests were answered after the callers' goal.

Change: the tolerated queue is 0, a half, one and two rounds of work, at most 12 requests.

--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -13,11 +13,15 @@
 // Openings and probes without an answer are forgotten after this time.
 constexpr Millis kPendingTimeout{3'000};
 // Requests beyond its slots that an upstream may have when it accepts an
-// opening, by the number of agents that have passed the opening on: the search
-// begins with an idle slot and ends with a place in the queue. The last bound
-// also holds for an agent that has no other to pass to, since a longer queue
-// makes answers too late to be of use and upstreams refuse it.
-constexpr std::array<uint32_t, 4> kToleratedQueue = {0, 2, 5, 12};
+// opening, in rounds of work, by the number of agents that have passed the
+// opening on: the search begins with an idle slot and ends with a place in the
+// queue. The last bound also holds for an agent that has no other to pass to: a
+// request that waits for more than two rounds misses the callers' goal, four to
+// five times its own work on both deployments, while upstreams are cold.
+constexpr std::array<double, 4> kToleratedRounds = {0, 0.5, 1, 2};
+// Upstreams queue a few requests only and refuse what comes on top; those of
+// both deployments have room for 16.
+constexpr double kMaxTolerated = 12;
 
 // Delivers a packet that the upstream answers at once if it runs.
 void DeliverForAnswer(AgentRelay& relay, TimePoint now, RelayActions& actions) {
@@ -40,10 +44,12 @@
     return RefusalReason::kNotReady;
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
-  const size_t last = kToleratedQueue.size() - 1;
+  const size_t last = kToleratedRounds.size() - 1;
   const size_t round =
       header.alternates.empty() ? last : std::min<size_t>(header.hops, last);
-  const uint32_t limit = relay.host.slots + kToleratedQueue[round];
+  const double queue =
+      std::min(relay.host.slots * kToleratedRounds[round], kMaxTolerated);
+  const double limit = relay.host.slots + queue;
   if (CommittedRequests(relay.flows, now) >= limit) return RefusalReason::kBusy;
   return std::nullopt;
 }
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -306,6 +306,23 @@
   BOOST_TEST(ActionsOf<ResetCaller>(Relay(OpeningPacket(200, 2))).size() == 1U);
 }
 
+// Guards against answers that come after the callers' goal although other
+// requests could be answered within it: openings at an upstream whose queue is
+// longer than two rounds of work wait longer than the caller's next copy.
+BOOST_AUTO_TEST_CASE(BusyUpstream_LastCandidate_QueuesTwoRoundsOfWork) {
+  for (const uint32_t slots : {2U, 3U, 4U, 6U}) {
+    AgentWithUpstream agent;
+    agent.relay.host.slots = slots;
+    uint16_t port = 1;
+    while (!ActionsOf<DeliverToUpstream>(agent.Relay(OpeningPacket(port)))
+                .empty()) {
+      agent.OpenWithRequest(port++);
+      BOOST_REQUIRE(port < 100);
+    }
+    BOOST_TEST(port - 1U == 3 * slots);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnsweredRequest_Outstanding_ReturnsToZero) {
   OpenWithRequest(1);
   BOOST_TEST(relay.flows.outstanding == 1U);
