--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -27,7 +27,7 @@
   Result<Ok> Start();
 
  private:
-  void HandleDatagram(std::span<uint8_t> datagram);
+  void HandleDatagram(std::span<const uint8_t> datagram);
   void HandleMessage(const Endpoint& from, ByteView datagram);
   void HandleStatus(const Endpoint& from, const AgentStatus& status);
   void Carry(RelayActions& actions, ByteView packet);
@@ -74,7 +74,6 @@
   uint64_t malformed_messages_ = 0;
   bool is_confirming_ = false;
   bool is_stopping_ = false;
-  bool was_ready_ = false;
 };
 
 }  // namespace medlarwinch
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -351,12 +351,12 @@
 std::string AgentNode::RenderMetrics() {
   SetAgentMetrics(relay_, settings_.service, metrics_);
   const MetricLabels labels = {{"service", settings_.service}};
-  metrics_.Set("medlarwinch_agent_packets_malformed", labels,
-               static_cast<double>(malformed_));
-  metrics_.Set("medlarwinch_agent_messages_malformed", labels,
-               static_cast<double>(malformed_messages_));
-  metrics_.Set("medlarwinch_agent_notices_refused", labels,
-               static_cast<double>(refused_notices_));
+  metrics_.SetTotal("medlarwinch_agent_packets_malformed_total", labels,
+                    static_cast<double>(malformed_));
+  metrics_.SetTotal("medlarwinch_agent_messages_malformed_total", labels,
+                    static_cast<double>(malformed_messages_));
+  metrics_.SetTotal("medlarwinch_agent_notices_refused_total", labels,
+                    static_cast<double>(refused_notices_));
   return metrics_.Render();
 }
 
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -93,7 +93,7 @@
   }
 }
 
-void BalancerNode::HandleDatagram(std::span<uint8_t> datagram) {
+void BalancerNode::HandleDatagram(std::span<const uint8_t> datagram) {
   const std::optional<FlowPacket> packet = ports_.decode_packet(datagram);
   if (!packet.has_value()) {
     ++malformed_;
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -1,12 +1,19 @@
 #include "medlarwinch/node/node_metrics.h"
 
+#include "medlarwinch/transport/log.h"
+
 namespace medlarwinch {
 namespace {
 
-uint64_t Total(const std::array<uint64_t, kFlowResetReasons>& counts) {
-  uint64_t total = 0;
-  for (const uint64_t count : counts) total += count;
-  return total;
+// Sets one counter for each reason by which `counts` is indexed.
+template <typename Reason, size_t kCount>
+void SetByReason(const std::string& name, MetricLabels labels,
+                 const std::array<uint64_t, kCount>& counts,
+                 const char* (*name_of)(Reason), Metrics& metrics) {
+  for (size_t reason = 0; reason < kCount; ++reason) {
+    labels["reason"] = name_of(static_cast<Reason>(reason));
+    metrics.SetTotal(name, labels, static_cast<double>(counts[reason]));
+  }
 }
 
 }  // namespace
@@ -14,31 +21,29 @@
 void SetBalancerMetrics(const BalancerRelay& relay, uint64_t malformed_packets,
                         uint64_t malformed_messages, Metrics& metrics) {
   const BalancerCounters& counters = relay.counters;
-  const auto set = [&](const char* name, uint64_t value) {
-    metrics.Set(std::string("medlarwinch_balancer_") + name, {},
-                static_cast<double>(value));
+  const auto count = [&](const char* name, uint64_t total) {
+    metrics.SetTotal(std::string("medlarwinch_balancer_") + name + "_total", {},
+                     static_cast<double>(total));
   };
-  set("flows_opened", counters.opened);
-  set("opening_copies", counters.open_copies);
-  set("packets_relayed", counters.relayed);
-  set("owner_searches", counters.searches);
-  set("owners_found", counters.found);
-  set("searches_unresolved", counters.searches_unresolved);
-  set("searches_refused", counters.searches_refused);
-  set("openings_dropped_waiting", counters.waiting_for_upstream);
-  set("packets_dropped_no_route", counters.dropped_no_route);
-  set("packets_malformed", malformed_packets);
-  set("messages_malformed", malformed_messages);
-  set("flows_cached", relay.cache.size());
-  set("flows_evicted", relay.cache.evictions());
-  set("resets", Total(counters.resets));
-  set("configuration_revision", relay.routes.revision);
-  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
-    metrics.Set(
-        "medlarwinch_balancer_resets_by_reason",
-        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
-        static_cast<double>(counters.resets[reason]));
-  }
+  count("flows_opened", counters.opened);
+  count("opening_copies", counters.open_copies);
+  count("packets_relayed", counters.relayed);
+  count("owner_searches", counters.searches);
+  count("owners_found", counters.found);
+  count("searches_unresolved", counters.searches_unresolved);
+  count("searches_refused", counters.searches_refused);
+  count("openings_dropped_waiting", counters.waiting_for_upstream);
+  count("packets_dropped_no_route", counters.dropped_no_route);
+  count("packets_malformed", malformed_packets);
+  count("messages_malformed", malformed_messages);
+  count("flows_evicted", relay.cache.evictions());
+  count("log_lines_dropped", DroppedLogLines());
+  SetByReason("medlarwinch_balancer_resets_total", {}, counters.resets,
+              FlowResetReasonName, metrics);
+  metrics.Set("medlarwinch_balancer_flows_cached", {},
+              static_cast<double>(relay.cache.size()));
+  metrics.Set("medlarwinch_balancer_configuration_revision", {},
+              static_cast<double>(relay.routes.revision));
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     const MetricLabels labels = {{"agent", ToString(agent)}};
     metrics.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
@@ -49,30 +54,25 @@
 void SetAgentMetrics(const AgentRelay& relay, const std::string& service,
                      Metrics& metrics) {
   const AgentCounters& counters = relay.counters;
-  const auto set = [&](const char* name, double value) {
-    metrics.Set(std::string("medlarwinch_agent_") + name,
-                {{"service", service}}, value);
+  const MetricLabels labels = {{"service", service}};
+  const auto count = [&](const char* name, uint64_t total) {
+    metrics.SetTotal(std::string("medlarwinch_agent_") + name + "_total",
+                     labels, static_cast<double>(total));
   };
-  set("packets_delivered", static_cast<double>(counters.delivered));
-  set("flows_opened", static_cast<double>(counters.opened));
-  set("packets_to_callers", static_cast<double>(counters.to_callers));
-  set("ownership_denied", static_cast<double>(counters.denied));
-  set("openings_dropped", static_cast<double>(counters.dropped_openings));
-  set("flows", relay.flows.open);
-  set("requests_outstanding", relay.flows.outstanding);
-  set("busy", relay.flows.busy);
-  for (size_t reason = 0; reason < kRefusalReasons; ++reason) {
-    metrics.Set(
-        "medlarwinch_agent_openings_passed_on",
-        {{"reason", RefusalReasonName(static_cast<RefusalReason>(reason))}},
-        static_cast<double>(counters.passed_on[reason]));
-  }
-  for (size_t reason = 0; reason < kFlowResetReasons; ++reason) {
-    metrics.Set(
-        "medlarwinch_agent_resets",
-        {{"reason", FlowResetReasonName(static_cast<FlowResetReason>(reason))}},
-        static_cast<double>(counters.resets[reason]));
-  }
+  count("packets_delivered", counters.delivered);
+  count("flows_opened", counters.opened);
+  count("packets_to_callers", counters.to_callers);
+  count("ownership_denied", counters.denied);
+  count("openings_dropped", counters.dropped_openings);
+  count("log_lines_dropped", DroppedLogLines());
+  SetByReason("medlarwinch_agent_openings_passed_on_total", labels,
+              counters.passed_on, RefusalReasonName, metrics);
+  SetByReason("medlarwinch_agent_resets_total", labels, counters.resets,
+              FlowResetReasonName, metrics);
+  metrics.Set("medlarwinch_agent_flows", labels, relay.flows.open);
+  metrics.Set("medlarwinch_agent_requests_outstanding", labels,
+              relay.flows.outstanding);
+  metrics.Set("medlarwinch_agent_busy", labels, relay.flows.busy);
 }
 
 }  // namespace medlarwinch
--- /dev/null
+++ b/packages/node/tests/node_metrics_test.cc
@@ -0,0 +1,45 @@
+#include "medlarwinch/node/node_metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarwinch {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(MetricsOfNodes)
+
+// Guards against a reset or a refusal that no counter names the reason of.
+BOOST_AUTO_TEST_CASE(AgentCounters_Rendered_HaveOneSeriesForEachReason) {
+  AgentRelay relay;
+  relay.counters.resets[static_cast<size_t>(FlowResetReason::kUpstreamLost)] =
+      2;
+  relay.counters.passed_on[static_cast<size_t>(RefusalReason::kBusy)] = 7;
+  Metrics metrics;
+  SetAgentMetrics(relay, "probe-hub", metrics);
+  const std::string text = metrics.Render();
+  for (const char* expected :
+       {"# TYPE medlarwinch_agent_resets_total counter",
+        "medlarwinch_agent_resets_total{reason=\"upstream_lost\","
+        "service=\"probe-hub\"} 2\n",
+        "medlarwinch_agent_openings_passed_on_total{reason=\"busy\","
+        "service=\"probe-hub\"} 7\n",
+        "# TYPE medlarwinch_agent_flows gauge"}) {
+    BOOST_TEST(text.find(expected) != std::string::npos, expected);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BalancerCounters_Rendered_AreCounters) {
+  BalancerRelay relay;
+  relay.counters.searches_unresolved = 4;
+  Metrics metrics;
+  SetBalancerMetrics(relay, 0, 0, metrics);
+  const std::string text = metrics.Render();
+  BOOST_TEST(text.find("medlarwinch_balancer_searches_unresolved_total 4\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("# TYPE medlarwinch_balancer_flows_cached gauge") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- a/packages/transport/include/medlarwinch/transport/metrics.h
+++ b/packages/transport/include/medlarwinch/transport/metrics.h
@@ -25,6 +25,10 @@
   void Add(const std::string& name, const MetricLabels& labels,
            double amount = 1);
 
+  /// Sets a counter that the caller keeps to its present total.
+  void SetTotal(const std::string& name, const MetricLabels& labels,
+                double total);
+
   /// Sets a gauge.
   void Set(const std::string& name, const MetricLabels& labels, double value);
 
--- a/packages/transport/src/metrics.cc
+++ b/packages/transport/src/metrics.cc
@@ -166,6 +166,13 @@
   if (counter != nullptr) counter->value += amount;
 }
 
+void Metrics::SetTotal(const std::string& name, const MetricLabels& labels,
+                       double total) {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  Counter* counter = state_->FindOrAdd<Counter>(name, labels);
+  if (counter != nullptr) counter->value = total;
+}
+
 void Metrics::Set(const std::string& name, const MetricLabels& labels,
                   double value) {
   const std::lock_guard<std::mutex> lock(state_->mutex);
--- a/packages/transport/tests/metrics_test.cc
+++ b/packages/transport/tests/metrics_test.cc
@@ -68,6 +68,17 @@
   BOOST_TEST(Contains(metrics.Render(), "# TYPE c counter\nc 1\n#"));
 }
 
+// Guards against counters that monitoring takes for gauges.
+BOOST_AUTO_TEST_CASE(TotalSetTwice_Rendered_IsACounterWithTheLastValue) {
+  Metrics metrics;
+  metrics.SetTotal("drops_total", {{"reason", "full"}}, 3);
+  metrics.SetTotal("drops_total", {{"reason", "full"}}, 5);
+  const std::string text = metrics.Render();
+  BOOST_TEST(text.find("# TYPE drops_total counter") != std::string::npos);
+  BOOST_TEST(text.find("drops_total{reason=\"full\"} 5\n") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
