Leave the entry of an agent that writes it again for another 60 s

Cause (read-through): while the VMs of two sides are parted, the balancers of one side would remove the entry of an agent of the other that the agent writes again within 2 s, in turn. A test of upstream_directory failed first.

--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -46,6 +46,8 @@
   AgentReport report;
   /// When the last report arrived, or when the entry was first seen.
   TimePoint heard;
+  /// When the entry was last seen to have been written.
+  TimePoint written;
   /// Flows that this balancer placed there since the last report.
   uint32_t placed = 0;
 
@@ -123,9 +125,9 @@
 /// long that they hold no flows.
 void ForgetUnlisted(UpstreamDirectory& directory, TimePoint now);
 
-/// An agent that the store lists and that is silent for this long is lost with
-/// its VM: much longer than any disturbance after which agents come back by
-/// themselves, and the longest life of a flow.
+/// An agent that the store lists, and that is silent and has not written its
+/// entry for this long, is lost with its VM: much longer than any disturbance
+/// after which agents come back by themselves, and the longest life of a flow.
 inline constexpr Millis kAgentLostAfter{60'000};
 
 /// Returns the listed agents that are lost, whose entries nobody else removes;
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -15,9 +15,10 @@
 // Requests beyond its slots that an upstream may have when it accepts an
 // opening, in rounds of work, by the number of agents that have passed the
 // opening on: the search begins with an idle slot and ends with a place in the
-// queue. The last bound also holds for an agent that has no other to pass to: a
-// request that waits for more than two rounds misses the callers' goal, four to
-// five times its own work on both deployments, while upstreams are cold.
+// queue. The last bound also holds for an agent that has no other to pass to:
+// two rounds of waiting and the request's own, each 1.6 times as long while the
+// upstream is cold, just meet the callers' goal, which is five times the work
+// on both deployments.
 constexpr std::array<double, 4> kToleratedRounds = {0, 0.5, 1, 2};
 // Upstreams queue a few requests only and refuse what comes on top; those of
 // both deployments have room for 16.
@@ -38,8 +39,9 @@
 std::optional<RefusalReason> RefuseOpening(const AgentRelay& relay,
                                            const RelayHeader& header,
                                            TimePoint now) {
-  if (!Contains(header.allowed, relay.service))
+  if (!Contains(header.allowed, relay.service)) {
     return RefusalReason::kOtherService;
+  }
   if (relay.is_stopping || relay.host.phase != UpstreamPhase::kReady) {
     return RefusalReason::kNotReady;
   }
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -107,8 +107,8 @@
     actions.push_back(ConfirmDirectory{});
     return;
   }
-  // While silence is not trusted, every agent that was asked has denied in so
-  // many words.
+  // While silence is distrusted, silent agents count as those that may hold
+  // flows, so each agent has denied explicitly when a search gets here.
   const bool were_all_asked = search.asked.size() < kMaxSearchedAgents;
   if (were_all_asked) {
     AddReset(
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -1,6 +1,6 @@
 #include "medlarwinch/coordination/upstream_directory.h"
 
-#include <set>
+#include <algorithm>
 
 namespace medlarwinch {
 
@@ -16,6 +16,9 @@
   if (upstream.report.phase == UpstreamPhase::kUnknown) {
     upstream.report.service = entry.service;
   }
+  if (is_new || upstream.entry.revision != entry.revision) {
+    upstream.written = now;
+  }
   upstream.entry = entry;
   upstream.is_listed = true;
   upstream.is_local = entry.failure_domain == directory.own_failure_domain;
@@ -104,7 +107,9 @@
   if (now < directory.distrusted_until) return lost;
   for (const auto& [agent, upstream] : directory.upstreams) {
     if (!upstream.is_listed) continue;
-    if (now - upstream.heard < kAgentLostAfter) continue;
+    if (now - std::max(upstream.heard, upstream.written) < kAgentLostAfter) {
+      continue;
+    }
     lost.push_back(upstream.entry);
   }
   return lost;
--- a/packages/coordination/tests/upstream_directory_test.cc
+++ b/packages/coordination/tests/upstream_directory_test.cc
@@ -89,6 +89,19 @@
   BOOST_TEST(LostAgents(relay.directory, later).empty());
 }
 
+// Guards against entries that are removed and written in turn while the VMs of
+// one side of a partition hear the agent and those of the other do not.
+BOOST_AUTO_TEST_CASE(SilentAgent_EntryWrittenAgain_IsNotLostForAsLong) {
+  now = now + kAgentLostAfter;
+  ApplyEntry(relay.directory,
+             DirectoryEntry{AgentAddress(0), service, "catania", 9}, now);
+  for (const DirectoryEntry& lost : LostAgents(relay.directory, now)) {
+    BOOST_CHECK(lost.agent != AgentAddress(0));
+  }
+  now = now + kAgentLostAfter;
+  BOOST_TEST(LostAgents(relay.directory, now).size() == kAgents);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -162,14 +162,15 @@
 // ever. Of several balancers that try, one succeeds; the others find it
 // removed.
 void BalancerNode::RemoveLostEntry() {
-  const std::vector<DirectoryEntry> lost =
-      LostAgents(relay_.directory, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  const std::vector<DirectoryEntry> lost = LostAgents(relay_.directory, now);
   if (lost.empty()) return;
   const DirectoryEntry& entry = lost[relay_.random() % lost.size()];
   const std::string name = AgentEntryName(entry.agent);
   Log(LogLevel::kWarning, "agent_lost",
       {{"agent", ToString(entry.agent)},
-       {"silent_for_ms", kAgentLostAfter.value},
+       {"silent_for_ms",
+        (now - relay_.directory.upstreams.at(entry.agent).heard).value},
        {"revision", static_cast<int64_t>(entry.revision)}});
   if (calls_ == nullptr) calls_ = ports_.open_store();
   calls_->Remove(kAgentKind, name, entry.revision,
