--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -8,9 +8,9 @@
 namespace medlarwinch {
 namespace {
 
-// How long after the last line of an upstream's agent other processes may still
-// act on what they heard of it: the silence after which it is taken to be gone,
-// and the removal of its entry.
+// How long after the successor's first line other processes may still act on
+// what they heard of an upstream: the silence after which it is taken to be
+// gone, and the removal of its entry.
 constexpr Millis kEchoTime{15'000};
 
 // A name of the subject, and when it stood for it.
@@ -20,6 +20,13 @@
   TimePoint until;
 };
 
+// All names of the subject.
+struct SubjectNames {
+  std::vector<NamedSpan> spans;
+  /// The subject is an upstream's id, and not what it shares with others.
+  bool is_upstream = false;
+};
+
 bool HasValue(const LogRecord& record, const std::string& name) {
   if (record.process == name) return true;
   return std::any_of(record.fields.begin(), record.fields.end(),
@@ -32,26 +39,26 @@
   return address;
 }
 
-bool IsUpstreamOf(const LogRecord& record, const std::string& name) {
-  return FieldOf(record, "upstream") == name &&
-         record.event.rfind("upstream", 0) == 0;
-}
-
 // The subject's own name and, for an upstream, those of its agent while it was
 // there: processes that hear of it name it by the agent's address.
-std::vector<NamedSpan> NamesOf(const LogCollection& logs,
-                               const LogQuery& query) {
-  std::vector<NamedSpan> names = {
-      NamedSpan{query.subject, query.since, query.until}};
+SubjectNames NamesOf(const LogCollection& logs, const LogQuery& query) {
+  SubjectNames names;
+  names.spans = {NamedSpan{query.subject, query.since, query.until}};
   std::map<std::string, NamedSpan> agents;
   for (const LogRecord& record : logs.records) {
-    if (!IsUpstreamOf(record, query.subject)) continue;
-    NamedSpan& span = agents
-                          .try_emplace(record.process,
-                                       NamedSpan{"", record.time, record.time})
-                          .first->second;
-    span.until = record.time + kEchoTime;
+    if (record.event != "upstream_phase") continue;
+    const std::string upstream = FieldOf(record, "upstream");
+    if (upstream == query.subject) {
+      agents.try_emplace(record.process,
+                         NamedSpan{"", record.time, query.until});
+      continue;
+    }
+    const auto found = agents.find(record.process);
+    if (upstream.empty() || found == agents.end()) continue;
+    found->second.until =
+        std::min(found->second.until, record.time + kEchoTime);
   }
+  names.is_upstream = !agents.empty();
   for (const LogRecord& record : logs.records) {
     if (record.event != "start" || FieldOf(record, "role") != "agent") continue;
     const std::string relay = FieldOf(record, "relay");
@@ -64,7 +71,7 @@
         is_asked_for ? NamedSpan{"", query.since, query.until} : found->second;
     for (const std::string& name :
          {relay, EntryNameOf(relay), record.process}) {
-      names.push_back(NamedSpan{name, span.since, span.until});
+      names.spans.push_back(NamedSpan{name, span.since, span.until});
     }
   }
   return names;
@@ -80,7 +87,7 @@
 }
 
 bool IsAbout(const LogRecord& record, const LogQuery& query,
-             const std::vector<NamedSpan>& names) {
+             const SubjectNames& names) {
   if (IsAboutFlow(record, query.subject)) return true;
   const size_t equals = query.subject.find('=');
   if (equals != std::string::npos) {
@@ -89,10 +96,16 @@
   }
   // Decisions about single flows would hide what was believed of the subject.
   if (record.fields.count("flow") != 0) return false;
-  return std::any_of(names.begin(), names.end(), [&](const NamedSpan& named) {
-    return record.time >= named.since && record.time <= named.until &&
-           HasValue(record, named.name);
-  });
+  const std::string upstream = FieldOf(record, "upstream");
+  const bool is_of_another = record.event == "upstream_phase" &&
+                             !upstream.empty() && names.is_upstream &&
+                             upstream != query.subject;
+  if (is_of_another) return false;
+  return std::any_of(
+      names.spans.begin(), names.spans.end(), [&](const NamedSpan& named) {
+        return record.time >= named.since && record.time <= named.until &&
+               HasValue(record, named.name);
+      });
 }
 
 // Records that change what a process believes, by what they are about.
@@ -115,7 +128,7 @@
 }
 
 std::string MeaningOf(const LogRecord& record) {
-  static const std::map<std::string, std::string> kMeanings = {
+  static const std::map<std::string, std::string> meanings = {
       {"nobody_holds",
        "every agent denied the flow, so its upstream has lost it"},
       {"upstream_restarted",
@@ -137,8 +150,8 @@
        "the upstream had no room: compare `outstanding` with its slots"},
       {"bounced", "the upstream returned the opening"}};
   if (!EndsOrRefusesFlow(record)) return "";
-  const auto found = kMeanings.find(FieldOf(record, "reason"));
-  return found == kMeanings.end() ? "" : found->second;
+  const auto found = meanings.find(FieldOf(record, "reason"));
+  return found == meanings.end() ? "" : found->second;
 }
 
 // The belief about an upstream matters only at its own agent and where the
@@ -158,10 +171,10 @@
   LogExplanation report;
   report.subject = query.subject;
   report.suppressed = logs.suppressed;
-  const std::vector<NamedSpan> names =
-      IsFlow(query.subject) ? std::vector<NamedSpan>{} : NamesOf(logs, query);
+  const SubjectNames names =
+      IsFlow(query.subject) ? SubjectNames{} : NamesOf(logs, query);
   std::set<std::string> others;
-  for (const NamedSpan& named : names) {
+  for (const NamedSpan& named : names.spans) {
     if (named.name != query.subject) others.insert(named.name);
   }
   report.names.assign(others.begin(), others.end());
--- a/packages/cli/tests/log_commands_test.cc
+++ b/packages/cli/tests/log_commands_test.cc
@@ -100,6 +100,15 @@
   BOOST_TEST(report.names.size() == 3U);
 }
 
+// Guards against an answer that ends with the agent's last line, long before
+// the upstream is lost.
+BOOST_AUTO_TEST_CASE(QuietUpstream_Explained_ReachesToItsSuccessor) {
+  Add(38, "front-1", "event=agent_unlisted agent=10.1.0.8-8172 revision=30");
+  SortLogs(logs);
+  const LogExplanation report = Explain("i-1");
+  BOOST_TEST(report.records.back().record.event == "agent_unlisted");
+}
+
 BOOST_AUTO_TEST_CASE(FieldAndValue_Explained_FindsTheRecords) {
   BOOST_TEST(Explain("revision=12").records.size() == 1U);
   BOOST_CHECK(ExitCodeOf(Explain("revision=13")) == kExitFailed);
