Give the removal of a lost entry its own connection; refuse a second request on a busy client

Cause (review of the change): a balancer's confirmation of the list and its removal of a lost agent's entry shared one connection, which carries one call at a time. Together they would have overwritten the first callback: the balancer would have confirmed no list any more, and reset no dead flow.

Change: one connection each. LoopHttpClient answers a second request with kUnavailable while one is in progress; loop_http_test failed before.

Also: one function polls an agent, and both nodes end a flow and bound the line for it by the same two functions.

--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -38,6 +38,7 @@
   void HandleAgentChange(const ObjectChange& change);
   void FollowConfiguration();
   void FollowAgents();
+  void PollAgent(const Endpoint& agent, bool is_listed);
   void PollAgents();
   void PollStartingAgents();
   void RemoveLostEntry();
@@ -59,8 +60,10 @@
   std::unique_ptr<DatagramPort> agents_;
   std::unique_ptr<StoreWatch> configuration_watch_;
   std::unique_ptr<StoreWatch> agent_watch_;
-  /// For the calls that are not part of a watch.
-  std::unique_ptr<StoreConnection> calls_;
+  /// For the calls that are not part of a watch; a connection carries one call
+  /// at a time.
+  std::unique_ptr<StoreConnection> confirmation_;
+  std::unique_ptr<StoreConnection> removal_;
   std::unique_ptr<Periodic> poll_timer_;
   std::unique_ptr<Periodic> lost_timer_;
   NodeRuntime runtime_;
--- a/packages/node/include/medlarwinch/node/node_base.h
+++ b/packages/node/include/medlarwinch/node/node_base.h
@@ -13,6 +13,7 @@
 #include "medlarwinch/node/platform_ports.h"
 #include "medlarwinch/node/settings_reload.h"
 #include "medlarwinch/protocol/relay_messages.h"
+#include "medlarwinch/transport/datagram_port.h"
 #include "medlarwinch/transport/loop_http_server.h"
 #include "medlarwinch/transport/metrics.h"
 
@@ -112,6 +113,16 @@
 /// Writes one line with the counts of lines that `budget` left out.
 void LogSuppressed(LogBudget& budget);
 
+/// Log lines per second for an event that tells of a failure.
+inline constexpr double kFailureLinesPerSecond = 100;
+
+/// Sends the packet that ends a flow at its caller.
+void SendResetPacket(DatagramPort& port, const PlatformPorts& ports,
+                     const ResetCaller& reset);
+
+/// Whether `budget` allows a line for a reset.
+bool AllowsResetLine(LogBudget& budget, TimePoint now);
+
 /// Writes a line for packets that go nowhere, within `budget`.
 void LogDrop(LogBudget& budget, const DropPackets& drop, TimePoint now);
 
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -22,7 +22,6 @@
 // after this time.
 constexpr Millis kWithdrawLimit{1'500};
 constexpr double kOrdinaryLinesPerSecond = 10;
-constexpr double kFailureLinesPerSecond = 100;
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
@@ -258,12 +257,8 @@
 }
 
 void AgentNode::SendReset(const ResetCaller& reset) {
-  relay_port_->Send(ports_.caller_gateway(reset.flow.caller),
-                    ports_.make_reset(reset.flow, reset.sequence));
-  if (!log_budget_.Allows("flow_reset", kFailureLinesPerSecond,
-                          MonotonicNow())) {
-    return;
-  }
+  SendResetPacket(*relay_port_, ports_, reset);
+  if (!AllowsResetLine(log_budget_, MonotonicNow())) return;
   Log(LogLevel::kWarning, "flow_reset",
       {{"flow", FlowText(reset.flow)},
        {"reason", FlowResetReasonName(reset.reason)},
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -23,9 +23,8 @@
 constexpr Millis kQuietBeforeExit{500};
 // Part of the grace period that is left for the end of the process.
 constexpr Millis kExitReserve{1'000};
-// Log lines per second; failures get more than ordinary decisions.
+// Log lines per second.
 constexpr double kOpenLinesPerSecond = 20;
-constexpr double kFailureLinesPerSecond = 100;
 
 }  // namespace
 
@@ -74,11 +73,14 @@
   return Ok{};
 }
 
+void BalancerNode::PollAgent(const Endpoint& agent, bool is_listed) {
+  EncodeRelayMessage(AgentPoll{is_listed, relay_.routes.revision}, message_);
+  agents_->Send(agent, message_);
+}
+
 void BalancerNode::PollAgents() {
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
-    EncodeRelayMessage(AgentPoll{upstream.is_listed, relay_.routes.revision},
-                       message_);
-    agents_->Send(agent, message_);
+    PollAgent(agent, upstream.is_listed);
   }
 }
 
@@ -87,9 +89,7 @@
 void BalancerNode::PollStartingAgents() {
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     if (upstream.report.phase != UpstreamPhase::kUnknown) continue;
-    EncodeRelayMessage(AgentPoll{upstream.is_listed, relay_.routes.revision},
-                       message_);
-    agents_->Send(agent, message_);
+    PollAgent(agent, upstream.is_listed);
   }
 }
 
@@ -205,12 +205,8 @@
 }
 
 void BalancerNode::SendReset(const ResetCaller& reset) {
-  callers_->Send(ports_.caller_gateway(reset.flow.caller),
-                 ports_.make_reset(reset.flow, reset.sequence));
-  if (!log_budget_.Allows("flow_reset", kFailureLinesPerSecond,
-                          MonotonicNow())) {
-    return;
-  }
+  SendResetPacket(*callers_, ports_, reset);
+  if (!AllowsResetLine(log_budget_, MonotonicNow())) return;
   Log(LogLevel::kWarning, "flow_reset",
       {{"flow", FlowText(reset.flow)},
        {"reason", FlowResetReasonName(reset.reason)},
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -118,19 +118,20 @@
   if (is_confirming_ || asked - last_confirmation_ < kConfirmInterval) return;
   is_confirming_ = true;
   last_confirmation_ = asked;
-  if (calls_ == nullptr) calls_ = ports_.open_store();
-  calls_->List(kAgentKind, [this, asked](const Result<ObjectListing>& result) {
-    is_confirming_ = false;
-    if (!IsOk(result)) {
-      Log(LogLevel::kWarning, "agents_not_confirmed",
-          {{"message", ErrorOf(result).message}});
-      return;
-    }
-    HandleAgents(ValueOf(result));
-    RelayActions actions;
-    HandleDirectoryConfirmed(relay_, asked, MonotonicNow(), actions);
-    Carry(actions, {});
-  });
+  if (confirmation_ == nullptr) confirmation_ = ports_.open_store();
+  confirmation_->List(
+      kAgentKind, [this, asked](const Result<ObjectListing>& result) {
+        is_confirming_ = false;
+        if (!IsOk(result)) {
+          Log(LogLevel::kWarning, "agents_not_confirmed",
+              {{"message", ErrorOf(result).message}});
+          return;
+        }
+        HandleAgents(ValueOf(result));
+        RelayActions actions;
+        HandleDirectoryConfirmed(relay_, asked, MonotonicNow(), actions);
+        Carry(actions, {});
+      });
 }
 
 void BalancerNode::HandleAgentChange(const ObjectChange& change) {
@@ -154,8 +155,7 @@
       {{"agent", change.object.name},
        {"failure_domain", ValueOf(entry).failure_domain},
        {"revision", static_cast<int64_t>(change.object.revision)}});
-  EncodeRelayMessage(AgentPoll{true, relay_.routes.revision}, message_);
-  agents_->Send(ValueOf(entry).agent, message_);
+  PollAgent(ValueOf(entry).agent, true);
 }
 
 // Only an agent removes its own entry, so that of a lost VM would stay for
@@ -172,15 +172,15 @@
        {"silent_for_ms",
         (now - relay_.directory.upstreams.at(entry.agent).heard).value},
        {"revision", static_cast<int64_t>(entry.revision)}});
-  if (calls_ == nullptr) calls_ = ports_.open_store();
-  calls_->Remove(kAgentKind, name, entry.revision,
-                 [name](const Result<Ok>& result) {
-                   if (IsOk(result)) return;
-                   Log(LogLevel::kWarning, "agent_entry_not_removed",
-                       {{"agent", name},
-                        {"error", ErrorCodeName(ErrorOf(result).code)},
-                        {"message", ErrorOf(result).message}});
-                 });
+  if (removal_ == nullptr) removal_ = ports_.open_store();
+  removal_->Remove(kAgentKind, name, entry.revision,
+                   [name](const Result<Ok>& result) {
+                     if (IsOk(result)) return;
+                     Log(LogLevel::kWarning, "agent_entry_not_removed",
+                         {{"agent", name},
+                          {"error", ErrorCodeName(ErrorOf(result).code)},
+                          {"message", ErrorOf(result).message}});
+                   });
 }
 
 }  // namespace medlarwinch
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -125,6 +125,16 @@
   }
 }
 
+void SendResetPacket(DatagramPort& port, const PlatformPorts& ports,
+                     const ResetCaller& reset) {
+  port.Send(ports.caller_gateway(reset.flow.caller),
+            ports.make_reset(reset.flow, reset.sequence));
+}
+
+bool AllowsResetLine(LogBudget& budget, TimePoint now) {
+  return budget.Allows("flow_reset", kFailureLinesPerSecond, now);
+}
+
 void LogDrop(LogBudget& budget, const DropPackets& drop, TimePoint now) {
   constexpr double kLinesPerSecond = 50;
   if (!budget.Allows("packet_dropped", kLinesPerSecond, now)) return;
--- a/packages/transport/include/medlarwinch/transport/loop_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/loop_http_client.h
@@ -25,9 +25,10 @@
   LoopHttpClient(const LoopHttpClient&) = delete;
   LoopHttpClient& operator=(const LoopHttpClient&) = delete;
 
-  /// Sends `request` and calls `callback` once, from the loop. Must not be
-  /// called while an earlier request is in progress. Connecting may take at
-  /// most `connect_timeout`, the answer `timeout` from then on.
+  /// Sends `request` and calls `callback` once, from the loop. Connecting may
+  /// take at most `connect_timeout`, the answer `timeout` from then on. While
+  /// an earlier request is in progress the callback gets kUnavailable and
+  /// nothing is sent.
   void Send(HttpRequest request, Millis connect_timeout, Millis timeout,
             Callback callback);
 
--- a/packages/transport/src/loop_http_client.cc
+++ b/packages/transport/src/loop_http_client.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/transport/loop_http_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -148,6 +149,15 @@
 void LoopHttpClient::Send(HttpRequest request, Millis connect_timeout,
                           Millis timeout, Callback callback) {
   State& state = *state_;
+  if (state.is_busy) {
+    boost::asio::post(
+        state.stream.get_executor(),
+        [self = state_, callback = std::move(callback)] {
+          if (self->is_closed) return;
+          callback(Error{ErrorCode::kUnavailable, "a request is in progress"});
+        });
+    return;
+  }
   state.is_busy = true;
   state.timeout = timeout;
   state.connect_timeout = connect_timeout;
--- /dev/null
+++ b/packages/transport/tests/loop_http_test.cc
@@ -0,0 +1,68 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "medlarwinch/transport/loop_http_client.h"
+#include "medlarwinch/transport/loop_http_server.h"
+#include "test_address.h"
+
+namespace medlarwinch {
+namespace {
+
+const Endpoint kServer{ProcessLoopbackIp(), 17'382};
+constexpr Millis kTimeout{2'000};
+
+struct ClientOnLoop {
+  ClientOnLoop() {
+    Result<std::unique_ptr<LoopHttpServer>> listening =
+        LoopHttpServer::Listen(loop, kServer, [](const HttpRequest& request) {
+          return HttpResponse{200, "text/plain", request.target};
+        });
+    BOOST_REQUIRE(IsOk(listening));
+    server = TakeValue(std::move(listening));
+  }
+
+  void Get(const std::string& target) {
+    client.Send(HttpRequest{"GET", target, "", {}}, kTimeout, kTimeout,
+                [this, target](const Result<HttpResponse>& result) {
+                  answers.emplace_back(target, IsOk(result)
+                                                   ? ValueOf(result).body
+                                                   : ErrorOf(result).message);
+                });
+  }
+
+  boost::asio::io_context loop;
+  std::unique_ptr<LoopHttpServer> server;
+  LoopHttpClient client{loop, kServer};
+  std::vector<std::pair<std::string, std::string>> answers;
+};
+
+BOOST_FIXTURE_TEST_SUITE(LoopHttpClientAndServer, ClientOnLoop)
+
+// Guards against an answer that is lost or given to another request: the
+// callback of the first one would be overwritten.
+BOOST_AUTO_TEST_CASE(RequestInProgress_AnotherSent_OnlyTheOtherFails) {
+  Get("/first");
+  Get("/second");
+  loop.run_for(std::chrono::milliseconds(500));
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST(answers[0].first == "/second");
+  BOOST_TEST(answers[0].second == "a request is in progress");
+  BOOST_TEST(answers[1].first == "/first");
+  BOOST_TEST(answers[1].second == "/first");
+}
+
+BOOST_AUTO_TEST_CASE(RequestEnded_AnotherSent_IsAnswered) {
+  Get("/first");
+  loop.run_for(std::chrono::milliseconds(200));
+  loop.restart();
+  Get("/second");
+  loop.run_for(std::chrono::milliseconds(200));
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST(answers[1].second == "/second");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
