Read text files by one function, and give logic that stood twice one place

One function each for the log's sink, the counts of left-out log lines, the document of a scenario's service (with a variable that nothing used), and the end of a flow's counts.

--- a/packages/cli/include/medlarwinch/cli/command_context.h
+++ b/packages/cli/include/medlarwinch/cli/command_context.h
@@ -33,9 +33,6 @@
 /// Returns an identifier that no other write has.
 std::string NewOperation(const CommandContext& context);
 
-/// Reads a whole file. Fails with kNotFound.
-Result<std::string> ReadFile(const std::string& file);
-
 /// Returns the key of a service's document, "config/SERVICE".
 std::string DocumentKey(const std::string& service);
 
--- a/packages/cli/include/medlarwinch/cli/log_records.h
+++ b/packages/cli/include/medlarwinch/cli/log_records.h
@@ -48,6 +48,9 @@
 /// can't be read and with kInvalidInput when there is no record in them.
 Result<LogCollection> ReadLogs(const std::vector<std::string>& paths);
 
+/// One line for each event of which `suppressed` counts lines.
+std::string FormatSuppressed(const std::map<std::string, uint64_t>& suppressed);
+
 /// The record as a line "TIME PROCESS EVENT
 /// key=value ...".
 std::string FormatRecord(const LogRecord& record);
--- a/packages/cli/src/apply_command.cc
+++ b/packages/cli/src/apply_command.cc
@@ -8,6 +8,7 @@
 #include "medlarwinch/cli/report_json.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/protocol/document_parser.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 namespace {
@@ -223,7 +224,7 @@
 Result<ApplyReport> RunApply(const CommandContext& context,
                              const std::string& file,
                              std::optional<uint64_t> if_version) {
-  Result<std::string> text = ReadFile(file);
+  Result<std::string> text = ReadTextFile(file);
   if (!IsOk(text)) return ErrorOf(text);
   return ApplyText(context, file, TakeValue(std::move(text)), if_version);
 }
--- a/packages/cli/src/command_context.cc
+++ b/packages/cli/src/command_context.cc
@@ -2,9 +2,6 @@
 
 #include <sodium.h>
 
-#include <fstream>
-#include <sstream>
-
 namespace medlarwinch {
 namespace {
 
@@ -34,14 +31,6 @@
   return "operator/" + context.operator_name + "/" + hex;
 }
 
-Result<std::string> ReadFile(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) return Error{ErrorCode::kNotFound, file + ": can't be read"};
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 std::string DocumentKey(const std::string& service) {
   return "config/" + service;
 }
--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -219,11 +219,7 @@
               " ms: " + FormatRecord(belief.record) + "\n";
     }
   }
-  for (const auto& [event, count] : report.suppressed) {
-    text += "left out of the logs: " + std::to_string(count) + " lines of " +
-            event + "\n";
-  }
-  return text;
+  return text + FormatSuppressed(report.suppressed);
 }
 
 nlohmann::json ToJson(const LogExplanation& report) {
--- a/packages/cli/src/log_records.cc
+++ b/packages/cli/src/log_records.cc
@@ -5,9 +5,9 @@
 #include <filesystem>
 #include <sstream>
 
-#include "medlarwinch/cli/command_context.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/transport/system_clock.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 namespace {
@@ -122,7 +122,7 @@
   if (!IsOk(files)) return ErrorOf(files);
   LogCollection logs;
   for (const std::string& file : ValueOf(files)) {
-    const Result<std::string> content = ReadFile(file);
+    const Result<std::string> content = ReadTextFile(file);
     if (!IsOk(content)) return ErrorOf(content);
     ++logs.files;
     AddLogText(ValueOf(content), logs);
@@ -136,6 +136,16 @@
   return logs;
 }
 
+std::string FormatSuppressed(
+    const std::map<std::string, uint64_t>& suppressed) {
+  std::string text;
+  for (const auto& [event, count] : suppressed) {
+    text += "left out of the logs: " + std::to_string(count) + " lines of " +
+            event + "\n";
+  }
+  return text;
+}
+
 std::string FormatRecord(const LogRecord& record) {
   std::string text =
       FormatTime(record.time) + " " + record.process + " " + record.event;
--- a/packages/cli/src/log_status.cc
+++ b/packages/cli/src/log_status.cc
@@ -99,11 +99,7 @@
          process.phase.empty() ? "-" : FormatTime(process.phase_since)});
   }
   std::string text = FormatTable(rows);
-  for (const auto& [event, count] : report.suppressed) {
-    text += "left out of the logs: " + std::to_string(count) + " lines of " +
-            event + "\n";
-  }
-  return text;
+  return text + FormatSuppressed(report.suppressed);
 }
 
 nlohmann::json ToJson(const LogStatus& report) {
--- a/packages/cli/src/plot_command.cc
+++ b/packages/cli/src/plot_command.cc
@@ -5,10 +5,10 @@
 #include <map>
 #include <sstream>
 
-#include "medlarwinch/cli/command_context.h"
 #include "medlarwinch/cli/metrics_text.h"
 #include "medlarwinch/cli/report_text.h"
 #include "medlarwinch/transport/system_clock.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 namespace {
@@ -147,7 +147,7 @@
 Result<PlotReport> RunPlot(const std::vector<std::string>& files) {
   std::string text;
   for (const std::string& file : files) {
-    const Result<std::string> content = ReadFile(file);
+    const Result<std::string> content = ReadTextFile(file);
     if (!IsOk(content)) return ErrorOf(content);
     text += ValueOf(content) + "\n";
   }
--- a/packages/cli/src/validate_command.cc
+++ b/packages/cli/src/validate_command.cc
@@ -2,13 +2,13 @@
 
 #include <sstream>
 
-#include "medlarwinch/cli/command_context.h"
 #include "medlarwinch/protocol/document_parser.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 
 Result<ValidateReport> RunValidate(const std::string& file) {
-  const Result<std::string> text = ReadFile(file);
+  const Result<std::string> text = ReadTextFile(file);
   if (!IsOk(text)) return ErrorOf(text);
   ValidateReport report;
   report.file = file;
--- a/packages/coordination/src/host_flows.cc
+++ b/packages/coordination/src/host_flows.cc
@@ -38,6 +38,12 @@
   }
 }
 
+// Takes the flow out of the counts of open flows and outstanding requests.
+void Uncount(HostFlows& flows, HostFlow& flow, TimePoint now) {
+  SetWaiting(flows, flow, false, now);
+  SetOpen(flows, flow, false);
+}
+
 bool HasEnded(const HostFlow& flow) {
   return flow.caller_finished && flow.upstream_finished;
 }
@@ -78,9 +84,7 @@
       SetWaiting(flows, flow, true, now);
     }
   }
-  if (!HasEnded(flow)) return;
-  SetWaiting(flows, flow, false, now);
-  SetOpen(flows, flow, false);
+  if (HasEnded(flow)) Uncount(flows, flow, now);
 }
 
 UpstreamPacketEffect NoteUpstreamPacket(HostFlows& flows,
@@ -113,10 +117,7 @@
   }
   if (packet.is_reset) flow.caller_finished = true;
   if (packet.is_fin || packet.is_reset) flow.upstream_finished = true;
-  if (HasEnded(flow)) {
-    SetWaiting(flows, flow, false, now);
-    SetOpen(flows, flow, false);
-  }
+  if (HasEnded(flow)) Uncount(flows, flow, now);
   return effect;
 }
 
@@ -134,8 +135,7 @@
 void ForgetFlow(HostFlows& flows, const FlowTuple& flow, TimePoint now) {
   const auto found = flows.flows.find(flow);
   if (found == flows.flows.end()) return;
-  SetWaiting(flows, found->second, false, now);
-  SetOpen(flows, found->second, false);
+  Uncount(flows, found->second, now);
   flows.flows.erase(found);
 }
 
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -1,9 +1,7 @@
 #include "medlarwinch/daemon/settings.h"
 
-#include <fstream>
-#include <sstream>
-
 #include "medlarwinch/protocol/yaml_reader.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 namespace {
@@ -71,13 +69,9 @@
 }
 
 Result<Settings> LoadSettings(const std::string& file, bool is_agent) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return Error{ErrorCode::kNotFound, file + ": can't be read"};
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseSettings(file, text.str(), is_agent);
+  const Result<std::string> text = ReadTextFile(file);
+  if (!IsOk(text)) return ErrorOf(text);
+  return ParseSettings(file, ValueOf(text), is_agent);
 }
 
 }  // namespace medlarwinch
--- a/packages/transport/src/log.cc
+++ b/packages/transport/src/log.cc
@@ -39,6 +39,18 @@
 };
 using LineSink = boost::log::sinks::synchronous_sink<LineBackend>;
 
+// Makes `sink` the only one, with the message alone as its text.
+template <typename Sink>
+void UseSink(const boost::shared_ptr<Sink>& sink, LogLevel level) {
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  const boost::shared_ptr<boost::log::core> core = boost::log::core::get();
+  core->remove_all_sinks();
+  core->add_sink(sink);
+  core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >=
+                   level);
+}
+
 SeverityLogger& Logger() {
   static SeverityLogger logger;
   return logger;
@@ -101,30 +113,15 @@
   backend->add_stream(
       boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
   backend->auto_flush(true);
-  const boost::shared_ptr<TextSink> sink =
-      boost::make_shared<TextSink>(backend);
-  sink->set_formatter(boost::log::expressions::stream
-                      << boost::log::expressions::smessage);
-  const boost::shared_ptr<boost::log::core> core = boost::log::core::get();
-  core->remove_all_sinks();
-  core->add_sink(sink);
-  core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >=
-                   level);
+  UseSink(boost::make_shared<TextSink>(backend), level);
 }
 
 void InitLineLog(LogLevel level, const std::string& process) {
   ProcessName() = process;
   const int flags = fcntl(STDOUT_FILENO, F_GETFL);
   if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-  const boost::shared_ptr<LineSink> sink =
-      boost::make_shared<LineSink>(boost::make_shared<LineBackend>());
-  sink->set_formatter(boost::log::expressions::stream
-                      << boost::log::expressions::smessage);
-  const boost::shared_ptr<boost::log::core> core = boost::log::core::get();
-  core->remove_all_sinks();
-  core->add_sink(sink);
-  core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >=
-                   level);
+  UseSink(boost::make_shared<LineSink>(boost::make_shared<LineBackend>()),
+          level);
 }
 
 uint64_t DroppedLogLines() { return g_dropped_lines; }
--- a/standins/include/medlarwinch/standins/process_main.h
+++ b/standins/include/medlarwinch/standins/process_main.h
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/protocol/yaml_reader.h"
 #include "medlarwinch/state/result.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 
@@ -20,9 +21,6 @@
 /// text after a message on standard error.
 std::string SettingsArgument(int argc, char** argv);
 
-/// Reads a whole file; fails with kNotFound.
-Result<std::string> ReadTextFile(const std::string& file);
-
 /// Runs a stand-in until SIGTERM or SIGINT: reads the file of `--settings`,
 /// parses it, starts the server and, after the signal, calls `stop`. Returns
 /// the exit code: 2 for a wrong command line or settings, 1 when it can't
--- a/standins/include/medlarwinch/standins/scenario_run.h
+++ b/standins/include/medlarwinch/standins/scenario_run.h
@@ -89,6 +89,8 @@
   /// Waits until a stand-in answers at its control address.
   Result<Ok> WaitForControl(const std::string& name, const Endpoint& control);
   Result<Ok> StartPlatform();
+  /// Gives the desk a service's document, with its addresses in this run's net.
+  Result<Ok> SetDocument(const std::string& service, const std::string& file);
   Result<Ok> WriteDocuments();
   Result<Ok> StartFabric();
   Result<Ok> StartCallers();
--- a/standins/src/process_main.cc
+++ b/standins/src/process_main.cc
@@ -2,9 +2,7 @@
 
 #include <csignal>
 #include <cstring>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace medlarwinch {
 namespace {
@@ -36,14 +34,4 @@
   return "";
 }
 
-Result<std::string> ReadTextFile(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return Error{ErrorCode::kNotFound, file + ": can't be read"};
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 }  // namespace medlarwinch
--- a/standins/src/scenario_start.cc
+++ b/standins/src/scenario_start.cc
@@ -4,9 +4,9 @@
 #include <cstdlib>
 #include <utility>
 
-#include "medlarwinch/standins/process_main.h"
 #include "medlarwinch/standins/scenario_run.h"
 #include "medlarwinch/transport/http_client.h"
+#include "medlarwinch/transport/text_file.h"
 
 namespace medlarwinch {
 namespace {
@@ -66,21 +66,27 @@
   return WaitForControl("the platform", topology_.PlatformControl());
 }
 
+Result<Ok> ScenarioRun::SetDocument(const std::string& service,
+                                    const std::string& file) {
+  const Result<std::string> text =
+      ReadTextFile(options_.scenarios + "/" + file);
+  if (!IsOk(text)) return ErrorOf(text);
+  std::string adapted = ValueOf(text);
+  const std::string base = "127.0.";
+  const std::string net = "127." + std::to_string(options_.net) + ".";
+  for (size_t at = adapted.find(base); at != std::string::npos;
+       at = adapted.find(base, at + net.size())) {
+    adapted.replace(at, base.size(), net);
+  }
+  desk_->SetDocument(service, adapted);
+  return Ok{};
+}
+
 Result<Ok> ScenarioRun::WriteDocuments() {
   for (const TopologyService& service : topology_.services) {
-    const std::string file =
-        options_.scenarios + "/documents/" + service.name + ".yaml";
-    const ScenarioStep step{0, 0, 0, {"apply", service.name, file}};
-    const Result<std::string> text = ReadTextFile(file);
-    if (!IsOk(text)) return ErrorOf(text);
-    std::string adapted = ValueOf(text);
-    const std::string base = "127.0.";
-    const std::string net = "127." + std::to_string(options_.net) + ".";
-    for (size_t at = adapted.find(base); at != std::string::npos;
-         at = adapted.find(base, at + net.size())) {
-      adapted.replace(at, base.size(), net);
-    }
-    desk_->SetDocument(service.name, adapted);
+    const std::string file = "documents/" + service.name + ".yaml";
+    const Result<Ok> set = SetDocument(service.name, file);
+    if (!IsOk(set)) return set;
     const Result<uint64_t> version = desk_->Apply(service.name);
     if (!IsOk(version)) return ErrorOf(version);
   }
--- a/standins/src/scenario_steps.cc
+++ b/standins/src/scenario_steps.cc
@@ -4,7 +4,6 @@
 #include <cstdlib>
 #include <utility>
 
-#include "medlarwinch/standins/process_main.h"
 #include "medlarwinch/standins/scenario_run.h"
 #include "medlarwinch/transport/http_client.h"
 
@@ -218,17 +217,8 @@
         [this, service = words[2], writers] { desk_->Race(service, writers); });
     return Ok{};
   }
-  const Result<std::string> text =
-      ReadTextFile(options_.scenarios + "/" + words[2]);
-  if (!IsOk(text)) return ErrorOf(text);
-  std::string adapted = ValueOf(text);
-  const std::string base = "127.0.";
-  const std::string net = "127." + std::to_string(options_.net) + ".";
-  for (size_t at = adapted.find(base); at != std::string::npos;
-       at = adapted.find(base, at + net.size())) {
-    adapted.replace(at, base.size(), net);
-  }
-  desk_->SetDocument(words[1], adapted);
+  const Result<Ok> set = SetDocument(words[1], words[2]);
+  if (!IsOk(set)) return set;
   RunAside([this, service = words[1]] { desk_->Apply(service); });
   return Ok{};
 }
