Query all agents for a flow's owner, in batches

Cause: a search asked 64 agents at most, so at 136 agents a flow without an owner was never proved so. After a loss of power its caller waited for its deadline, and each new packet began a new search and a new list from the store.

Change: after the first round, which stays as it was, one round asks all other agents (1,024 at most). Queries of large rounds are collected for 50 ms and sent as one datagram per agent. Agents that have not replied are asked again after 250 ms, a search lasts 2 s, which outlasts the detection of a failed agent, and an undetermined agent gets one packet as a probe instead of three.

--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
@@ -77,6 +77,9 @@
                           std::span<const uint8_t> raw, TimePoint now,
                           RelayActions& actions);
 
+/// Sends the queries that were collected since ScheduleQueryFlush was returned.
+void FlushOwnershipQueries(BalancerRelay& relay, RelayActions& actions);
+
 /// Records that the list of agents requested at `requested_at` was applied to
 /// the directory, and concludes the searches that waited for it.
 void HandleDirectoryRefreshed(BalancerRelay& relay, TimePoint requested_at,
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_actions.h
@@ -89,6 +89,22 @@
   OwnershipQuery query;
 };
 
+/// Query the agent at `to` for several flows with one datagram.
+struct SendOwnershipBatchQuery {
+  Endpoint to;
+  OwnershipBatchQuery query;
+};
+
+/// Call FlushOwnershipQueries() after kQueryBatchDelay, unless a call is
+/// already scheduled.
+struct ScheduleQueryFlush {};
+
+/// Reply to a balancer for all flows of an OwnershipBatchQuery.
+struct SendOwnershipBatchReply {
+  Endpoint balancer;
+  std::vector<ReportedOwnership> flows;
+};
+
 /// Reply to a balancer whether the local upstream owns the flow.
 struct SendOwnershipReply {
   Endpoint balancer;
@@ -111,8 +127,10 @@
 
 using RelayAction =
     std::variant<RelayToAgent, RelayBufferedPacket, DeliverToUpstream,
-                 DeliverToCaller, SendOwnershipQuery, SendOwnershipReply,
-                 RefreshDirectory, DropPackets, ResetCaller>;
+                 DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
+                 ScheduleQueryFlush, SendOwnershipReply,
+                 SendOwnershipBatchReply, RefreshDirectory, DropPackets,
+                 ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/include/medlarwinch/coordination/relay_types.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_types.h
@@ -81,6 +81,36 @@
                          const OwnershipQuery&) = default;
 };
 
+/// A flow whose owner is searched for, with the caller's acknowledgement.
+struct QueriedFlow {
+  FlowTuple flow;
+  uint32_t acknowledged = 0;
+
+  friend bool operator==(const QueriedFlow&, const QueriedFlow&) = default;
+};
+
+/// Maximum number of flows in an OwnershipBatchQuery and in its reply, so that
+/// each fits one datagram.
+inline constexpr uint32_t kMaxBatchedFlows = 64;
+
+/// As OwnershipQuery, for several flows whose routes allow the same services.
+struct OwnershipBatchQuery {
+  std::vector<ServiceId> allowed;
+  std::vector<QueriedFlow> flows;
+
+  friend bool operator==(const OwnershipBatchQuery&,
+                         const OwnershipBatchQuery&) = default;
+};
+
+/// An agent's answer for one flow of a query.
+struct ReportedOwnership {
+  FlowTuple flow;
+  FlowOwnership ownership = FlowOwnership::kNotOwned;
+
+  friend bool operator==(const ReportedOwnership&,
+                         const ReportedOwnership&) = default;
+};
+
 /// The phase of an upstream as its agent knows it.
 enum class UpstreamPhase : uint8_t {
   /// The agent has received nothing from the upstream since the agent started.
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -136,6 +136,21 @@
          !IsNotRunning(relay, now) && Contains(allowed, relay.service);
 }
 
+FlowOwnership DetermineOwnership(const AgentRelay& relay,
+                                 const QueriedFlow& queried,
+                                 const std::vector<ServiceId>& allowed,
+                                 TimePoint now) {
+  FlowPacket packet;
+  packet.source = queried.flow.caller;
+  packet.destination = queried.flow.service_address;
+  packet.acknowledged = queried.acknowledged;
+  if (OwnsFlow(relay.flow_tracker, packet)) return FlowOwnership::kOwned;
+  if (MayOwnUnseenFlow(relay, queried.flow, allowed, now)) {
+    return FlowOwnership::kUndetermined;
+  }
+  return FlowOwnership::kNotOwned;
+}
+
 void HandleFlowPacket(AgentRelay& relay, const RelayHeader& header,
                       const FlowPacket& packet, TimePoint now,
                       RelayActions& actions) {
@@ -260,21 +275,24 @@
 void HandleOwnershipQuery(AgentRelay& relay, const Endpoint& balancer,
                           const OwnershipQuery& query, TimePoint now,
                           RelayActions& actions) {
-  FlowPacket packet;
-  packet.source = query.flow.caller;
-  packet.destination = query.flow.service_address;
-  packet.acknowledged = query.acknowledged;
-  FlowOwnership ownership = FlowOwnership::kNotOwned;
-  if (OwnsFlow(relay.flow_tracker, packet)) {
-    ownership = FlowOwnership::kOwned;
-  } else if (MayOwnUnseenFlow(relay, query.flow, query.allowed, now)) {
-    ownership = FlowOwnership::kUndetermined;
-  } else {
-    ++relay.counters.denied;
-  }
+  const FlowOwnership ownership = DetermineOwnership(
+      relay, QueriedFlow{query.flow, query.acknowledged}, query.allowed, now);
+  if (ownership == FlowOwnership::kNotOwned) ++relay.counters.denied;
   actions.push_back(SendOwnershipReply{balancer, query.flow, ownership});
 }
 
+void HandleOwnershipBatchQuery(const AgentRelay& relay,
+                               const Endpoint& balancer,
+                               const OwnershipBatchQuery& query, TimePoint now,
+                               RelayActions& actions) {
+  SendOwnershipBatchReply reply{balancer, {}};
+  for (const QueriedFlow& queried : query.flows) {
+    reply.flows.push_back(ReportedOwnership{
+        queried.flow, DetermineOwnership(relay, queried, query.allowed, now)});
+  }
+  actions.push_back(std::move(reply));
+}
+
 UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
                                           const FlowPacket& packet,
                                           TimePoint now,
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -71,36 +71,65 @@
   return route->owner_services;
 }
 
-// Sends the buffered packets of a search to one agent.
+// Sends buffered packets of a search to one agent.
 void SendBufferedPackets(const BalancerRelay& relay, const FlowTuple& flow,
-                         const OwnerSearch& search, const Endpoint& agent,
-                         RelayPurpose purpose, RelayActions& actions) {
-  for (const std::vector<uint8_t>& packet : search.packets) {
+                         std::span<const std::vector<uint8_t>> packets,
+                         const Endpoint& agent, RelayPurpose purpose,
+                         RelayActions& actions) {
+  for (const std::vector<uint8_t>& packet : packets) {
     actions.push_back(RelayBufferedPacket{
         agent, MakeHeader(relay, purpose, OwnerServicesOf(relay, flow)),
         packet});
   }
 }
 
+// Queries the agents of a small round one by one, and leaves those of a large
+// round to the next batch.
+void QueryAgents(BalancerRelay& relay, const FlowTuple& flow,
+                 OwnerSearch& search, std::span<const Endpoint> agents,
+                 TimePoint now, RelayActions& actions) {
+  AddQueried(search, agents, now);
+  if (agents.size() > kMaxAgentsPerSearchRound) {
+    search.unsent.assign(agents.begin(), agents.end());
+    actions.push_back(ScheduleQueryFlush{});
+    return;
+  }
+  const std::span<const ServiceId> allowed = OwnerServicesOf(relay, flow);
+  for (const Endpoint& agent : agents) {
+    actions.push_back(SendOwnershipQuery{
+        agent,
+        OwnershipQuery{
+            flow, search.acknowledged, {allowed.begin(), allowed.end()}}});
+  }
+}
+
+// Queries the agents again that have not replied, except those that were sent a
+// probe.
+void RetryQueries(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
+                  RelayActions& actions) {
+  OwnerSearch& search = relay.searches.at(flow);
+  if (now - search.last_queried < kQueryRetryInterval) return;
+  std::vector<Endpoint> unanswered;
+  for (const Endpoint& agent : search.pending) {
+    if (!Contains(search.probed, agent)) unanswered.push_back(agent);
+  }
+  if (unanswered.empty()) return;
+  QueryAgents(relay, flow, search, unanswered, now, actions);
+}
+
 // Queries the next agents, or concludes the search when none is left.
 void ContinueSearch(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
                     RelayActions& actions) {
   const auto found = relay.searches.find(flow);
   if (found == relay.searches.end()) return;
   OwnerSearch& search = found->second;
-  if (!IsDeniedByAllQueried(relay.directory, search, now)) return;
-  const std::span<const ServiceId> owner_services =
-      OwnerServicesOf(relay, flow);
-  const std::vector<Endpoint> next =
-      NextAgentsToQuery(relay.directory, search, flow, owner_services, now);
-  for (const Endpoint& agent : next) {
-    search.queried.push_back(agent);
-    actions.push_back(SendOwnershipQuery{
-        agent, OwnershipQuery{flow,
-                              search.acknowledged,
-                              {owner_services.begin(), owner_services.end()}}});
+  if (!search.pending.empty()) return;
+  const std::vector<Endpoint> next = NextAgentsToQuery(
+      relay.directory, search, flow, OwnerServicesOf(relay, flow), now);
+  if (!next.empty()) {
+    QueryAgents(relay, flow, search, next, now, actions);
+    return;
   }
-  if (!next.empty()) return;
   // An agent that has registered since the last list may own the flow.
   const bool is_directory_recent =
       relay.directory_requested_at.has_value() &&
@@ -112,7 +141,7 @@
   // While failure detection is suspended, unreachable agents count as possible
   // owners. Every agent has therefore denied ownership explicitly at this
   // point.
-  const bool were_all_queried = search.queried.size() < kMaxSearchedAgents;
+  const bool were_all_queried = search.asked.size() < kMaxSearchedAgents;
   if (were_all_queried) {
     AddReset(ResetCaller{flow, search.acknowledged, FlowResetReason::kNoOwner},
              relay.counters.resets, actions);
@@ -125,7 +154,7 @@
 
 void StartSearch(BalancerRelay& relay, const FlowTuple& flow,
                  const FlowPacket& packet, std::span<const uint8_t> raw,
-                 std::vector<Endpoint> denied, TimePoint now,
+                 std::span<const Endpoint> denied, TimePoint now,
                  RelayActions& actions) {
   if (relay.searches.size() >= kMaxSearches) {
     ++relay.counters.searches_refused;
@@ -133,7 +162,7 @@
   }
   OwnerSearch search;
   search.started = now;
-  search.denied = std::move(denied);
+  for (const Endpoint& agent : denied) RecordDenial(search, agent);
   search.packets.emplace_back(raw.begin(), raw.end());
   search.acknowledged = packet.acknowledged;
   ++relay.counters.searches;
@@ -159,7 +188,7 @@
     search.packets.emplace_back(raw.begin(), raw.end());
   }
   for (const Endpoint& agent : search.probed) {
-    if (Contains(search.denied, agent)) continue;
+    if (!Contains(search.pending, agent)) continue;
     actions.push_back(RelayToAgent{
         agent,
         MakeHeader(relay, RelayPurpose::kProbe, OwnerServicesOf(relay, flow)),
@@ -173,11 +202,11 @@
   const auto found = relay.searches.find(reply.flow);
   if (found == relay.searches.end()) return;
   ++relay.counters.owners_found;
-  // A probed agent has received the packets already.
-  if (!Contains(found->second.probed, reply.agent)) {
-    SendBufferedPackets(relay, reply.flow, found->second, reply.agent,
-                        RelayPurpose::kEstablished, actions);
-  }
+  // A probed agent has received the first packet already.
+  const size_t received = Contains(found->second.probed, reply.agent) ? 1 : 0;
+  SendBufferedPackets(relay, reply.flow,
+                      std::span(found->second.packets).subspan(received),
+                      reply.agent, RelayPurpose::kEstablished, actions);
   relay.searches.erase(found);
 }
 
@@ -188,8 +217,8 @@
   OwnerSearch& search = found->second;
   if (Contains(search.probed, reply.agent)) return;
   search.probed.push_back(reply.agent);
-  SendBufferedPackets(relay, reply.flow, search, reply.agent,
-                      RelayPurpose::kProbe, actions);
+  SendBufferedPackets(relay, reply.flow, std::span(search.packets).first(1),
+                      reply.agent, RelayPurpose::kProbe, actions);
 }
 
 void HandleNotOwned(BalancerRelay& relay, const OwnershipReply& reply,
@@ -202,17 +231,15 @@
   }
   const auto found = relay.searches.find(reply.flow);
   if (found != relay.searches.end()) {
-    OwnerSearch& search = found->second;
-    if (!Contains(search.denied, reply.agent)) {
-      search.denied.push_back(reply.agent);
-    }
+    RecordDenial(found->second, reply.agent);
     ContinueSearch(relay, reply.flow, now, actions);
     return;
   }
   // A cache entry means that another agent has claimed the flow in the
   // meantime; the caller retransmits the packet.
   if (raw.empty() || packet.is_reset || cached != nullptr) return;
-  StartSearch(relay, reply.flow, packet, raw, {reply.agent}, now, actions);
+  StartSearch(relay, reply.flow, packet, raw, std::span(&reply.agent, 1), now,
+              actions);
 }
 
 }  // namespace
@@ -275,6 +302,16 @@
   }
 }
 
+void FlushOwnershipQueries(BalancerRelay& relay, RelayActions& actions) {
+  const auto allowed_services = [&relay](const FlowTuple& flow) {
+    return OwnerServicesOf(relay, flow);
+  };
+  for (SendOwnershipBatchQuery& batch :
+       TakeBatchQueries(relay.searches, allowed_services)) {
+    actions.push_back(std::move(batch));
+  }
+}
+
 void HandleDirectoryRefreshed(BalancerRelay& relay, TimePoint requested_at,
                               TimePoint now, RelayActions& actions) {
   relay.directory_requested_at = requested_at;
@@ -303,6 +340,8 @@
   }
   // Agents that were queried may have become absent since.
   for (const FlowTuple& flow : waiting) {
+    RemoveAbsentAgents(relay.searches.at(flow), relay.directory, now);
+    RetryQueries(relay, flow, now, actions);
     ContinueSearch(relay, flow, now, actions);
   }
   const Millis configured = relay.routes.configuration.flow_idle_timeout;
--- a/packages/coordination/src/owner_search.cc
+++ b/packages/coordination/src/owner_search.cc
@@ -1,8 +1,22 @@
 #include "medlarwinch/coordination/owner_search.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarwinch {
+namespace {
+
+bool IsInSorted(const std::vector<Endpoint>& agents, const Endpoint& agent) {
+  return std::binary_search(agents.begin(), agents.end(), agent);
+}
+
+void InsertSorted(std::vector<Endpoint>& agents, const Endpoint& agent) {
+  const auto position = std::lower_bound(agents.begin(), agents.end(), agent);
+  if (position != agents.end() && *position == agent) return;
+  agents.insert(position, agent);
+}
+
+}  // namespace
 
 bool Contains(std::span<const Endpoint> agents, const Endpoint& agent) {
   return std::find(agents.begin(), agents.end(), agent) != agents.end();
@@ -19,33 +33,33 @@
     Endpoint agent;
     ServiceId service;
   };
-  const bool is_first_round = search.queried.empty();
   std::vector<ScoredAgent> scored;
   for (const auto& [agent, upstream] : directory.upstreams) {
     if (!MayOwnFlows(directory, upstream, now)) continue;
-    if (Contains(search.queried, agent)) continue;
-    if (Contains(search.denied, agent)) continue;
+    if (IsInSorted(search.asked, agent)) continue;
     const ServiceId service = upstream.report.service;
-    const bool is_allowed = Contains(allowed, service);
-    scored.push_back(
-        ScoredAgent{is_allowed, PlacementScore(flow, agent), agent, service});
+    scored.push_back(ScoredAgent{Contains(allowed, service),
+                                 PlacementScore(flow, agent), agent, service});
   }
   std::sort(scored.begin(), scored.end(),
             [](const ScoredAgent& a, const ScoredAgent& b) {
               if (a.is_allowed != b.is_allowed) return a.is_allowed;
               return a.score > b.score;
             });
-  const size_t queried = std::min(kMaxSearchedAgents, search.queried.size());
-  const size_t remaining = kMaxSearchedAgents - queried;
+  const bool is_first_round = search.last_queried == TimePoint{};
+  const size_t remaining =
+      kMaxSearchedAgents - std::min(kMaxSearchedAgents, search.asked.size());
+  const size_t max_agents =
+      is_first_round ? kMaxAgentsPerSearchRound : remaining;
   std::map<ServiceId, size_t> queried_per_service;
   std::vector<Endpoint> next;
   for (const ScoredAgent& candidate : scored) {
-    if (next.size() >= std::min(remaining, kMaxAgentsPerSearchRound)) break;
-    // Agents of other services are queried in a separate round: they own the
-    // flow only when an earlier configuration sent it there.
-    if (!next.empty() && !candidate.is_allowed && scored.front().is_allowed) {
-      break;
-    }
+    if (next.size() >= max_agents) break;
+    // Agents of other services are left to the next round: they own the flow
+    // only when an earlier configuration sent it there.
+    const bool is_unlikely =
+        !candidate.is_allowed && scored.front().is_allowed && !next.empty();
+    if (is_first_round && is_unlikely) break;
     if (is_first_round && ++queried_per_service[candidate.service] >
                               kFirstRoundAgentsPerService) {
       continue;
@@ -55,15 +69,59 @@
   return next;
 }
 
-bool IsDeniedByAllQueried(const UpstreamDirectory& directory,
-                          const OwnerSearch& search, TimePoint now) {
-  for (const Endpoint& agent : search.queried) {
-    if (Contains(search.denied, agent)) continue;
+void AddQueried(OwnerSearch& search, std::span<const Endpoint> agents,
+                TimePoint now) {
+  search.last_queried = now;
+  for (const Endpoint& agent : agents) {
+    InsertSorted(search.asked, agent);
+    InsertSorted(search.pending, agent);
+  }
+}
+
+void RecordDenial(OwnerSearch& search, const Endpoint& agent) {
+  InsertSorted(search.asked, agent);
+  const auto found =
+      std::lower_bound(search.pending.begin(), search.pending.end(), agent);
+  if (found != search.pending.end() && *found == agent) {
+    search.pending.erase(found);
+  }
+}
+
+void RemoveAbsentAgents(OwnerSearch& search, const UpstreamDirectory& directory,
+                        TimePoint now) {
+  std::erase_if(search.pending, [&](const Endpoint& agent) {
     const auto found = directory.upstreams.find(agent);
-    if (found == directory.upstreams.end()) continue;
-    if (MayOwnFlows(directory, found->second, now)) return false;
+    return found == directory.upstreams.end() ||
+           !MayOwnFlows(directory, found->second, now);
+  });
+}
+
+std::vector<SendOwnershipBatchQuery> TakeBatchQueries(
+    OwnerSearches& searches,
+    const std::function<std::span<const ServiceId>(const FlowTuple&)>&
+        allowed_services) {
+  using BatchKey = std::pair<Endpoint, std::vector<ServiceId>>;
+  std::vector<SendOwnershipBatchQuery> batches;
+  std::map<BatchKey, size_t> open_batches;
+  for (auto& [flow, search] : searches) {
+    if (search.unsent.empty()) continue;
+    const std::span<const ServiceId> services = allowed_services(flow);
+    const std::vector<ServiceId> allowed(services.begin(), services.end());
+    for (const Endpoint& agent : search.unsent) {
+      if (!IsInSorted(search.pending, agent)) continue;
+      const auto [position, is_new] =
+          open_batches.try_emplace(BatchKey{agent, allowed}, batches.size());
+      if (is_new ||
+          batches[position->second].query.flows.size() >= kMaxBatchedFlows) {
+        position->second = batches.size();
+        batches.push_back(SendOwnershipBatchQuery{agent, {allowed, {}}});
+      }
+      batches[position->second].query.flows.push_back(
+          QueriedFlow{flow, search.acknowledged});
+    }
+    search.unsent.clear();
   }
-  return true;
+  return batches;
 }
 
 }  // namespace medlarwinch
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -208,6 +208,30 @@
 
 // Guards against the denial of a flow by a restarted agent that has lost its
 // record of the upstream's flows.
+// Guards against a batch that claims or denies another flow than it names.
+BOOST_AUTO_TEST_CASE(OwnedAndUnknownFlow_BatchQuery_EachIsAnswered) {
+  OpenWithRequest(1);
+  const FlowTuple owned = FlowFromCaller(CallerPacket(1, 0));
+  const FlowTuple unknown = FlowFromCaller(CallerPacket(2, 0));
+  RelayActions actions;
+  HandleOwnershipBatchQuery(
+      relay, kBalancerAddress,
+      OwnershipBatchQuery{{relay.service},
+                          {{owned, kUpstreamSequence + 1},
+                           {owned, kUpstreamSequence + 9'000},
+                           {unknown, 7}}},
+      now, actions);
+  const std::vector<SendOwnershipBatchReply> replies =
+      ActionsOf<SendOwnershipBatchReply>(actions);
+  BOOST_REQUIRE(replies.size() == 1);
+  BOOST_CHECK(replies[0].balancer == kBalancerAddress);
+  const std::vector<ReportedOwnership> expected = {
+      {owned, FlowOwnership::kOwned},
+      {owned, FlowOwnership::kNotOwned},
+      {unknown, FlowOwnership::kNotOwned}};
+  BOOST_CHECK(replies[0].flows == expected);
+}
+
 BOOST_AUTO_TEST_CASE(
     RestartedAgent_OwnershipQuery_IsUndeterminedUntilPacketReturned) {
   relay.knows_all_flows = false;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -32,6 +33,7 @@
   void HandleMessage(const Endpoint& from, ByteView datagram);
   void HandleStatus(const Endpoint& from, const AgentStatus& status);
   void ExecuteActions(RelayActions& actions, ByteView packet);
+  void SchedulePendingQueries();
   void SendReset(const ResetCaller& reset);
   void HandleConfiguration(const StoredObject& object);
   void HandleAgentListing(const ObjectListing& listing);
@@ -67,6 +69,8 @@
   std::unique_ptr<StoreConnection> removal_store_;
   std::unique_ptr<PeriodicTimer> poll_timer_;
   std::unique_ptr<PeriodicTimer> lost_agent_timer_;
+  /// Sends the collected ownership queries.
+  boost::asio::steady_timer flush_timer_;
   NodeRuntime runtime_;
   TimePoint first_listing_at_;
   TimePoint last_packet_at_;
@@ -76,6 +80,7 @@
   TimePoint stop_requested_at_;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
+  bool is_flush_scheduled_ = false;
   bool is_confirming_ = false;
   bool is_stopping_ = false;
 };
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -104,6 +104,13 @@
     ExecuteActions(actions_, {});
     return;
   }
+  if (const OwnershipBatchQuery* query =
+          std::get_if<OwnershipBatchQuery>(&message)) {
+    actions_.clear();
+    HandleOwnershipBatchQuery(relay_, from, *query, MonotonicNow(), actions_);
+    ExecuteActions(actions_, {});
+    return;
+  }
   if (const AgentPoll* poll = std::get_if<AgentPoll>(&message)) {
     HandlePoll(from, *poll);
     return;
@@ -259,6 +266,12 @@
       relay_socket_->Send(reply->balancer, message_buffer_);
       continue;
     }
+    if (const SendOwnershipBatchReply* reply =
+            std::get_if<SendOwnershipBatchReply>(&action)) {
+      EncodeRelayMessage(OwnershipBatchReply{reply->flows}, message_buffer_);
+      relay_socket_->Send(reply->balancer, message_buffer_);
+      continue;
+    }
     if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
       LogDroppedPackets(log_limiter_, *drop, MonotonicNow());
       continue;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/node/balancer_node.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "medlarwinch/node/node_metrics.h"
@@ -35,6 +36,7 @@
     : loop_(loop),
       settings_(settings),
       platform_(std::move(platform)),
+      flush_timer_(loop),
       runtime_(loop, settings_, platform_) {
   relay_.self = settings.relay_address;
   relay_.random.seed(seed);
@@ -122,6 +124,17 @@
     HandleStatus(from, *status);
     return;
   }
+  if (const OwnershipBatchReply* batch =
+          std::get_if<OwnershipBatchReply>(&message)) {
+    actions_.clear();
+    for (const ReportedOwnership& reported : batch->flows) {
+      HandleOwnershipReply(
+          relay_, OwnershipReply{from, reported.flow, reported.ownership}, {},
+          {}, now, actions_);
+    }
+    ExecuteActions(actions_, {});
+    return;
+  }
   const FlowOwnershipReply* reply = std::get_if<FlowOwnershipReply>(&message);
   if (reply == nullptr) {
     ++malformed_messages_;
@@ -198,6 +211,16 @@
       agent_socket_->Send(query->to, message_buffer_);
       continue;
     }
+    if (const SendOwnershipBatchQuery* batch =
+            std::get_if<SendOwnershipBatchQuery>(&action)) {
+      EncodeRelayMessage(batch->query, message_buffer_);
+      agent_socket_->Send(batch->to, message_buffer_);
+      continue;
+    }
+    if (std::holds_alternative<ScheduleQueryFlush>(action)) {
+      SchedulePendingQueries();
+      continue;
+    }
     if (std::holds_alternative<RefreshDirectory>(action)) {
       ConfirmAgents();
       continue;
@@ -212,6 +235,19 @@
   }
 }
 
+void BalancerNode::SchedulePendingQueries() {
+  if (is_flush_scheduled_) return;
+  is_flush_scheduled_ = true;
+  flush_timer_.expires_after(std::chrono::milliseconds(kQueryBatchDelay.value));
+  flush_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    is_flush_scheduled_ = false;
+    RelayActions actions;
+    FlushOwnershipQueries(relay_, actions);
+    ExecuteActions(actions, {});
+  });
+}
+
 void BalancerNode::SendReset(const ResetCaller& reset) {
   SendResetPacket(*caller_socket_, platform_, reset);
   if (!AllowResetLogLine(log_limiter_, MonotonicNow())) return;
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -36,6 +36,14 @@
                          const FlowOwnershipReply&) = default;
 };
 
+/// Agent to balancer: reply to an OwnershipBatchQuery.
+struct OwnershipBatchReply {
+  std::vector<ReportedOwnership> flows;
+
+  friend bool operator==(const OwnershipBatchReply&,
+                         const OwnershipBatchReply&) = default;
+};
+
 /// Balancer to agent: requests a status report.
 struct AgentPoll {
   /// False if the store has no entry of the agent, which makes the agent write
@@ -95,6 +103,28 @@
           Bounded(query.allowed, kMaxRelayServices));
 }
 
+template <typename Archive>
+void serialize(Archive& archive, QueriedFlow& queried) {
+  archive(queried.flow, queried.acknowledged);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OwnershipBatchQuery& query) {
+  archive(Bounded(query.allowed, kMaxRelayServices),
+          Bounded(query.flows, kMaxBatchedFlows));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ReportedOwnership& reported) {
+  archive(reported.flow,
+          BoundedEnum(reported.ownership, FlowOwnership::kUndetermined));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OwnershipBatchReply& message) {
+  archive(Bounded(message.flows, kMaxBatchedFlows));
+}
+
 template <typename Archive>
 void serialize(Archive& archive, FlowOwnershipReply& message) {
   archive(message.flow,
@@ -112,8 +142,11 @@
   archive(message.report, message.configuration_revision);
 }
 
-using RelayMessage = std::variant<RelayedPacket, OwnershipQuery,
-                                  FlowOwnershipReply, AgentPoll, AgentStatus>;
+/// New messages are appended, so that processes of different versions read each
+/// other's older messages.
+using RelayMessage =
+    std::variant<RelayedPacket, OwnershipQuery, FlowOwnershipReply, AgentPoll,
+                 AgentStatus, OwnershipBatchQuery, OwnershipBatchReply>;
 
 /// Replaces the content of `bytes` with the encoding of `message`.
 void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -71,6 +71,10 @@
       RelayMessage(OwnershipQuery{{{1, 2}, {3, 4}}, 9, header.allowed}));
   CheckMutations(RelayMessage(FlowOwnershipReply{
       {{1, 2}, {3, 4}}, FlowOwnership::kUndetermined, Bytes(50, 1)}));
+  CheckMutations(RelayMessage(OwnershipBatchQuery{
+      header.allowed, {{{{1, 2}, {3, 4}}, 9}, {{{5, 6}, {3, 4}}, 10}}}));
+  CheckMutations(RelayMessage(
+      OwnershipBatchReply{{{{{1, 2}, {3, 4}}, FlowOwnership::kOwned}}}));
   CheckMutations(RelayMessage(AgentPoll{false, 12}));
   AgentReport report;
   report.phase = UpstreamPhase::kDraining;
@@ -78,6 +82,20 @@
   CheckMutations(RelayMessage(AgentStatus{report, 12}));
 }
 
+// Guards against batches that exceed the maximum datagram size.
+BOOST_AUTO_TEST_CASE(LargestOwnershipBatch_Encoded_FitsOneMessage) {
+  OwnershipBatchQuery query;
+  query.allowed.resize(kMaxRelayServices);
+  query.flows.resize(kMaxBatchedFlows);
+  Bytes bytes;
+  EncodeRelayMessage(query, bytes);
+  BOOST_TEST(bytes.size() <= kMaxRelayMessageBytes);
+  OwnershipBatchReply reply;
+  reply.flows.resize(kMaxBatchedFlows);
+  EncodeRelayMessage(reply, bytes);
+  BOOST_TEST(bytes.size() <= kMaxRelayMessageBytes);
+}
+
 // Guards against relayed packets that exceed the maximum datagram size.
 BOOST_AUTO_TEST_CASE(LargestRelayedPacket_Encoded_FitsOneMessage) {
   RelayHeader header;
