Detect upstreams that have exited by a refused connection; fewer store calls

The same holds for every upstream that crashes for good. Calls to the store: each balancer waited 3 s in its watch of the configuration and read every version of a storm and every entry of a release by a call of its own.

Change: an agent that stops, whose upstream leaves packets unanswered, or whose first heartbeat is overdue, connects to the upstream's address. A refused connection proves that the upstream has exited: its flows are reset at once and its entry is withdrawn. A later heartbeat of the same start makes it ready again. The wait of the configuration watch grows with the number of balancers, which agents report, and is spread at random, since the first balancer that finds a newer revision informs all others through the agents. Changes in quick succession are read together, and the first list of agents may be stale.

--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/agent_relay.h
@@ -75,6 +75,8 @@
   /// Time at which the first packet that requires an answer was delivered since
   /// the last contact.
   std::optional<TimePoint> unanswered_since;
+  /// Start of the last check whether the upstream runs.
+  std::optional<TimePoint> upstream_checked_at;
   Millis heartbeat_interval{1'000};
   TimePoint started;
   AgentCounters counters;
@@ -115,6 +117,23 @@
 bool HandleDeregistration(AgentRelay& relay, const std::string& id,
                           TimePoint now);
 
+/// Minimum time between two checks whether the upstream runs.
+inline constexpr Millis kMinUpstreamCheckInterval{500};
+
+/// Returns true if a connection to the upstream's address is to be tried, to
+/// find out whether the upstream still runs: the agent stops, the upstream
+/// leaves packets unanswered, or its first heartbeat is overdue.
+bool NeedsUpstreamCheck(const AgentRelay& relay, TimePoint now);
+
+/// Records that a check has started.
+void BeginUpstreamCheck(AgentRelay& relay, TimePoint now);
+
+/// Processes a refused connection: nothing listens at the upstream's address,
+/// so the upstream has exited and all its flows are lost. Returns false when
+/// the upstream was heard from since the check began.
+bool HandleConnectionRefused(AgentRelay& relay, TimePoint now,
+                             RelayActions& actions);
+
 /// Updates averages, removes expired state and detects an absent upstream. To
 /// be called about every 100 ms.
 void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions);
--- a/packages/coordination/include/medlarwinch/coordination/local_upstream.h
+++ b/packages/coordination/include/medlarwinch/coordination/local_upstream.h
@@ -41,6 +41,9 @@
   /// Time at which this incarnation announced its deregistration; it exits soon
   /// after the acknowledgement.
   std::optional<TimePoint> deregistered_at;
+  /// Time at which this incarnation was found to have exited without a
+  /// deregistration.
+  std::optional<TimePoint> exited_at;
 
   friend bool operator==(const LocalUpstream&, const LocalUpstream&) = default;
 };
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/agent_relay.cc
@@ -348,9 +348,10 @@
     ResetAllFlows(relay, now, actions);
     relay.knows_all_flows = true;
   }
-  if (effect == HeartbeatEffect::kFirst &&
-      heartbeat.sequence <= kFirstHeartbeatSequence) {
-    relay.knows_all_flows = true;
+  if (effect == HeartbeatEffect::kFirst) {
+    // An upstream that was considered absent still has the flows that were
+    // removed here.
+    relay.knows_all_flows = heartbeat.sequence <= kFirstHeartbeatSequence;
   }
   return effect;
 }
@@ -360,6 +361,42 @@
   return ApplyDeregistration(relay.upstream, id, now);
 }
 
+bool NeedsUpstreamCheck(const AgentRelay& relay, TimePoint now) {
+  if (relay.upstream.phase == UpstreamPhase::kAbsent) return false;
+  if (relay.upstream_checked_at.has_value() &&
+      now - *relay.upstream_checked_at < kMinUpstreamCheckInterval) {
+    return false;
+  }
+  // Half an interval more than a running upstream needs at most.
+  const bool is_heartbeat_overdue =
+      relay.upstream.phase == UpstreamPhase::kUnknown &&
+      (now - relay.started) * 2 >= relay.heartbeat_interval * 3;
+  return relay.is_stopping || is_heartbeat_overdue ||
+         IsUnresponsive(relay, now);
+}
+
+void BeginUpstreamCheck(AgentRelay& relay, TimePoint now) {
+  relay.upstream_checked_at = now;
+}
+
+bool HandleConnectionRefused(AgentRelay& relay, TimePoint now,
+                             RelayActions& actions) {
+  const bool was_heard_since =
+      relay.upstream_last_contact.has_value() &&
+      relay.upstream_checked_at.has_value() &&
+      *relay.upstream_last_contact > *relay.upstream_checked_at;
+  if (was_heard_since || relay.upstream.phase == UpstreamPhase::kAbsent) {
+    return false;
+  }
+  relay.upstream.phase = UpstreamPhase::kAbsent;
+  relay.upstream.exited_at = now;
+  relay.knows_all_flows = true;
+  relay.unanswered_since.reset();
+  DenyProbes(relay, actions);
+  ResetAllFlows(relay, now, actions);
+  return true;
+}
+
 void HandleAgentTick(AgentRelay& relay, TimePoint now, RelayActions& actions) {
   if (IsNotRunning(relay, now)) DenyProbes(relay, actions);
   const TimePoint last_contact =
--- a/packages/coordination/src/local_upstream.cc
+++ b/packages/coordination/src/local_upstream.cc
@@ -16,7 +16,8 @@
       return HeartbeatEffect::kIgnored;
   }
   // A delayed heartbeat must not revive an upstream that has deregistered.
-  if (is_same && upstream.phase == UpstreamPhase::kAbsent) {
+  if (is_same && upstream.phase == UpstreamPhase::kAbsent &&
+      upstream.deregistered_at.has_value()) {
     return HeartbeatEffect::kIgnored;
   }
   const UpstreamPhase before = upstream.phase;
@@ -32,8 +33,11 @@
   upstream.slots = heartbeat.slots;
   upstream.cold_until = now + heartbeat.cold_remaining;
   upstream.last_heartbeat = now;
+  upstream.exited_at.reset();
   if (!is_same) upstream.deregistered_at.reset();
-  if (is_first) return HeartbeatEffect::kFirst;
+  // The upstream was silent for long, but has not exited.
+  const bool is_revived = is_same && before == UpstreamPhase::kAbsent;
+  if (is_first || is_revived) return HeartbeatEffect::kFirst;
   if (!is_same) return HeartbeatEffect::kNewIncarnation;
   if (upstream.phase != before) return HeartbeatEffect::kDraining;
   return HeartbeatEffect::kUnchanged;
--- /dev/null
+++ b/packages/coordination/src/store_watch_policy.cc
@@ -0,0 +1,34 @@
+#include "medlarwinch/coordination/store_watch_policy.h"
+
+#include <algorithm>
+
+namespace medlarwinch {
+namespace {
+
+// Coalesces the entries of agents that start together with this balancer.
+constexpr Millis kInitialCoalescingDelay{200};
+// Number of agents from which one agent is a small part of the deployment.
+constexpr size_t kLargeDeploymentAgents = 32;
+constexpr Millis kLargeDeploymentCoalescingDelay{500};
+
+}  // namespace
+
+Millis ConfigurationWatchWait(size_t balancers, uint64_t random_value) {
+  const Millis longest =
+      std::min(kMinConfigurationWatchWait +
+                   kWatchWaitPerBalancer * static_cast<int64_t>(balancers),
+               kMaxConfigurationWatchWait);
+  const uint64_t span =
+      static_cast<uint64_t>((longest - kMinConfigurationWatchWait).value);
+  return kMinConfigurationWatchWait +
+         Millis{static_cast<int64_t>(random_value % (span + 1))};
+}
+
+Millis AgentListCoalescingDelay(size_t known_agents, bool has_traffic) {
+  if (known_agents >= kLargeDeploymentAgents) {
+    return kLargeDeploymentCoalescingDelay;
+  }
+  return has_traffic ? Millis{0} : kInitialCoalescingDelay;
+}
+
+}  // namespace medlarwinch
--- a/packages/coordination/tests/agent_relay_test.cc
+++ b/packages/coordination/tests/agent_relay_test.cc
@@ -208,6 +208,80 @@
 
 // Guards against the denial of a flow by a restarted agent that has lost its
 // record of the upstream's flows.
+// Guards against searches that no agent can settle: after a loss of power the
+// upstream of an agent did not return, and the agent announced its own restart
+// when its VM was taken away.
+BOOST_AUTO_TEST_CASE(UpstreamNeverHeard_StopAndRefusedConnection_IsAbsent) {
+  AgentRelay restarted;
+  restarted.service = relay.service;
+  restarted.started = now;
+  restarted.heartbeat_interval = Millis{1'200};
+  BOOST_TEST(!NeedsUpstreamCheck(restarted, now));
+  restarted.is_stopping = true;
+  BOOST_REQUIRE(NeedsUpstreamCheck(restarted, now));
+  BeginUpstreamCheck(restarted, now);
+  BOOST_TEST(!NeedsUpstreamCheck(restarted, now));
+  RelayActions actions;
+  BOOST_TEST(HandleConnectionRefused(restarted, now, actions));
+  BOOST_CHECK(ReportedPhase(restarted, now) == UpstreamPhase::kAbsent);
+  BOOST_TEST(restarted.knows_all_flows);
+}
+
+BOOST_AUTO_TEST_CASE(FirstHeartbeatOverdue_Upstream_IsChecked) {
+  AgentRelay restarted;
+  restarted.started = now;
+  restarted.heartbeat_interval = Millis{1'200};
+  BOOST_TEST(!NeedsUpstreamCheck(restarted, now + Millis{1'799}));
+  BOOST_TEST(NeedsUpstreamCheck(restarted, now + Millis{1'800}));
+}
+
+// Guards against callers that wait seconds for the missed heartbeats of an
+// upstream that has crashed.
+BOOST_AUTO_TEST_CASE(CrashedUpstream_ConnectionRefused_FlowsAreResetAtOnce) {
+  OpenWithRequest(1);
+  now = now + Millis{100};
+  Relay(OpeningPacket(2));
+  BOOST_TEST(!NeedsUpstreamCheck(relay, now));
+  now = now + kOpeningResponseTimeout;
+  BOOST_REQUIRE(NeedsUpstreamCheck(relay, now));
+  BeginUpstreamCheck(relay, now);
+  RelayActions actions;
+  BOOST_TEST(HandleConnectionRefused(relay, now, actions));
+  const std::vector<ResetCaller> resets = ActionsOf<ResetCaller>(actions);
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kUpstreamRestarted);
+  BOOST_CHECK(QueryOwnership(1, kUpstreamSequence + 1) ==
+              FlowOwnership::kNotOwned);
+}
+
+// Guards against the loss of an upstream that only restarted its listener.
+BOOST_AUTO_TEST_CASE(HeardSinceCheckBegan_ConnectionRefused_IsIgnored) {
+  relay.is_stopping = true;
+  BeginUpstreamCheck(relay, now);
+  now = now + Millis{1};
+  ++heartbeat.sequence;
+  SendHeartbeat();
+  RelayActions actions;
+  BOOST_TEST(!HandleConnectionRefused(relay, now, actions));
+  BOOST_CHECK(relay.upstream.phase == UpstreamPhase::kReady);
+}
+
+// Guards against an upstream that stays unused for good after it was silent:
+// its flows are not known any more, but it accepts new ones.
+BOOST_AUTO_TEST_CASE(AbsentUpstream_NewerHeartbeatOfSameStart_IsReadyAgain) {
+  OpenWithRequest(1);
+  BeginUpstreamCheck(relay, now);
+  RelayActions actions;
+  BOOST_REQUIRE(HandleConnectionRefused(relay, now, actions));
+  SendHeartbeat();
+  BOOST_CHECK(relay.upstream.phase == UpstreamPhase::kAbsent);
+  ++heartbeat.sequence;
+  SendHeartbeat();
+  BOOST_CHECK(relay.upstream.phase == UpstreamPhase::kReady);
+  BOOST_CHECK(QueryOwnership(1, kUpstreamSequence + 1) ==
+              FlowOwnership::kUndetermined);
+}
+
 // Guards against a batch that claims or denies another flow than it names.
 BOOST_AUTO_TEST_CASE(OwnedAndUnknownFlow_BatchQuery_EachIsAnswered) {
   OpenWithRequest(1);
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,7 @@
   void SendReset(const ResetCaller& reset);
   void SendStatus(const Endpoint& balancer);
   void AnnouncePhase(const char* cause);
+  void CheckUpstream();
   void Tick();
   void BeginStop();
   std::string RenderMetrics();
@@ -59,6 +61,7 @@
   std::unique_ptr<AsyncUdpSocket> relay_socket_;
   std::unique_ptr<AsyncUdpSocket> upstream_socket_;
   std::unique_ptr<AsyncHttpServer> notice_server_;
+  boost::asio::steady_timer upstream_check_timer_;
   NodeRuntime runtime_;
   TimePoint stop_requested_at_;
   bool is_withdraw_requested_ = false;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -78,6 +78,8 @@
   TimePoint last_refresh_at_;
   TimePoint last_confirmation_at_;
   TimePoint stop_requested_at_;
+  /// Number of balancers that an agent last reported.
+  uint32_t reported_balancers_ = 0;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
   bool is_flush_scheduled_ = false;
--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -53,8 +53,9 @@
 
   virtual ~StoreConnection() = default;
 
-  /// Reads all objects of `kind`.
-  virtual void List(const std::string& kind,
+  /// Reads all objects of `kind`. With `allow_stale` the call costs less, but
+  /// the listing may be seconds old.
+  virtual void List(const std::string& kind, bool allow_stale,
                     Callback<ObjectListing> callback) = 0;
 
   /// Waits up to `wait` for changes after `revision`. With `allow_stale` the
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -14,9 +14,11 @@
 /// The kind of objects to watch, and how to watch them.
 struct WatchOptions {
   std::string kind;
-  /// Long-poll time of one watch call.
+  /// Long-poll time of a watch call, unless StoreObserver::wait is set.
   Millis wait{3'000};
-  /// Allows changes to be reported seconds late, which makes calls cheaper.
+  /// Allows the first listing to be seconds old and changes to be reported
+  /// seconds late, which makes calls cheaper. Later listings are never stale:
+  /// they replace a history that the store no longer has.
   bool allow_stale = false;
 };
 
@@ -25,6 +27,8 @@
   /// Reports all objects; objects missing from the listing have been removed.
   std::function<void(const ObjectListing&)> on_listing;
   std::function<void(const ObjectChange&)> on_change;
+  /// Returns the long-poll time of the next watch call. Optional.
+  std::function<Millis()> wait;
   /// Returns the delay between changes and the next watch call, so that changes
   /// in quick succession are read by one call. Optional; the default is no
   /// delay.
@@ -70,6 +74,7 @@
   StoreObserver observer_;
   uint64_t revision_ = 0;
   uint32_t failures_ = 0;
+  bool is_first_listing_ = true;
   bool is_connected_ = false;
 };
 
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -1,6 +1,9 @@
 #include "medlarwinch/node/agent_node.h"
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
 #include <utility>
 
 #include "medlarwinch/node/node_metrics.h"
@@ -22,6 +25,11 @@
 // A stopping agent whose upstream is absent or deregistered exits once its
 // entry is withdrawn, or after this time.
 constexpr Millis kWithdrawTimeout{1'500};
+// Number of reports after which the polling balancer is told the number of
+// balancers.
+constexpr uint64_t kReportsPerBalancerCount = 64;
+// A running upstream on the same VM accepts connections within a millisecond.
+constexpr Millis kUpstreamCheckTimeout{300};
 constexpr double kNoticeLogLinesPerSecond = 10;
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
@@ -46,6 +54,7 @@
                     AgentEntryName(settings.datagram_address),
                     EncodeAgentEntry(MakeOwnEntry(settings), settings.service),
                     seed),
+      upstream_check_timer_(loop),
       runtime_(loop, settings_, platform_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
@@ -137,6 +146,12 @@
   configuration_revision_ =
       std::max(configuration_revision_, poll.configuration_revision);
   SendStatus(from);
+  if (report_sequence_ % kReportsPerBalancerCount == 0) {
+    EncodeRelayMessage(
+        BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
+        message_buffer_);
+    relay_socket_->Send(from, message_buffer_);
+  }
   registration_.RecordPoll(from, poll.is_listed, now);
 }
 
@@ -331,8 +346,40 @@
   }
 }
 
+// Connects to the upstream's address, where a running upstream listens for
+// health checks, and closes the connection without a request.
+void AgentNode::CheckUpstream() {
+  if (!NeedsUpstreamCheck(relay_, MonotonicNow())) return;
+  BeginUpstreamCheck(relay_, MonotonicNow());
+  using boost::asio::ip::tcp;
+  const auto socket = std::make_shared<tcp::socket>(loop_);
+  upstream_check_timer_.expires_after(
+      std::chrono::milliseconds(kUpstreamCheckTimeout.value));
+  upstream_check_timer_.async_wait([socket](boost::system::error_code error) {
+    if (error) return;
+    boost::system::error_code ignored;
+    socket->close(ignored);
+  });
+  const tcp::endpoint address(
+      boost::asio::ip::address_v4(settings_.upstream_address.ip),
+      settings_.upstream_address.port);
+  socket->async_connect(address,
+                        [this, socket](boost::system::error_code error) {
+                          upstream_check_timer_.cancel();
+                          if (error != boost::asio::error::connection_refused)
+                            return;
+                          actions_.clear();
+                          const TimePoint now = MonotonicNow();
+                          if (!HandleConnectionRefused(relay_, now, actions_))
+                            return;
+                          ExecuteActions(actions_, {});
+                          AnnouncePhase("connection_refused");
+                        });
+}
+
 void AgentNode::Tick() {
   const TimePoint now = MonotonicNow();
+  CheckUpstream();
   relay_.heartbeat_interval = settings_.heartbeat_interval;
   actions_.clear();
   HandleAgentTick(relay_, now, actions_);
@@ -346,8 +393,9 @@
   const bool is_contact_lost =
       now - relay_.upstream_last_contact.value_or(relay_.started) >=
       kLostUpstreamWithdrawDelay;
-  if (is_absent && (is_deregistered || is_contact_lost) &&
-      !is_withdraw_requested_) {
+  const bool has_left =
+      is_deregistered || relay_.upstream.exited_at.has_value();
+  if (is_absent && (has_left || is_contact_lost) && !is_withdraw_requested_) {
     is_withdraw_requested_ = true;
     registration_.Withdraw();
   }
@@ -357,7 +405,7 @@
   const Millis stop_elapsed = now - stop_requested_at_;
   const bool is_withdraw_complete = is_absent && registration_.is_in_sync();
   const Millis exit_delay =
-      is_absent || is_deregistered ? kWithdrawTimeout : kStopPropagationDelay;
+      is_absent || has_left ? kWithdrawTimeout : kStopPropagationDelay;
   const bool may_exit = is_withdraw_complete || stop_elapsed >= exit_delay;
   if (!may_exit) return;
   Log(LogLevel::kInfo, "stop",
@@ -372,6 +420,7 @@
   relay_.is_stopping = true;
   stop_requested_at_ = MonotonicNow();
   AnnouncePhase("stopping");
+  CheckUpstream();
 }
 
 std::string AgentNode::RenderMetrics() {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -124,6 +124,10 @@
     HandleStatus(from, *status);
     return;
   }
+  if (const BalancerCount* count = std::get_if<BalancerCount>(&message)) {
+    reported_balancers_ = count->balancers;
+    return;
+  }
   if (const OwnershipBatchReply* batch =
           std::get_if<OwnershipBatchReply>(&message)) {
     actions_.clear();
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -1,6 +1,7 @@
 // The calls of a balancer to the platform's metadata store.
 #include <utility>
 
+#include "medlarwinch/coordination/store_watch_policy.h"
 #include "medlarwinch/node/agent_registration.h"
 #include "medlarwinch/node/balancer_node.h"
 #include "medlarwinch/transport/log.h"
@@ -9,17 +10,12 @@
 namespace medlarwinch {
 namespace {
 
-// Long-poll time of the watches. A dead connection is detected only after it.
-// For the configuration it must be less than 4 s, the time after which the
-// platform counts the VM as undisturbed again.
-constexpr Millis kConfigurationWatchWait{3'000};
+// Long-poll time of the watch of the agents. A silent connection is detected
+// only after it.
 constexpr Millis kAgentWatchWait{5'000};
 // Minimum time between two confirmations of the agent list. When many upstreams
 // are lost, many owner searches end at the same time.
 constexpr Millis kMinConfirmInterval{150};
-// Coalesces the entries of agents that start together with this balancer. Once
-// it has traffic, new agents are added without delay.
-constexpr Millis kInitialCoalescingDelay{200};
 
 }  // namespace
 
@@ -39,11 +35,15 @@
         is_connected ? "store_regained" : "store_lost",
         {{"watch", "configuration"}, {"reason", reason}});
   };
-  configuration_watch_ =
-      std::make_unique<StoreWatch>(loop_, platform_.open_store(),
-                                   WatchOptions{platform_.configuration_kind,
-                                                kConfigurationWatchWait, false},
-                                   relay_.random(), std::move(observer));
+  observer.wait = [this] {
+    return ConfigurationWatchWait(reported_balancers_, relay_.random());
+  };
+  observer.coalescing_delay = [] { return kConfigurationCoalescingDelay; };
+  configuration_watch_ = std::make_unique<StoreWatch>(
+      loop_, platform_.open_store(),
+      WatchOptions{platform_.configuration_kind, kMinConfigurationWatchWait,
+                   false},
+      relay_.random(), std::move(observer));
   configuration_watch_->Start();
 }
 
@@ -62,7 +62,8 @@
         {{"watch", "agents"}, {"reason", reason}});
   };
   observer.coalescing_delay = [this] {
-    return last_packet_at_ == TimePoint{} ? kInitialCoalescingDelay : Millis{0};
+    return AgentListCoalescingDelay(relay_.directory.upstreams.size(),
+                                    last_packet_at_ != TimePoint{});
   };
   agent_watch_ = std::make_unique<StoreWatch>(
       loop_, platform_.open_store(),
@@ -126,7 +127,7 @@
   if (confirmation_store_ == nullptr)
     confirmation_store_ = platform_.open_store();
   confirmation_store_->List(
-      kAgentEntryKind,
+      kAgentEntryKind, false,
       [this, requested_at](const Result<ObjectListing>& result) {
         is_confirming_ = false;
         if (!IsOk(result)) {
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -37,21 +37,26 @@
 }
 
 void StoreWatch::List() {
-  store_->List(options_.kind, [this](Result<ObjectListing> result) {
-    if (!IsOk(result)) {
-      Retry(ErrorOf(result).message, true);
-      return;
-    }
-    const ObjectListing listing = TakeValue(std::move(result));
-    revision_ = listing.revision;
-    SetConnected(true, "listed");
-    observer_.on_listing(listing);
-    Watch();
-  });
+  const bool allow_stale = options_.allow_stale && is_first_listing_;
+  is_first_listing_ = false;
+  store_->List(options_.kind, allow_stale,
+               [this](Result<ObjectListing> result) {
+                 if (!IsOk(result)) {
+                   Retry(ErrorOf(result).message, true);
+                   return;
+                 }
+                 const ObjectListing listing = TakeValue(std::move(result));
+                 revision_ = listing.revision;
+                 SetConnected(true, "listed");
+                 observer_.on_listing(listing);
+                 Watch();
+               });
 }
 
 void StoreWatch::Watch() {
-  store_->Watch(options_.kind, revision_, options_.wait, options_.allow_stale,
+  const Millis wait =
+      observer_.wait != nullptr ? observer_.wait() : options_.wait;
+  store_->Watch(options_.kind, revision_, wait, options_.allow_stale,
                 [this](Result<ObjectChanges> result) {
                   if (!IsOk(result)) {
                     const bool is_history_compacted =
--- a/packages/node/tests/store_fixture.h
+++ b/packages/node/tests/store_fixture.h
@@ -46,9 +46,10 @@
   FakeStoreConnection(boost::asio::io_context& loop, FakeStore& store)
       : loop_(loop), store_(store) {}
 
-  void List(const std::string& /*kind*/,
+  void List(const std::string& /*kind*/, bool allow_stale,
             Callback<ObjectListing> callback) override {
-    Call<ObjectListing>("list", callback, [this]() -> Result<ObjectListing> {
+    const char* call = allow_stale ? "list stale" : "list";
+    Call<ObjectListing>(call, callback, [this]() -> Result<ObjectListing> {
       ObjectListing listing;
       listing.revision = store_.revision;
       for (const auto& [name, object] : store_.objects) {
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -24,9 +24,14 @@
       connection_states.push_back(is_connected);
     };
     observer.coalescing_delay = [this] { return coalescing_delay; };
+    StartWatch(std::move(observer), false);
+  }
+
+  void StartWatch(StoreObserver observer, bool allow_stale) {
     watch = std::make_unique<StoreWatch>(
         loop, std::make_unique<FakeStoreConnection>(loop, store),
-        WatchOptions{"config", Millis{1'000}, false}, 1, std::move(observer));
+        WatchOptions{"config", Millis{1'000}, allow_stale}, 1,
+        std::move(observer));
     watch->Start();
   }
 
@@ -91,6 +96,25 @@
   BOOST_TEST(store.calls.size() == calls + 1);
 }
 
+// Guards against a loop of listings that are each older than the history that
+// the store still has.
+BOOST_AUTO_TEST_CASE(StaleAllowed_HistoryCompacted_SecondListingIsCurrent) {
+  StoreObserver observer;
+  observer.on_listing = [](const ObjectListing&) {};
+  observer.on_change = [](const ObjectChange&) {};
+  observer.on_connection_change = [](bool, const std::string&) {};
+  Run();
+  store.pending_watches.clear();
+  store.calls.clear();
+  StartWatch(std::move(observer), true);
+  Run();
+  store.CompleteWatches(Error{ErrorCode::kLimitExceeded, "gone"});
+  Run();
+  const std::vector<std::string> expected = {"list stale", "watch 1", "list",
+                                             "watch 1"};
+  BOOST_TEST(store.calls == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -67,6 +67,15 @@
   friend bool operator==(const AgentStatus&, const AgentStatus&) = default;
 };
 
+/// Agent to balancer: how many balancers polled the agent within the last
+/// second. Lets each balancer do its share of the work that one of them can do
+/// for all.
+struct BalancerCount {
+  uint32_t balancers = 0;
+
+  friend bool operator==(const BalancerCount&, const BalancerCount&) = default;
+};
+
 template <typename Archive>
 void serialize(Archive& archive, ServiceId& service) {
   archive(service.value);
@@ -137,6 +146,11 @@
   archive(message.is_listed, message.configuration_revision);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, BalancerCount& message) {
+  archive(message.balancers);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, AgentStatus& message) {
   archive(message.report, message.configuration_revision);
@@ -146,7 +160,8 @@
 /// other's older messages.
 using RelayMessage =
     std::variant<RelayedPacket, OwnershipQuery, FlowOwnershipReply, AgentPoll,
-                 AgentStatus, OwnershipBatchQuery, OwnershipBatchReply>;
+                 AgentStatus, OwnershipBatchQuery, OwnershipBatchReply,
+                 BalancerCount>;
 
 /// Replaces the content of `bytes` with the encoding of `message`.
 void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -76,6 +76,7 @@
   CheckMutations(RelayMessage(
       OwnershipBatchReply{{{{{1, 2}, {3, 4}}, FlowOwnership::kOwned}}}));
   CheckMutations(RelayMessage(AgentPoll{false, 12}));
+  CheckMutations(RelayMessage(BalancerCount{59}));
   AgentReport report;
   report.phase = UpstreamPhase::kDraining;
   report.mean_outstanding = 2.5;
