Order lists and changes of the agents' entries by revision

Cause: the list that a search requests and the changes of the watch travel over different connections. An older list that arrived after a removal put the agent back into the directory, and a stale change could remove a new entry at a reused address.

Change: entries, removals and lists are applied by their revisions.

Tests that failed first: upstream_directory_test, RemovedEntry_OlderListArrives and NewEntry_OlderListOrRemovalArrives. One of the operators' reports: a server that had left, in use again.

--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -55,12 +55,21 @@
   friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
 };
 
+/// Number of removed entries that are remembered. The list that such an entry
+/// contradicts is at most seconds old.
+inline constexpr size_t kMaxRemovedEntries = 1'024;
+
 /// The agents that a balancer knows, by relay address.
 struct UpstreamDirectory {
   std::string own_failure_domain;
   std::map<Endpoint, KnownUpstream> upstreams;
   /// True once the complete list was read from the store.
   bool is_complete = false;
+  /// Highest revision of a list that was applied.
+  uint64_t listed_revision = 0;
+  /// Revision of the last write of entries that were removed; at most
+  /// kMaxRemovedEntries.
+  std::map<Endpoint, uint64_t> removed;
   /// Until this time, missing reports are attributed to this balancer and no
   /// agent is considered failed.
   TimePoint detection_suspended_until;
@@ -69,17 +78,22 @@
                          const UpstreamDirectory&) = default;
 };
 
-/// Replaces the listed entries by `entries`. Agents that are no longer listed
-/// stay known while they respond.
+/// Replaces the listed entries by `entries`, a complete list as of store
+/// revision `revision`. Entries that were written or removed later stay as they
+/// are: lists and changes arrive over different connections. Agents that are no
+/// longer listed stay known while they respond.
 void ApplyListing(UpstreamDirectory& directory,
-                  const std::vector<DirectoryEntry>& entries, TimePoint now);
+                  const std::vector<DirectoryEntry>& entries, uint64_t revision,
+                  TimePoint now);
 
-/// Adds or updates a listed entry.
+/// Adds or updates a listed entry, unless a later write or removal is known.
 void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
                 TimePoint now);
 
-/// Records that the store no longer lists `agent`.
-void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent);
+/// Records that the store no longer lists `agent`, unless its entry was written
+/// after `revision`, the revision of the removed object.
+void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent,
+                  uint64_t revision);
 
 /// The effect of a report.
 struct ReportEffect {
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -1,11 +1,30 @@
 #include "medlarwinch/coordination/upstream_directory.h"
 
 #include <algorithm>
+#include <set>
 
 namespace medlarwinch {
 
+namespace {
+
+// Returns true if the directory reflects a later write or removal of the entry.
+bool IsOutdated(const UpstreamDirectory& directory,
+                const DirectoryEntry& entry) {
+  const auto known = directory.upstreams.find(entry.agent);
+  const bool is_listed =
+      known != directory.upstreams.end() && known->second.is_listed;
+  if (is_listed) return entry.revision < known->second.entry.revision;
+  const auto removed = directory.removed.find(entry.agent);
+  return removed != directory.removed.end() &&
+         entry.revision <= removed->second;
+}
+
+}  // namespace
+
 void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
                 TimePoint now) {
+  if (IsOutdated(directory, entry)) return;
+  directory.removed.erase(entry.agent);
   const auto [position, is_new] = directory.upstreams.try_emplace(entry.agent);
   KnownUpstream& upstream = position->second;
   if (is_new) {
@@ -26,18 +45,32 @@
 }
 
 void ApplyListing(UpstreamDirectory& directory,
-                  const std::vector<DirectoryEntry>& entries, TimePoint now) {
+                  const std::vector<DirectoryEntry>& entries, uint64_t revision,
+                  TimePoint now) {
+  std::set<Endpoint> listed;
+  for (const DirectoryEntry& entry : entries) listed.insert(entry.agent);
   for (auto& [agent, upstream] : directory.upstreams) {
-    upstream.is_listed = false;
+    if (listed.count(agent) != 0) continue;
+    ApplyRemoval(directory, agent, revision);
   }
   for (const DirectoryEntry& entry : entries) ApplyEntry(directory, entry, now);
+  directory.listed_revision = std::max(directory.listed_revision, revision);
   directory.is_complete = true;
 }
 
-void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent) {
+void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent,
+                  uint64_t revision) {
   const auto found = directory.upstreams.find(agent);
   if (found == directory.upstreams.end()) return;
-  found->second.is_listed = false;
+  KnownUpstream& upstream = found->second;
+  if (!upstream.is_listed || upstream.entry.revision > revision) return;
+  upstream.is_listed = false;
+  directory.removed.insert_or_assign(agent, upstream.entry.revision);
+  if (directory.removed.size() > kMaxRemovedEntries) {
+    directory.removed.erase(std::min_element(
+        directory.removed.begin(), directory.removed.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
 }
 
 ReportEffect ApplyAgentReport(UpstreamDirectory& directory,
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/relay_fixture.h
@@ -70,7 +70,7 @@
       entries.push_back(
           DirectoryEntry{AgentAddress(index), service, "catania", 1});
     }
-    ApplyListing(relay.directory, entries, now);
+    ApplyListing(relay.directory, entries, 1, now);
     ReportAll();
   }
 
--- a/packages/coordination/tests/upstream_directory_test.cc
+++ b/packages/coordination/tests/upstream_directory_test.cc
@@ -38,6 +38,40 @@
               MakeServiceId("report-desk"));
 }
 
+// Guards against an agent that left and is in use again: the list that a search
+// requests travels on another connection than the changes, and may be older.
+BOOST_AUTO_TEST_CASE(RemovedEntry_OlderListArrives_StaysRemoved) {
+  std::vector<DirectoryEntry> older_list;
+  for (const auto& [agent, upstream] : relay.directory.upstreams) {
+    older_list.push_back(upstream.entry);
+  }
+  ApplyRemoval(relay.directory, AgentAddress(0), 5);
+  ApplyListing(relay.directory, older_list, 4, now);
+  BOOST_TEST(!relay.directory.upstreams.at(AgentAddress(0)).is_listed);
+  BOOST_TEST(relay.directory.upstreams.at(AgentAddress(1)).is_listed);
+  ApplyEntry(relay.directory,
+             DirectoryEntry{AgentAddress(0), service, "catania", 6}, now);
+  BOOST_TEST(relay.directory.upstreams.at(AgentAddress(0)).is_listed);
+}
+
+// Guards against the withdrawal of an agent that has just registered.
+BOOST_AUTO_TEST_CASE(NewEntry_OlderListOrRemovalArrives_StaysListed) {
+  const Endpoint added = AgentAddress(50);
+  std::vector<DirectoryEntry> older_list;
+  for (const auto& [agent, upstream] : relay.directory.upstreams) {
+    older_list.push_back(upstream.entry);
+  }
+  ApplyEntry(relay.directory, DirectoryEntry{added, service, "catania", 9},
+             now);
+  ApplyListing(relay.directory, older_list, 8, now);
+  BOOST_TEST(relay.directory.upstreams.at(added).is_listed);
+  // A stale watch reports the removal of the predecessor at this address.
+  ApplyRemoval(relay.directory, added, 7);
+  BOOST_TEST(relay.directory.upstreams.at(added).is_listed);
+  ApplyRemoval(relay.directory, added, 9);
+  BOOST_TEST(!relay.directory.upstreams.at(added).is_listed);
+}
+
 BOOST_AUTO_TEST_CASE(UnreachableAgent_ReportTooOld_AcceptsNoFlows) {
   const KnownUpstream& upstream = relay.directory.upstreams.at(AgentAddress(0));
   BOOST_TEST(AcceptsFlows(upstream, now + kMaxReportAge));
@@ -68,7 +102,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnlistedAgent_WhileItReports_StaysKnown) {
-  ApplyRemoval(relay.directory, AgentAddress(0));
+  ApplyRemoval(relay.directory, AgentAddress(0), 1);
   RemoveUnlistedAgents(relay.directory, now);
   BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 1U);
   RemoveUnlistedAgents(relay.directory, now + kAgentRestartTimeout);
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -108,7 +108,7 @@
   }
   const bool is_first = !relay_.directory.is_complete;
   const size_t known_count = relay_.directory.upstreams.size();
-  ApplyListing(relay_.directory, entries, MonotonicNow());
+  ApplyListing(relay_.directory, entries, listing.revision, MonotonicNow());
   if (is_first) first_listing_at_ = MonotonicNow();
   Log(LogLevel::kInfo, "agents_listed",
       {{"agents", static_cast<int64_t>(entries.size())},
@@ -146,7 +146,7 @@
   if (change.is_removed) {
     const Result<Endpoint> agent = ParseAgentEntryName(change.object.name);
     if (!IsOk(agent)) return;
-    ApplyRemoval(relay_.directory, ValueOf(agent));
+    ApplyRemoval(relay_.directory, ValueOf(agent), change.object.revision);
     Log(LogLevel::kInfo, "agent_unlisted",
         {{"agent", change.object.name},
          {"revision", static_cast<int64_t>(change.object.revision)}});
