Do not reuse a store connection that has unread bytes

Cause: after a second copy of an answer, AsyncHttpClient read it as the answer to the next request on the connection, and each later request got the answer of the one before. Copies that arrived with the answer were discarded, but the connection stayed in use.

Change: a connection with bytes after the answer is closed, and before a request is sent, an idle connection with unread bytes is replaced. The check that the daemon's upstream client already made serves both. HTTP/1.1 can't tell a copy that arrives after the next request was sent.

Test that failed first: SecondCopyOfAnswer_NextRequest_GetsItsOwnAnswer (the second request got the first one's body).

--- a/packages/daemon/src/upstream_client.cc
+++ b/packages/daemon/src/upstream_client.cc
@@ -1,7 +1,5 @@
 #include "medlarwinch/daemon/upstream_client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -12,6 +10,7 @@
 #include <map>
 #include <optional>
 
+#include "medlarwinch/transport/idle_connection.h"
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
@@ -38,15 +37,6 @@
   TimePoint idle_since;
 };
 
-// Returns true if the upstream has neither closed the idle connection nor sent
-// unsolicited data.
-bool IsReusable(Connection& connection) {
-  char byte = 0;
-  const ssize_t size = recv(connection.stream.socket().native_handle(), &byte,
-                            1, MSG_PEEK | MSG_DONTWAIT);
-  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 }  // namespace
 
 struct UpstreamClient::State : std::enable_shared_from_this<State> {
@@ -74,7 +64,10 @@
     std::unique_ptr<Connection> connection = std::move(idle_connections.back());
     idle_connections.pop_back();
     const Millis idle_time = MonotonicNow() - connection->idle_since;
-    if (idle_time < kMaxIdleTime && IsReusable(*connection)) return connection;
+    if (idle_time < kMaxIdleTime &&
+        IsIdleConnectionReusable(connection->stream.socket().native_handle())) {
+      return connection;
+    }
   }
   return nullptr;
 }
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "medlarwinch/transport/idle_connection.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -77,7 +79,8 @@
     HttpResponse response;
     response.status = static_cast<int>(parsed_response.result_int());
     response.body = std::move(parsed_response.body());
-    const bool keeps_alive = parsed_response.keep_alive();
+    // Bytes after the response belong to no request.
+    const bool keeps_alive = parsed_response.keep_alive() && buffer.size() == 0;
     parser.reset();
     // Releases the memory of a large response.
     buffer.consume(buffer.size());
@@ -175,6 +178,10 @@
   }
   state.message.body() = std::move(request.body);
   state.message.prepare_payload();
+  if (state.is_connected &&
+      !IsIdleConnectionReusable(state.stream.socket().native_handle())) {
+    state.Close();
+  }
   if (state.is_connected) {
     state.Write();
   } else {
--- a/packages/transport/tests/async_http_test.cc
+++ b/packages/transport/tests/async_http_test.cc
@@ -1,6 +1,13 @@
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
 
 #include "medlarwinch/transport/async_http_client.h"
 #include "medlarwinch/transport/async_http_server.h"
@@ -64,5 +71,85 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A server that answers each request, and sends a second copy of the first
+/// answer `copy_delay` later on the same connection.
+struct RepeatingServer {
+  using tcp = boost::asio::ip::tcp;
+
+  explicit RepeatingServer(std::chrono::milliseconds delay)
+      : copy_delay(delay) {
+    Accept();
+  }
+
+  void Accept() {
+    acceptor.async_accept(
+        [this](boost::system::error_code error, tcp::socket accepted) {
+          if (error) return;
+          sockets.push_back(std::make_unique<tcp::socket>(std::move(accepted)));
+          Read(*sockets.back());
+          Accept();
+        });
+  }
+
+  void Read(tcp::socket& socket) {
+    const auto request = std::make_shared<std::string>();
+    boost::asio::async_read_until(
+        socket, boost::asio::dynamic_buffer(*request), "\r\n\r\n",
+        [this, request, &socket](boost::system::error_code error, size_t) {
+          if (error) return;
+          const std::string target =
+              request->substr(4, request->find(' ', 4) - 4);
+          const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                     std::to_string(target.size()) +
+                                     "\r\n\r\n" + target;
+          boost::system::error_code ignored;
+          boost::asio::write(socket, boost::asio::buffer(answer), ignored);
+          if (!was_repeated) {
+            was_repeated = true;
+            timer.expires_after(copy_delay);
+            timer.async_wait([answer, &socket](boost::system::error_code) {
+              boost::system::error_code closed;
+              boost::asio::write(socket, boost::asio::buffer(answer), closed);
+            });
+          }
+          Read(socket);
+        });
+  }
+
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor{
+      loop,
+      tcp::endpoint(boost::asio::ip::address_v4(kServer.ip), kServer.port)};
+  boost::asio::steady_timer timer{loop};
+  std::chrono::milliseconds copy_delay;
+  std::vector<std::unique_ptr<tcp::socket>> sockets;
+  bool was_repeated = false;
+};
+
+BOOST_AUTO_TEST_SUITE(AsyncHttpClientOfRepeatingServer)
+
+// Guards against a late second copy of an answer that is read as the answer to
+// the next request on the connection.
+BOOST_AUTO_TEST_CASE(SecondCopyOfAnswer_NextRequest_GetsItsOwnAnswer) {
+  for (const int copy_delay_ms : {0, 50}) {
+    RepeatingServer server{std::chrono::milliseconds(copy_delay_ms)};
+    AsyncHttpClient client{server.loop, kServer};
+    std::vector<std::string> bodies;
+    for (const char* target : {"/first", "/second", "/third"}) {
+      client.Send(HttpRequest{"GET", target, "", {}}, kTimeout, kTimeout,
+                  [&](const Result<HttpResponse>& result) {
+                    bodies.push_back(IsOk(result) ? ValueOf(result).body
+                                                  : ErrorOf(result).message);
+                  });
+      server.loop.restart();
+      server.loop.run_for(std::chrono::milliseconds(150));
+    }
+    const std::vector<std::string> expected = {"/first", "/second", "/third"};
+    BOOST_TEST(bodies == expected, boost::test_tools::per_element());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace medlarwinch
