Keep the backoff of a watch that the store turns away

Each report reset the backoff, so that every balancer made several calls a second.

Change: Reconnect() does nothing while failed calls are retried, and the longest backoff is 1.2 s instead of 0.7 s.

--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -54,7 +54,9 @@
   void Start();
 
   /// Switches to a new connection and lists the objects immediately. Needed
-  /// because a watch on a dead connection reports nothing.
+  /// because a watch on a dead connection reports nothing. Does nothing while
+  /// failed calls are being retried, so that a store that turns this process
+  /// away gets no more calls than the backoff allows.
   void Reconnect(std::unique_ptr<StoreConnection> store);
 
   /// True if the last call succeeded.
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -11,7 +11,7 @@
 
 // The first retry is fast because a refused call is cheap. The maximum is well
 // below the time within which a configuration must be in force.
-constexpr BackoffPolicy kStoreBackoff{Millis{60}, Millis{700}};
+constexpr BackoffPolicy kStoreBackoff{Millis{60}, Millis{1'200}};
 
 }  // namespace
 
@@ -30,9 +30,9 @@
 void StoreWatch::Start() { List(); }
 
 void StoreWatch::Reconnect(std::unique_ptr<StoreConnection> store) {
+  if (failures_ > 0) return;
   timer_.cancel();
   store_ = std::move(store);
-  failures_ = 0;
   List();
 }
 
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -96,6 +96,20 @@
   BOOST_TEST(store.calls.size() == calls + 1);
 }
 
+// Guards against calls that are never spaced out: agents report every few
+// milliseconds that a balancer is behind which the store turns away.
+BOOST_AUTO_TEST_CASE(StoreRefuses_ReconnectRequested_KeepsBackoff) {
+  Run();
+  store.pending_errors.assign(50, Error{ErrorCode::kUnavailable, "429"});
+  store.CompleteWatches(Error{ErrorCode::kUnavailable, "429"});
+  const size_t calls = store.calls.size();
+  for (int report = 0; report < 40; ++report) {
+    Run(10);
+    watch->Reconnect(std::make_unique<FakeStoreConnection>(loop, store));
+  }
+  BOOST_TEST(store.calls.size() <= calls + 6);
+}
+
 // Guards against a loop of listings that are each older than the history that
 // the store still has.
 BOOST_AUTO_TEST_CASE(StaleAllowed_HistoryCompacted_SecondListingIsCurrent) {
