Do not abort a store read when agents report a newer configuration

Cause: a balancer that learns from an agent that it is behind opens a new connection and lists the configuration again, at most every 500 ms. That also aborted the listing that the report before had started, or the response of the watch that was just arriving. A configuration of 4,200 routes takes longer than 500 ms to read on a link of 12 Mbit/s, so the eight small balancers never read it, while the ten large ones did and kept reporting it. The aborted transfers also occupied the link. Class of fault: a retry interval shorter than the operation that it restarts.

Change: StoreWatch::Reconnect does nothing while a listing is in progress or a part of a response has arrived. Both end by themselves, by completion or by their timeout. A silent connection is still replaced at once.

Tests: ReconnectRequested_ListingInProgress_IsNotAborted and ReconnectRequested_ResponseArriving_KeepsConnection; both failed before the change (node_tests on this tree without store_watch.cc: 1 < 2 listings, 4 != 2 calls).

--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -53,6 +53,9 @@
 
   virtual ~StoreConnection() = default;
 
+  /// True while a part of the response to the call in progress has arrived.
+  virtual bool is_receiving() const = 0;
+
   /// Reads all objects of `kind`. With `allow_stale` the call costs less, but
   /// the listing may be seconds old.
   virtual void List(const std::string& kind, bool allow_stale,
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -56,7 +56,9 @@
   /// Switches to a new connection and lists the objects immediately. Needed
   /// because a watch on a dead connection reports nothing. Does nothing while
   /// failed calls are being retried, so that a store that turns this process
-  /// away gets no more calls than the backoff allows.
+  /// away gets no more calls than the backoff allows, and while a listing is in
+  /// progress or a response is arriving: requested again and again, a read that
+  /// takes longer than the requests are apart would never complete.
   void Reconnect(std::unique_ptr<StoreConnection> store);
 
   /// True if the last call succeeded.
@@ -77,6 +79,7 @@
   uint64_t revision_ = 0;
   uint32_t failures_ = 0;
   bool is_first_listing_ = true;
+  bool is_listing_ = false;
   bool is_connected_ = false;
 };
 
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -30,7 +30,7 @@
 void StoreWatch::Start() { List(); }
 
 void StoreWatch::Reconnect(std::unique_ptr<StoreConnection> store) {
-  if (failures_ > 0) return;
+  if (failures_ > 0 || is_listing_ || store_->is_receiving()) return;
   timer_.cancel();
   store_ = std::move(store);
   List();
@@ -39,8 +39,10 @@
 void StoreWatch::List() {
   const bool allow_stale = options_.allow_stale && is_first_listing_;
   is_first_listing_ = false;
+  is_listing_ = true;
   store_->List(options_.kind, allow_stale,
                [this](Result<ObjectListing> result) {
+                 is_listing_ = false;
                  if (!IsOk(result)) {
                    Retry(ErrorOf(result).message, true);
                    return;
--- a/packages/node/tests/store_fixture.h
+++ b/packages/node/tests/store_fixture.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -24,6 +26,10 @@
   std::vector<std::string> calls;
   /// Callbacks of the watches in progress.
   std::vector<std::function<void(Result<ObjectChanges>)>> pending_watches;
+  /// Time from a listing call to its response.
+  std::chrono::milliseconds listing_delay{0};
+  /// What the connections report while a watch is in progress.
+  bool is_response_arriving = false;
 
   /// Writes an object and completes the watches with the change.
   void Put(const std::string& name, const std::string& content) {
@@ -44,12 +50,19 @@
 class FakeStoreConnection final : public StoreConnection {
  public:
   FakeStoreConnection(boost::asio::io_context& loop, FakeStore& store)
-      : loop_(loop), store_(store) {}
+      : loop_(loop), store_(store), listing_timer_(loop) {}
 
   void List(const std::string& /*kind*/, bool allow_stale,
             Callback<ObjectListing> callback) override {
     const char* call = allow_stale ? "list stale" : "list";
-    Call<ObjectListing>(call, callback, [this]() -> Result<ObjectListing> {
+    const Callback<ObjectListing> delayed =
+        [this, callback](const Result<ObjectListing>& result) {
+          listing_timer_.expires_after(store_.listing_delay);
+          listing_timer_.async_wait([callback, result](auto error) {
+            if (!error) callback(result);
+          });
+        };
+    Call<ObjectListing>(call, delayed, [this]() -> Result<ObjectListing> {
       ObjectListing listing;
       listing.revision = store_.revision;
       for (const auto& [name, object] : store_.objects) {
@@ -59,6 +72,10 @@
     });
   }
 
+  bool is_receiving() const override {
+    return !store_.pending_watches.empty() && store_.is_response_arriving;
+  }
+
   void Watch(const std::string& /*kind*/, uint64_t revision, Millis /*wait*/,
              bool /*allow_stale*/, Callback<ObjectChanges> callback) override {
     store_.calls.push_back("watch " + std::to_string(revision));
@@ -154,6 +171,7 @@
 
   boost::asio::io_context& loop_;
   FakeStore& store_;
+  boost::asio::steady_timer listing_timer_;
 };
 
 }  // namespace medlarwinch
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -110,6 +110,34 @@
   BOOST_TEST(store.calls.size() <= calls + 6);
 }
 
+// Guards against a configuration that is never read: agents report every 500 ms
+// that a balancer is behind, and a large listing takes longer on a slow link.
+BOOST_AUTO_TEST_CASE(ReconnectRequested_ListingInProgress_IsNotAborted) {
+  Run();
+  store.listing_delay = std::chrono::milliseconds(60);
+  store.objects["main"].content = "2";
+  for (int report = 0; report < 6; ++report) {
+    watch->Reconnect(std::make_unique<FakeStoreConnection>(loop, store));
+    Run(20);
+  }
+  BOOST_TEST(listing_count >= 2);
+}
+
+// Guards against changes that are requested again although a part of the
+// response has arrived.
+BOOST_AUTO_TEST_CASE(ReconnectRequested_ResponseArriving_KeepsConnection) {
+  Run();
+  store.is_response_arriving = true;
+  const size_t calls = store.calls.size();
+  watch->Reconnect(std::make_unique<FakeStoreConnection>(loop, store));
+  Run();
+  BOOST_TEST(store.calls.size() == calls);
+  store.is_response_arriving = false;
+  watch->Reconnect(std::make_unique<FakeStoreConnection>(loop, store));
+  Run();
+  BOOST_TEST(listing_count == 2);
+}
+
 // Guards against a loop of listings that are each older than the history that
 // the store still has.
 BOOST_AUTO_TEST_CASE(StaleAllowed_HistoryCompacted_SecondListingIsCurrent) {
--- a/packages/transport/include/medlarwinch/transport/async_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/async_http_client.h
@@ -34,6 +34,9 @@
 
   bool is_busy() const;
 
+  /// True while a part of the response to the request in progress has arrived.
+  bool is_receiving() const;
+
  private:
   struct State;
 
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -94,6 +94,7 @@
   // A server may close an idle connection while a request is sent on it. A GET
   // request, which is idempotent, is then retried once on a new connection.
   void RetryOrFail(const char* action, beast::error_code error) {
+    parser.reset();
     const bool may_repeat = !is_new_connection &&
                             message.method() == http::verb::get &&
                             error != beast::error::timeout;
@@ -150,6 +151,11 @@
 
 bool AsyncHttpClient::is_busy() const { return state_->is_busy; }
 
+bool AsyncHttpClient::is_receiving() const {
+  return state_->is_busy && state_->parser.has_value() &&
+         state_->parser->got_some();
+}
+
 void AsyncHttpClient::Send(HttpRequest request, Millis connect_timeout,
                            Millis timeout, Callback callback) {
   State& state = *state_;
