Limit the pauses within a store's response, not its whole duration

An object may have 1 MB, which takes 0.7 s on an idle link of 12 Mbit/s and longer beside traffic; a list that needs more than 1 s would never complete.

Change: the timeout of a request covers the first part of its response; each further part must arrive within a second. A connection that goes silent within a response is still given up after that second.

Test: PartsArrive_AfterTimeout_ResponseIsComplete failed before the change ("failed" instead of the body); PartsStop_WithinResponse_RequestFails guards the bound.

--- a/packages/transport/include/medlarwinch/transport/async_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/async_http_client.h
@@ -27,7 +27,8 @@
 
   /// Sends `request` and calls `callback` exactly once, from the event loop.
   /// `connect_timeout` limits the time to connect, and `timeout` the time to
-  /// the response after that. If another request is in progress, nothing is
+  /// the first part of the response after that; each further part must arrive
+  /// within a second. If another request is in progress, nothing is
   /// sent and the callback receives kUnavailable.
   void Send(HttpRequest request, Millis connect_timeout, Millis timeout,
             Callback callback);
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -20,6 +20,10 @@
 // The largest responses of the store contain 1 MB of objects plus framing.
 constexpr size_t kMaxResponseBytes = 4 * 1'024 * 1'024;
 
+// Maximum time between two parts of a response. A large response over a slow
+// link takes longer than the timeout of a request, which covers its first part.
+constexpr std::chrono::milliseconds kMaxPartDelay{1'000};
+
 std::chrono::milliseconds ToChrono(Millis span) {
   return std::chrono::milliseconds(span.value);
 }
@@ -63,14 +67,23 @@
   void Read() {
     parser.emplace();
     parser->body_limit(kMaxResponseBytes);
-    http::async_read(
+    ReadPart();
+  }
+
+  void ReadPart() {
+    http::async_read_some(
         stream, buffer, *parser,
         [self = shared_from_this()](beast::error_code error, size_t /*size*/) {
           if (error) {
             self->RetryOrFail("read", error);
             return;
           }
-          self->Complete();
+          if (self->parser->is_done()) {
+            self->Complete();
+            return;
+          }
+          self->stream.expires_after(kMaxPartDelay);
+          self->ReadPart();
         });
   }
 
--- a/packages/transport/tests/async_http_test.cc
+++ b/packages/transport/tests/async_http_test.cc
@@ -126,6 +126,65 @@
   bool was_repeated = false;
 };
 
+/// A server that sends one response in parts of ten bytes, 60 ms apart.
+struct SlowServer {
+  using tcp = boost::asio::ip::tcp;
+
+  explicit SlowServer(int parts_to_send) : parts_left(parts_to_send) {
+    acceptor.async_accept(socket, [this](boost::system::error_code error) {
+      if (!error) SendPart("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n");
+    });
+  }
+
+  void SendPart(const std::string& part) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(part), ignored);
+    if (parts_left-- == 0) return;
+    timer.expires_after(std::chrono::milliseconds(60));
+    timer.async_wait([this](boost::system::error_code error) {
+      if (!error) SendPart("0123456789");
+    });
+  }
+
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor{
+      loop,
+      tcp::endpoint(boost::asio::ip::address_v4(kServer.ip), kServer.port)};
+  tcp::socket socket{loop};
+  boost::asio::steady_timer timer{loop};
+  int parts_left;
+};
+
+struct AsyncHttpClientOfSlowServer {
+  // Sends a request with a timeout of 100 ms.
+  std::string Get(int parts_to_send) {
+    SlowServer server(parts_to_send);
+    AsyncHttpClient client{server.loop, kServer};
+    std::string body = "no result";
+    client.Send(HttpRequest{"GET", "/", "", {}}, kTimeout, Millis{100},
+                [&](const Result<HttpResponse>& result) {
+                  body = IsOk(result) ? ValueOf(result).body : "failed";
+                });
+    server.loop.run_for(std::chrono::milliseconds(1'800));
+    return body;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(AsyncHttpClientOfSlow, AsyncHttpClientOfSlowServer)
+
+// Guards against a large response that is never read over a slow link, because
+// it is given up at the request's timeout while its parts still arrive.
+BOOST_AUTO_TEST_CASE(PartsArrive_AfterTimeout_ResponseIsComplete) {
+  BOOST_TEST(Get(5) == "01234567890123456789012345678901234567890123456789");
+}
+
+// Guards against a request that waits forever on a connection that went silent.
+BOOST_AUTO_TEST_CASE(PartsStop_WithinResponse_RequestFails) {
+  BOOST_TEST(Get(2) == "failed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AsyncHttpClientOfRepeatingServer)
 
 // Guards against a late second copy of an answer that is read as the answer to
