--- a/packages/coordination/include/medlarwinch/coordination/relay_routes.h
+++ b/packages/coordination/include/medlarwinch/coordination/relay_routes.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/store_revision.h"
 
 namespace medlarwinch {
 
@@ -35,6 +36,7 @@
 
 /// The part of the desired state that routing needs.
 struct RelayConfiguration {
+  /// Given by the operators; rises with each change.
   uint64_t version = 0;
   std::map<Endpoint, RelayRoute> routes;
   /// Flows that were idle for longer may be removed.
@@ -48,9 +50,10 @@
 /// process had.
 struct RouteTable {
   RelayConfiguration configuration;
-  /// Revision of the object from which the configuration was read; 0 before the
-  /// first one.
-  uint64_t revision = 0;
+  /// False before the first configuration.
+  bool is_loaded = false;
+  /// Revision of the object from which the configuration was last read.
+  StoreRevision revision;
   /// Addresses that an earlier configuration routed and the active one does
   /// not, with the time of removal. Removed from this map after
   /// kMaxFlowLifetime.
@@ -59,11 +62,11 @@
   friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
 
-/// Activates `configuration` unless its `revision` is not higher than the
-/// active one; revisions only increase within a process. Returns whether it was
-/// activated.
+/// Activates `configuration`, read at `revision`, unless its version is not
+/// higher than the active one. Versions order configurations and not revisions,
+/// which a restored store gives out again. Returns whether it was activated.
 bool ApplyConfiguration(RouteTable& table, RelayConfiguration configuration,
-                        uint64_t revision, TimePoint now);
+                        const StoreRevision& revision, TimePoint now);
 
 /// Returns true if the route sends new flows to `service`.
 bool HasTarget(const RelayRoute& route, ServiceId service);
--- a/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/store_revision.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
@@ -29,7 +30,7 @@
   ServiceId service;
   std::string failure_domain;
   /// Revision of the object, used for its conditional removal.
-  uint64_t revision = 0;
+  StoreRevision revision;
 
   friend bool operator==(const DirectoryEntry&,
                          const DirectoryEntry&) = default;
@@ -40,6 +41,9 @@
   DirectoryEntry entry;
   /// False once the entry was removed from the store.
   bool is_listed = false;
+  /// True if a restored store lists the entry again although its removal was
+  /// seen, until the agent reports. Most likely the agent is gone.
+  bool is_resurrected = false;
   /// True when the agent is in the balancer's own failure domain.
   bool is_local = false;
   /// The last report; its phase is kUnknown before the first one.
@@ -66,10 +70,10 @@
   /// True once the complete list was read from the store.
   bool is_complete = false;
   /// Highest revision of a list that was applied.
-  uint64_t listed_revision = 0;
+  StoreRevision listed_revision;
   /// Revision of the last write of entries that were removed; at most
   /// kMaxRemovedEntries.
-  std::map<Endpoint, uint64_t> removed;
+  std::map<Endpoint, StoreRevision> removed;
   /// Until this time, missing reports are attributed to this balancer and no
   /// agent is considered failed.
   TimePoint detection_suspended_until;
@@ -81,10 +85,11 @@
 /// Replaces the listed entries by `entries`, a complete list as of store
 /// revision `revision`. Entries that were written or removed later stay as they
 /// are: lists and changes arrive over different connections. Agents that are no
-/// longer listed stay known while they respond.
+/// longer listed stay known while they respond. The first list of a restored
+/// store replaces all entries of the era before.
 void ApplyListing(UpstreamDirectory& directory,
-                  const std::vector<DirectoryEntry>& entries, uint64_t revision,
-                  TimePoint now);
+                  const std::vector<DirectoryEntry>& entries,
+                  const StoreRevision& revision, TimePoint now);
 
 /// Adds or updates a listed entry, unless a later write or removal is known.
 void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
@@ -93,7 +98,7 @@
 /// Records that the store no longer lists `agent`, unless its entry was written
 /// after `revision`, the revision of the removed object.
 void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent,
-                  uint64_t revision);
+                  const StoreRevision& revision);
 
 /// The effect of a report.
 struct ReportEffect {
@@ -115,11 +120,12 @@
 
 /// Returns true if the upstream may own flows. False only when it reported that
 /// it is absent, or when its agent has timed out and failure detection is not
-/// suspended.
+/// suspended. The suspension does not cover agents with a resurrected entry.
 bool MayOwnFlows(const UpstreamDirectory& directory,
                  const KnownUpstream& upstream, TimePoint now);
 
-/// Number of known agents, and of those that reported recently.
+/// Number of known agents, and of those that reported recently. Agents with a
+/// resurrected entry are not counted.
 struct AgentReachability {
   size_t known = 0;
   size_t reachable = 0;
@@ -152,6 +158,9 @@
 /// outage from which agents recover by themselves, and as long as
 /// kMaxFlowLifetime.
 inline constexpr Millis kAgentLossTimeout{60'000};
+/// As kAgentLossTimeout, for an agent with a resurrected entry. Longer than the
+/// platform takes to count a VM as undisturbed again.
+inline constexpr Millis kResurrectedAgentTimeout{8'000};
 
 /// Returns the listed agents that are lost and whose entries nobody else
 /// removes. Empty while failure detection is suspended.
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/balancer_relay.cc
@@ -252,8 +252,8 @@
   if (route == nullptr) {
     const bool was_removed =
         relay.routes.removed.count(flow.service_address) != 0;
-    const bool is_known = relay.routes.revision != 0;
-    if (packet.is_reset || !is_known || (!packet.is_syn && !was_removed)) {
+    if (packet.is_reset || !relay.routes.is_loaded ||
+        (!packet.is_syn && !was_removed)) {
       // Another balancer may have a newer configuration with this route, so
       // open flows are not reset.
       ++relay.counters.dropped_no_route;
--- a/packages/coordination/src/relay_routes.cc
+++ b/packages/coordination/src/relay_routes.cc
@@ -15,8 +15,12 @@
 }  // namespace
 
 bool ApplyConfiguration(RouteTable& table, RelayConfiguration configuration,
-                        uint64_t revision, TimePoint now) {
-  if (revision <= table.revision) return false;
+                        const StoreRevision& revision, TimePoint now) {
+  if (table.is_loaded) {
+    const uint64_t active_version = table.configuration.version;
+    if (configuration.version == active_version) table.revision = revision;
+    if (configuration.version <= active_version) return false;
+  }
   for (auto& [address, route] : configuration.routes) {
     route.owner_services.clear();
     for (const RouteTarget& target : route.targets) {
@@ -39,6 +43,7 @@
     return now - entry.second >= kMaxFlowLifetime;
   });
   table.configuration = std::move(configuration);
+  table.is_loaded = true;
   table.revision = revision;
   return true;
 }
--- a/packages/coordination/src/upstream_directory.cc
+++ b/packages/coordination/src/upstream_directory.cc
@@ -7,9 +7,11 @@
 
 namespace {
 
-// Returns true if the directory reflects a later write or removal of the entry.
+// Returns true if the directory reflects a later write or removal of the entry,
+// or a later era of the store.
 bool IsOutdated(const UpstreamDirectory& directory,
                 const DirectoryEntry& entry) {
+  if (entry.revision.era < directory.listed_revision.era) return true;
   const auto known = directory.upstreams.find(entry.agent);
   const bool is_listed =
       known != directory.upstreams.end() && known->second.is_listed;
@@ -19,12 +21,22 @@
          entry.revision <= removed->second;
 }
 
+// Returns true if the entry was removed and is now read from a copy of the
+// store that is older than the removal. A later write of the agent has another
+// number.
+bool IsResurrected(const UpstreamDirectory& directory,
+                   const DirectoryEntry& entry) {
+  const auto removed = directory.removed.find(entry.agent);
+  return removed != directory.removed.end() &&
+         entry.revision.era > removed->second.era &&
+         entry.revision.number == removed->second.number;
+}
+
 }  // namespace
 
 void ApplyEntry(UpstreamDirectory& directory, const DirectoryEntry& entry,
                 TimePoint now) {
   if (IsOutdated(directory, entry)) return;
-  directory.removed.erase(entry.agent);
   const auto [position, is_new] = directory.upstreams.try_emplace(entry.agent);
   KnownUpstream& upstream = position->second;
   if (is_new) {
@@ -39,14 +51,17 @@
   if (is_new || upstream.entry.revision != entry.revision) {
     upstream.last_written = now;
   }
+  if (IsResurrected(directory, entry)) upstream.is_resurrected = true;
+  directory.removed.erase(entry.agent);
   upstream.entry = entry;
   upstream.is_listed = true;
   upstream.is_local = entry.failure_domain == directory.own_failure_domain;
 }
 
 void ApplyListing(UpstreamDirectory& directory,
-                  const std::vector<DirectoryEntry>& entries, uint64_t revision,
-                  TimePoint now) {
+                  const std::vector<DirectoryEntry>& entries,
+                  const StoreRevision& revision, TimePoint now) {
+  if (revision.era < directory.listed_revision.era) return;
   std::set<Endpoint> listed;
   for (const DirectoryEntry& entry : entries) listed.insert(entry.agent);
   for (auto& [agent, upstream] : directory.upstreams) {
@@ -59,12 +74,13 @@
 }
 
 void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent,
-                  uint64_t revision) {
+                  const StoreRevision& revision) {
   const auto found = directory.upstreams.find(agent);
   if (found == directory.upstreams.end()) return;
   KnownUpstream& upstream = found->second;
   if (!upstream.is_listed || upstream.entry.revision > revision) return;
   upstream.is_listed = false;
+  upstream.is_resurrected = false;
   directory.removed.insert_or_assign(agent, upstream.entry.revision);
   if (directory.removed.size() > kMaxRemovedEntries) {
     directory.removed.erase(std::min_element(
@@ -87,6 +103,7 @@
   effect.is_applied = true;
   effect.phase_before = upstream.report.phase;
   upstream.report = report;
+  upstream.is_resurrected = false;
   upstream.last_contact = now;
   upstream.placed_since_report = 0;
   return effect;
@@ -99,9 +116,10 @@
 
 bool MayOwnFlows(const UpstreamDirectory& directory,
                  const KnownUpstream& upstream, TimePoint now) {
-  const Millis time_since_contact = now < directory.detection_suspended_until
-                                        ? Millis{0}
-                                        : now - upstream.last_contact;
+  const bool trusts_silence =
+      now >= directory.detection_suspended_until || upstream.is_resurrected;
+  const Millis time_since_contact =
+      trusts_silence ? now - upstream.last_contact : Millis{0};
   switch (upstream.report.phase) {
     case UpstreamPhase::kAbsent:
       return false;
@@ -116,6 +134,7 @@
                                        TimePoint now) {
   AgentReachability reachability;
   for (const auto& [agent, upstream] : directory.upstreams) {
+    if (upstream.is_resurrected) continue;
     ++reachability.known;
     const bool is_reachable = upstream.report.sequence != 0 &&
                               now - upstream.last_contact <= kMaxReportAge;
@@ -147,8 +166,10 @@
   if (now < directory.detection_suspended_until) return lost;
   for (const auto& [agent, upstream] : directory.upstreams) {
     if (!upstream.is_listed) continue;
+    const Millis timeout =
+        upstream.is_resurrected ? kResurrectedAgentTimeout : kAgentLossTimeout;
     if (now - std::max(upstream.last_contact, upstream.last_written) <
-        kAgentLossTimeout) {
+        timeout) {
       continue;
     }
     lost.push_back(upstream.entry);
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/balancer_relay_test.cc
@@ -130,8 +130,8 @@
   const FlowPacket packet = CallerPacket(1, 77);
   BOOST_TEST(DenyAll(*this, packet).empty());
   const Endpoint new_agent = AgentAddress(50);
-  ApplyEntry(relay.directory, DirectoryEntry{new_agent, service, "catania", 9},
-             now);
+  ApplyEntry(relay.directory,
+             DirectoryEntry{new_agent, service, "catania", {1, 9}}, now);
   RelayActions actions;
   HandleDirectoryRefreshed(relay, now, now, actions);
   BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
@@ -217,7 +217,9 @@
 
 BOOST_AUTO_TEST_CASE(RemovedRoute_OpenFlow_IsReset) {
   Send(OpeningPacket(1));
-  ApplyConfiguration(relay.routes, RelayConfiguration{}, 11, now);
+  RelayConfiguration without_routes;
+  without_routes.version = 4;
+  ApplyConfiguration(relay.routes, without_routes, StoreRevision{1, 11}, now);
   const std::vector<ResetCaller> resets =
       ActionsOf<ResetCaller>(Send(CallerPacket(1, 77)));
   BOOST_REQUIRE(resets.size() == 1);
--- a/packages/coordination/tests/flow_placement_test.cc
+++ b/packages/coordination/tests/flow_placement_test.cc
@@ -62,7 +62,8 @@
   SplitRoute() {
     for (uint32_t index = 10; index < 13; ++index) {
       ApplyEntry(relay.directory,
-                 DirectoryEntry{AgentAddress(index), other, "catania", 1}, now);
+                 DirectoryEntry{AgentAddress(index), other, "catania", {1, 1}},
+                 now);
     }
     ReportAll();
   }
--- a/packages/coordination/tests/large_site_search_test.cc
+++ b/packages/coordination/tests/large_site_search_test.cc
@@ -16,9 +16,9 @@
     std::vector<DirectoryEntry> entries;
     for (uint32_t index = 0; index < kLargeSiteAgents; ++index) {
       entries.push_back(
-          DirectoryEntry{AgentAddress(index), service, "catania", 1});
+          DirectoryEntry{AgentAddress(index), service, "catania", {1, 1}});
     }
-    ApplyListing(relay.directory, entries, 1, now);
+    ApplyListing(relay.directory, entries, StoreRevision{1, 1}, now);
     ReportAll();
   }
 
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/relay_fixture.h
@@ -64,13 +64,13 @@
     configuration.version = 3;
     configuration.routes[kServiceAddress] =
         RelayRoute{"feed", {RouteTarget{service, 1}}};
-    ApplyConfiguration(relay.routes, configuration, 10, now);
+    ApplyConfiguration(relay.routes, configuration, StoreRevision{1, 10}, now);
     std::vector<DirectoryEntry> entries;
     for (uint32_t index = 0; index < kAgents; ++index) {
       entries.push_back(
-          DirectoryEntry{AgentAddress(index), service, "catania", 1});
+          DirectoryEntry{AgentAddress(index), service, "catania", {1, 1}});
     }
-    ApplyListing(relay.directory, entries, 1, now);
+    ApplyListing(relay.directory, entries, StoreRevision{1, 1}, now);
     ReportAll();
   }
 
--- a/packages/coordination/tests/upstream_directory_test.cc
+++ b/packages/coordination/tests/upstream_directory_test.cc
@@ -33,7 +33,7 @@
   report.service = MakeServiceId("report-desk");
   ApplyAgentReport(relay.directory, AgentAddress(0), report, now);
   ApplyEntry(relay.directory,
-             DirectoryEntry{AgentAddress(0), service, "catania", 5}, now);
+             DirectoryEntry{AgentAddress(0), service, "catania", {1, 5}}, now);
   BOOST_CHECK(relay.directory.upstreams.at(AgentAddress(0)).report.service ==
               MakeServiceId("report-desk"));
 }
@@ -45,12 +45,12 @@
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     older_list.push_back(upstream.entry);
   }
-  ApplyRemoval(relay.directory, AgentAddress(0), 5);
-  ApplyListing(relay.directory, older_list, 4, now);
+  ApplyRemoval(relay.directory, AgentAddress(0), StoreRevision{1, 5});
+  ApplyListing(relay.directory, older_list, StoreRevision{1, 4}, now);
   BOOST_TEST(!relay.directory.upstreams.at(AgentAddress(0)).is_listed);
   BOOST_TEST(relay.directory.upstreams.at(AgentAddress(1)).is_listed);
   ApplyEntry(relay.directory,
-             DirectoryEntry{AgentAddress(0), service, "catania", 6}, now);
+             DirectoryEntry{AgentAddress(0), service, "catania", {1, 6}}, now);
   BOOST_TEST(relay.directory.upstreams.at(AgentAddress(0)).is_listed);
 }
 
@@ -61,17 +61,71 @@
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     older_list.push_back(upstream.entry);
   }
-  ApplyEntry(relay.directory, DirectoryEntry{added, service, "catania", 9},
+  ApplyEntry(relay.directory, DirectoryEntry{added, service, "catania", {1, 9}},
              now);
-  ApplyListing(relay.directory, older_list, 8, now);
+  ApplyListing(relay.directory, older_list, StoreRevision{1, 8}, now);
   BOOST_TEST(relay.directory.upstreams.at(added).is_listed);
   // A stale watch reports the removal of the predecessor at this address.
-  ApplyRemoval(relay.directory, added, 7);
+  ApplyRemoval(relay.directory, added, StoreRevision{1, 7});
   BOOST_TEST(relay.directory.upstreams.at(added).is_listed);
-  ApplyRemoval(relay.directory, added, 9);
+  ApplyRemoval(relay.directory, added, StoreRevision{1, 9});
   BOOST_TEST(!relay.directory.upstreams.at(added).is_listed);
 }
 
+// Guards against changes that are ignored after the store was restored, because
+// they have lower revision numbers than the entries that they replace.
+BOOST_AUTO_TEST_CASE(RestoredStore_ListApplied_ReplacesEntriesOfEarlierEra) {
+  const Endpoint lost = AgentAddress(50);
+  ApplyEntry(relay.directory, DirectoryEntry{lost, service, "catania", {1, 9}},
+             now);
+  const DirectoryEntry kept{AgentAddress(0), service, "catania", {2, 1}};
+  ApplyListing(relay.directory, {kept}, StoreRevision{2, 3}, now);
+  BOOST_TEST(relay.directory.upstreams.at(AgentAddress(0)).is_listed);
+  BOOST_TEST(!relay.directory.upstreams.at(lost).is_listed);
+  ApplyEntry(relay.directory, DirectoryEntry{lost, service, "catania", {2, 4}},
+             now);
+  BOOST_TEST(relay.directory.upstreams.at(lost).is_listed);
+  ApplyRemoval(relay.directory, AgentAddress(0), StoreRevision{2, 5});
+  BOOST_TEST(!relay.directory.upstreams.at(AgentAddress(0)).is_listed);
+}
+
+// Guards against a list or change that was sent before the store was restored
+// and arrives after it.
+BOOST_AUTO_TEST_CASE(RestoredStore_EarlierEraArrives_IsIgnored) {
+  const DirectoryEntry kept{AgentAddress(0), service, "catania", {2, 1}};
+  ApplyListing(relay.directory, {kept}, StoreRevision{2, 3}, now);
+  const UpstreamDirectory before = relay.directory;
+  ApplyListing(relay.directory, {}, StoreRevision{1, 20}, now);
+  ApplyRemoval(relay.directory, AgentAddress(0), StoreRevision{1, 20});
+  ApplyEntry(relay.directory,
+             DirectoryEntry{AgentAddress(50), service, "catania", {1, 20}},
+             now);
+  BOOST_CHECK(relay.directory == before);
+}
+
+// Guards against departed agents that a restored store lists again: many of
+// them would suspend failure detection until they are given up as lost.
+BOOST_AUTO_TEST_CASE(RestoredStore_RemovedEntryIsBack_IsGivenUpSoon) {
+  const Endpoint departed = AgentAddress(50);
+  const DirectoryEntry removed{departed, service, "catania", {1, 9}};
+  ApplyEntry(relay.directory, removed, now);
+  ApplyRemoval(relay.directory, departed, StoreRevision{1, 10});
+  RemoveUnlistedAgents(relay.directory, now + kAgentRestartTimeout);
+  DirectoryEntry back = removed;
+  back.revision.era = 2;
+  ApplyListing(relay.directory, {back}, StoreRevision{2, 9}, now);
+  const auto& upstream = relay.directory.upstreams.at(departed);
+  BOOST_TEST(upstream.is_listed);
+  BOOST_TEST(CountReachableAgents(relay.directory, now).known == kAgents);
+  relay.directory.detection_suspended_until = now + kAgentTimeout + Millis{1};
+  BOOST_TEST(!MayOwnFlows(relay.directory, upstream, now + kAgentTimeout));
+  const TimePoint later = now + kResurrectedAgentTimeout;
+  BOOST_TEST(FindLostAgents(relay.directory, later - Millis{1}).empty());
+  BOOST_TEST(FindLostAgents(relay.directory, later).size() == 1U);
+  Report(departed, UpstreamPhase::kReady);
+  BOOST_TEST(FindLostAgents(relay.directory, later).empty());
+}
+
 BOOST_AUTO_TEST_CASE(UnreachableAgent_ReportTooOld_AcceptsNoFlows) {
   const KnownUpstream& upstream = relay.directory.upstreams.at(AgentAddress(0));
   BOOST_TEST(AcceptsFlows(upstream, now + kMaxReportAge));
@@ -102,7 +156,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnlistedAgent_WhileItReports_StaysKnown) {
-  ApplyRemoval(relay.directory, AgentAddress(0), 1);
+  ApplyRemoval(relay.directory, AgentAddress(0), StoreRevision{1, 1});
   RemoveUnlistedAgents(relay.directory, now);
   BOOST_TEST(relay.directory.upstreams.count(AgentAddress(0)) == 1U);
   RemoveUnlistedAgents(relay.directory, now + kAgentRestartTimeout);
@@ -132,7 +186,7 @@
 BOOST_AUTO_TEST_CASE(UnreachableAgent_EntryWrittenAgain_IsNotLostForAsLong) {
   now = now + kAgentLossTimeout;
   ApplyEntry(relay.directory,
-             DirectoryEntry{AgentAddress(0), service, "catania", 9}, now);
+             DirectoryEntry{AgentAddress(0), service, "catania", {1, 9}}, now);
   for (const DirectoryEntry& lost : FindLostAgents(relay.directory, now)) {
     BOOST_CHECK(lost.agent != AgentAddress(0));
   }
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -53,7 +53,7 @@
   Metrics metrics_;
   uint64_t boot_id_;
   uint64_t report_sequence_ = 0;
-  uint64_t configuration_revision_ = 0;
+  uint64_t configuration_version_ = 0;
   UpstreamPhase announced_phase_ = UpstreamPhase::kUnknown;
   /// Time of the last poll by each balancer that polled recently.
   std::map<Endpoint, TimePoint> last_poll_by_balancer_;
--- a/packages/node/include/medlarwinch/node/agent_registration.h
+++ b/packages/node/include/medlarwinch/node/agent_registration.h
@@ -47,8 +47,10 @@
   /// Removes the entry; Publish() creates it again.
   void Withdraw();
 
-  /// Records a poll by `balancer`, and rewrites the entry when the balancer
-  /// does not find it in the store.
+  /// Records a poll by `balancer`. Rewrites the entry when the balancer does
+  /// not find it in the store, and removes it again when the balancer still
+  /// finds it some time after this process has removed it: a restored store may
+  /// have lost the last writes.
   void RecordPoll(const Endpoint& balancer, bool is_listed, TimePoint now);
 
   /// Verifies the entry when no balancer polls. It may have been removed while
@@ -66,7 +68,10 @@
   void Create();
   void ReplaceIfDifferent();
   void Remove();
-  void CompleteWrite(uint64_t revision);
+  bool IsOwnEntry(const StoredObject& found) const;
+  void RepublishMissingEntry(const Endpoint& balancer, TimePoint now);
+  void RemoveReappearedEntry(const Endpoint& balancer, TimePoint now);
+  void CompleteWrite(const StoreRevision& revision);
   void Retry(const Error& error);
 
   std::unique_ptr<StoreConnection> store_;
@@ -84,8 +89,14 @@
   /// missing entry or missing polls caused.
   TimePoint last_poll_at_;
   TimePoint last_check_at_;
-  /// Last known revision of the entry; 0 when unknown.
-  uint64_t revision_ = 0;
+  /// True once this process has removed its entry, until it publishes again.
+  bool is_removed_ = false;
+  /// Time of the first poll after the removal that still found the entry.
+  TimePoint reappeared_at_;
+  /// Last known revision of the entry; its number is 0 when unknown.
+  StoreRevision revision_;
+  /// True if an entry may exist although its revision is unknown.
+  bool has_reappeared_ = false;
 };
 
 }  // namespace medlarwinch
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -35,6 +35,8 @@
   void ExecuteActions(RelayActions& actions, ByteView packet);
   void SchedulePendingQueries();
   void SendReset(const ResetCaller& reset);
+  void ObserveStoreEra(uint64_t era);
+  void ReconnectOutdatedWatch(StoreWatch* watch);
   void HandleConfiguration(const StoredObject& object);
   void HandleAgentListing(const ObjectListing& listing);
   void ConfirmAgents();
@@ -78,6 +80,8 @@
   TimePoint last_refresh_at_;
   TimePoint last_confirmation_at_;
   TimePoint stop_requested_at_;
+  /// Latest era of the store that a listing was read in.
+  uint64_t store_era_ = 0;
   /// Number of balancers that an agent last reported.
   uint32_t reported_balancers_ = 0;
   uint64_t malformed_packets_ = 0;
--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "medlarwinch/coordination/store_revision.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/result.h"
 
@@ -13,8 +14,8 @@
 /// An object in the platform's metadata store.
 struct StoredObject {
   std::string name;
-  /// Revision of its last change.
-  uint64_t revision = 0;
+  /// Revision of its last change, in the era in which it was read.
+  StoreRevision revision;
   /// The content as JSON text.
   std::string content;
 
@@ -24,7 +25,7 @@
 /// All objects of a kind as of one revision.
 struct ObjectListing {
   std::vector<StoredObject> objects;
-  uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 /// A change of one object; `object.content` is empty when it was removed.
@@ -36,16 +37,19 @@
 /// Result of a watch call; without changes when the call reached its wait time.
 struct ObjectChanges {
   std::vector<ObjectChange> changes;
-  /// Revision from which the next watch continues.
-  uint64_t revision = 0;
+  /// Revision from which the next watch continues. In a later era than the
+  /// watched one if the store was restored meanwhile; `changes` may then lack
+  /// some.
+  StoreRevision revision;
 };
 
 /// A connection to the platform's metadata store. It carries one call at a
 /// time; each callback is called once, from the event loop. Errors:
 /// kUnavailable when the call had no effect, kTimeout when it may have taken
 /// effect, kConflict when the object has another revision or already exists,
-/// kNotFound, kLimitExceeded when the history that a watch needs has been
-/// compacted.
+/// kNotFound, kLimitExceeded when the store does not have the history that a
+/// watch needs. Conditions compare revision numbers only, so a caller must not
+/// use a revision of an earlier era.
 class StoreConnection {
  public:
   template <typename T>
@@ -63,8 +67,9 @@
 
   /// Waits up to `wait` for changes after `revision`. With `allow_stale` the
   /// call costs less, but changes may be reported seconds late.
-  virtual void Watch(const std::string& kind, uint64_t revision, Millis wait,
-                     bool allow_stale, Callback<ObjectChanges> callback) = 0;
+  virtual void Watch(const std::string& kind, const StoreRevision& revision,
+                     Millis wait, bool allow_stale,
+                     Callback<ObjectChanges> callback) = 0;
 
   virtual void Get(const std::string& kind, const std::string& name,
                    Callback<StoredObject> callback) = 0;
@@ -79,7 +84,7 @@
 
   /// Removes the object if it still has `revision`.
   virtual void Remove(const std::string& kind, const std::string& name,
-                      uint64_t revision, Callback<Ok> callback) = 0;
+                      const StoreRevision& revision, Callback<Ok> callback) = 0;
 };
 
 }  // namespace medlarwinch
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -41,7 +41,7 @@
 
 /// Lists the objects of one kind and then watches them until it is destroyed.
 /// Failed calls are retried with backoff and jitter; when the history has been
-/// compacted, the objects are listed again.
+/// compacted or the store was restored, the objects are listed again.
 class StoreWatch {
  public:
   StoreWatch(boost::asio::io_context& loop,
@@ -61,6 +61,10 @@
   /// takes longer than the requests are apart would never complete.
   void Reconnect(std::unique_ptr<StoreConnection> store);
 
+  /// The revision up to which changes were reported; its number is 0 before the
+  /// first listing.
+  const StoreRevision& position() const { return position_; }
+
   /// True if the last call succeeded.
   bool is_connected() const { return is_connected_; }
 
@@ -76,7 +80,7 @@
   WatchOptions options_;
   Random random_;
   StoreObserver observer_;
-  uint64_t revision_ = 0;
+  StoreRevision position_;
   uint32_t failures_ = 0;
   bool is_first_listing_ = true;
   bool is_listing_ = false;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -38,7 +38,8 @@
 DirectoryEntry MakeOwnEntry(const NodeSettings& settings) {
   return DirectoryEntry{settings.datagram_address,
                         MakeServiceId(settings.service),
-                        settings.failure_domain, 0};
+                        settings.failure_domain,
+                        {}};
 }
 
 }  // namespace
@@ -143,8 +144,8 @@
 void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
   const TimePoint now = MonotonicNow();
   last_poll_by_balancer_.insert_or_assign(from, now);
-  configuration_revision_ =
-      std::max(configuration_revision_, poll.configuration_revision);
+  configuration_version_ =
+      std::max(configuration_version_, poll.configuration_version);
   SendStatus(from);
   if (report_sequence_ % kReportsPerBalancerCount == 0) {
     EncodeRelayMessage(
@@ -321,7 +322,7 @@
   report.mean_outstanding = relay_.flow_tracker.mean_outstanding;
   report.outstanding = relay_.flow_tracker.outstanding;
   report.is_cold = now < relay_.upstream.cold_until;
-  EncodeRelayMessage(AgentStatus{report, configuration_revision_},
+  EncodeRelayMessage(AgentStatus{report, configuration_version_},
                      message_buffer_);
   relay_socket_->Send(balancer, message_buffer_);
 }
--- a/packages/node/src/agent_registration.cc
+++ b/packages/node/src/agent_registration.cc
@@ -14,12 +14,20 @@
 constexpr BackoffPolicy kEntryBackoff{Millis{80}, Millis{1'000}};
 // Minimum time between two rewrites of an entry that balancers report missing.
 constexpr Millis kMinRepublishInterval{2'000};
+// Balancers learn of a removal within this time unless the store has lost it.
+constexpr Millis kRemovalPropagationTime{2'000};
 
 Error InvalidEntry(const StoredObject& object, const std::string& reason) {
   return Error{ErrorCode::kInvalidInput,
                "agent entry '" + object.name + "': " + reason};
 }
 
+// Compares decoded contents, since the store may format them differently.
+bool IsSameEntry(const std::string& a, const std::string& b) {
+  return nlohmann::json::parse(a, nullptr, false) ==
+         nlohmann::json::parse(b, nullptr, false);
+}
+
 }  // namespace
 
 std::string AgentEntryName(const Endpoint& agent) {
@@ -87,13 +95,33 @@
 void AgentRegistration::RecordPoll(const Endpoint& balancer, bool is_listed,
                                    TimePoint now) {
   last_poll_at_ = now;
-  if (is_listed || !is_published()) return;
+  if (!is_in_sync_ || is_listed == should_publish_) return;
+  if (should_publish_) {
+    RepublishMissingEntry(balancer, now);
+  } else {
+    RemoveReappearedEntry(balancer, now);
+  }
+}
+
+void AgentRegistration::RepublishMissingEntry(const Endpoint& balancer,
+                                              TimePoint now) {
   if (now - last_check_at_ < kMinRepublishInterval) return;
   last_check_at_ = now;
   Log(LogLevel::kWarning, "entry_missed", {{"balancer", ToString(balancer)}});
   Publish();
 }
 
+void AgentRegistration::RemoveReappearedEntry(const Endpoint& balancer,
+                                              TimePoint now) {
+  if (!is_removed_) return;
+  if (reappeared_at_ == TimePoint{}) reappeared_at_ = now;
+  if (now - reappeared_at_ < kRemovalPropagationTime) return;
+  Log(LogLevel::kWarning, "entry_reappeared",
+      {{"balancer", ToString(balancer)}});
+  has_reappeared_ = true;
+  Withdraw();
+}
+
 void AgentRegistration::RepublishIfUnpolled(TimePoint now) {
   if (last_poll_at_ == TimePoint{}) last_poll_at_ = now;
   if (!is_published() ||
@@ -109,6 +137,7 @@
 void AgentRegistration::StartWrite() {
   is_write_in_progress_ = true;
   is_in_sync_ = false;
+  reappeared_at_ = TimePoint{};
   write_publishes_ = should_publish_;
   if (should_publish_) {
     Create();
@@ -118,7 +147,7 @@
 }
 
 void AgentRegistration::Create() {
-  store_->Create(kAgentEntryKind, StoredObject{name_, 0, content_},
+  store_->Create(kAgentEntryKind, StoredObject{name_, {}, content_},
                  [this](const Result<StoredObject>& result) {
                    if (IsOk(result)) {
                      CompleteWrite(ValueOf(result).revision);
@@ -132,55 +161,73 @@
 
 // Reads the existing entry and replaces it unless its content is equal.
 void AgentRegistration::ReplaceIfDifferent() {
+  store_->Get(kAgentEntryKind, name_,
+              [this](const Result<StoredObject>& result) {
+                if (!IsOk(result)) {
+                  Retry(ErrorOf(result));
+                  return;
+                }
+                const StoreRevision revision = ValueOf(result).revision;
+                if (IsSameEntry(ValueOf(result).content, content_)) {
+                  CompleteWrite(revision);
+                  return;
+                }
+                store_->Replace(kAgentEntryKind,
+                                StoredObject{name_, revision, content_},
+                                [this](const Result<StoredObject>& replaced) {
+                                  if (IsOk(replaced)) {
+                                    CompleteWrite(ValueOf(replaced).revision);
+                                  } else {
+                                    Retry(ErrorOf(replaced));
+                                  }
+                                });
+              });
+}
+
+// Reads the entry first: the store may have been restored since the last write,
+// and its number may now belong to the entry of another agent.
+void AgentRegistration::Remove() {
+  if (revision_.number == 0 && !has_reappeared_) {
+    CompleteWrite({});
+    return;
+  }
+  is_removed_ = true;
   store_->Get(
       kAgentEntryKind, name_, [this](const Result<StoredObject>& result) {
-        if (!IsOk(result)) {
+        if (!IsOk(result) && ErrorOf(result).code != ErrorCode::kNotFound) {
           Retry(ErrorOf(result));
           return;
         }
-        const uint64_t revision = ValueOf(result).revision;
-        const nlohmann::json found =
-            nlohmann::json::parse(ValueOf(result).content, nullptr, false);
-        if (found == nlohmann::json::parse(content_, nullptr, false)) {
-          CompleteWrite(revision);
+        if (!IsOk(result) || !IsOwnEntry(ValueOf(result))) {
+          CompleteWrite({});
           return;
         }
-        store_->Replace(kAgentEntryKind,
-                        StoredObject{name_, revision, content_},
-                        [this](const Result<StoredObject>& replaced) {
-                          if (IsOk(replaced)) {
-                            CompleteWrite(ValueOf(replaced).revision);
-                          } else {
-                            Retry(ErrorOf(replaced));
-                          }
-                        });
+        store_->Remove(kAgentEntryKind, name_, ValueOf(result).revision,
+                       [this](const Result<Ok>& removed) {
+                         if (IsOk(removed) ||
+                             ErrorOf(removed).code == ErrorCode::kNotFound) {
+                           CompleteWrite({});
+                         } else {
+                           Retry(ErrorOf(removed));
+                         }
+                       });
       });
 }
 
-void AgentRegistration::Remove() {
-  if (revision_ == 0) {
-    CompleteWrite(0);
-    return;
-  }
-  store_->Remove(
-      kAgentEntryKind, name_, revision_, [this](const Result<Ok>& result) {
-        // A conflict means that another agent at this address has replaced the
-        // entry.
-        const bool is_entry_removed =
-            IsOk(result) || ErrorOf(result).code == ErrorCode::kNotFound ||
-            ErrorOf(result).code == ErrorCode::kConflict;
-        if (is_entry_removed) {
-          CompleteWrite(0);
-        } else {
-          Retry(ErrorOf(result));
-        }
-      });
+// Within an era of the store, an entry with another revision was written by
+// another agent at this address.
+bool AgentRegistration::IsOwnEntry(const StoredObject& found) const {
+  const bool is_replaced = found.revision.era == revision_.era &&
+                           found.revision.number != revision_.number;
+  return !is_replaced && IsSameEntry(found.content, content_);
 }
 
-void AgentRegistration::CompleteWrite(uint64_t revision) {
+void AgentRegistration::CompleteWrite(const StoreRevision& revision) {
   failures_ = 0;
   revision_ = revision;
   is_write_in_progress_ = false;
+  has_reappeared_ = false;
+  if (write_publishes_) is_removed_ = false;
   // Publish() or Withdraw() may have been called during the write.
   if (should_publish_ != write_publishes_) {
     StartWrite();
@@ -188,7 +235,7 @@
   }
   is_in_sync_ = true;
   Log(LogLevel::kInfo, should_publish_ ? "entry_published" : "entry_withdrawn",
-      {{"entry", name_}, {"revision", static_cast<int64_t>(revision)}});
+      {{"entry", name_}, {"revision", static_cast<int64_t>(revision.number)}});
 }
 
 void AgentRegistration::Retry(const Error& error) {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -77,7 +77,7 @@
 }
 
 void BalancerNode::PollAgent(const Endpoint& agent, bool is_listed) {
-  EncodeRelayMessage(AgentPoll{is_listed, relay_.routes.revision},
+  EncodeRelayMessage(AgentPoll{is_listed, relay_.routes.configuration.version},
                      message_buffer_);
   agent_socket_->Send(agent, message_buffer_);
 }
@@ -168,13 +168,14 @@
          {"slots", static_cast<int64_t>(status.report.slots)},
          {"flows", static_cast<int64_t>(status.report.flows)}});
   }
-  const bool is_behind = status.configuration_revision > relay_.routes.revision;
+  const uint64_t active_version = relay_.routes.configuration.version;
+  const bool is_behind = status.configuration_version > active_version;
   if (!is_behind || now - last_refresh_at_ < kMinRefreshInterval) return;
   last_refresh_at_ = now;
   Log(LogLevel::kWarning, "configuration_behind",
-      {{"revision", static_cast<int64_t>(relay_.routes.revision)},
+      {{"version", static_cast<int64_t>(active_version)},
        {"known_to", ToString(from)},
-       {"newer", static_cast<int64_t>(status.configuration_revision)}});
+       {"newer", static_cast<int64_t>(status.configuration_version)}});
   configuration_watch_->Reconnect(platform_.open_store());
 }
 
@@ -196,7 +197,8 @@
              {"flows", static_cast<int64_t>(chosen.report.flows)},
              {"busy", std::to_string(chosen.report.mean_outstanding)},
              {"report_age_ms", (MonotonicNow() - chosen.last_contact).value},
-             {"revision", static_cast<int64_t>(relay_.routes.revision)}});
+             {"revision",
+              static_cast<int64_t>(relay_.routes.revision.number)}});
       }
       agent_socket_->Send(relayed->to, packet_encoder_.Encode(
                                            std::move(relayed->header), packet));
@@ -260,7 +262,7 @@
        {"reason", FlowResetReasonName(reset.reason)},
        {"sequence", static_cast<int64_t>(reset.sequence)},
        {"agents", static_cast<int64_t>(relay_.directory.upstreams.size())},
-       {"revision", static_cast<int64_t>(relay_.routes.revision)}});
+       {"revision", static_cast<int64_t>(relay_.routes.revision.number)}});
 }
 
 void BalancerNode::Tick() {
@@ -290,7 +292,7 @@
 
 bool BalancerNode::IsReady() const {
   if (is_stopping_) return false;
-  if (relay_.routes.revision == 0 || !relay_.directory.is_complete) {
+  if (!relay_.routes.is_loaded || !relay_.directory.is_complete) {
     return false;
   }
   // A balancer that has lost the store and most agents is itself partitioned.
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -22,6 +22,7 @@
 void BalancerNode::WatchConfiguration() {
   StoreObserver observer;
   observer.on_listing = [this](const ObjectListing& listing) {
+    ObserveStoreEra(listing.revision.era);
     for (const StoredObject& object : listing.objects) {
       HandleConfiguration(object);
     }
@@ -50,6 +51,7 @@
 void BalancerNode::WatchAgents() {
   StoreObserver observer;
   observer.on_listing = [this](const ObjectListing& listing) {
+    ObserveStoreEra(listing.revision.era);
     HandleAgentListing(listing);
   };
   observer.on_change = [this](const ObjectChange& change) {
@@ -72,13 +74,34 @@
   agent_watch_->Start();
 }
 
+// The first call that reaches a restored store lets every watch continue in the
+// new era: a watch that still waits at a revision of the old one misses changes
+// that get lower numbers.
+void BalancerNode::ObserveStoreEra(uint64_t era) {
+  if (era <= store_era_) return;
+  if (store_era_ != 0) {
+    Log(LogLevel::kWarning, "store_restored",
+        {{"era", static_cast<int64_t>(era)},
+         {"before", static_cast<int64_t>(store_era_)}});
+  }
+  store_era_ = era;
+  ReconnectOutdatedWatch(configuration_watch_.get());
+  ReconnectOutdatedWatch(agent_watch_.get());
+}
+
+void BalancerNode::ReconnectOutdatedWatch(StoreWatch* watch) {
+  if (watch == nullptr || watch->position().number == 0) return;
+  if (watch->position().era >= store_era_) return;
+  watch->Reconnect(platform_.open_store());
+}
+
 void BalancerNode::HandleConfiguration(const StoredObject& object) {
   if (object.name != platform_.configuration_name) return;
   Result<RelayConfiguration> decoded =
       platform_.decode_configuration(object.content);
   if (!IsOk(decoded)) {
     Log(LogLevel::kError, "configuration_refused",
-        {{"revision", static_cast<int64_t>(object.revision)},
+        {{"revision", static_cast<int64_t>(object.revision.number)},
          {"message", ErrorOf(decoded).message}});
     return;
   }
@@ -87,11 +110,19 @@
   const size_t routes = configuration.routes.size();
   if (!ApplyConfiguration(relay_.routes, std::move(configuration),
                           object.revision, MonotonicNow())) {
+    const uint64_t active_version = relay_.routes.configuration.version;
+    if (version == active_version) return;
+    Log(LogLevel::kWarning, "configuration_outdated",
+        {{"version", static_cast<int64_t>(version)},
+         {"revision", static_cast<int64_t>(object.revision.number)},
+         {"era", static_cast<int64_t>(object.revision.era)},
+         {"in_force", static_cast<int64_t>(active_version)}});
     return;
   }
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", static_cast<int64_t>(version)},
-       {"revision", static_cast<int64_t>(object.revision)},
+       {"revision", static_cast<int64_t>(object.revision.number)},
+       {"era", static_cast<int64_t>(object.revision.era)},
        {"routes", static_cast<int64_t>(routes)}});
 }
 
@@ -112,7 +143,8 @@
   if (is_first) first_listing_at_ = MonotonicNow();
   Log(LogLevel::kInfo, "agents_listed",
       {{"agents", static_cast<int64_t>(entries.size())},
-       {"revision", static_cast<int64_t>(listing.revision)}});
+       {"revision", static_cast<int64_t>(listing.revision.number)},
+       {"era", static_cast<int64_t>(listing.revision.era)}});
   if (is_first || relay_.directory.upstreams.size() > known_count) PollAgents();
 }
 
@@ -135,6 +167,9 @@
               {{"message", ErrorOf(result).message}});
           return;
         }
+        const StoreRevision& listed_at = ValueOf(result).revision;
+        ObserveStoreEra(listed_at.era);
+        if (listed_at.era < store_era_) return;
         HandleAgentListing(ValueOf(result));
         RelayActions actions;
         HandleDirectoryRefreshed(relay_, requested_at, MonotonicNow(), actions);
@@ -149,7 +184,7 @@
     ApplyRemoval(relay_.directory, ValueOf(agent), change.object.revision);
     Log(LogLevel::kInfo, "agent_unlisted",
         {{"agent", change.object.name},
-         {"revision", static_cast<int64_t>(change.object.revision)}});
+         {"revision", static_cast<int64_t>(change.object.revision.number)}});
     return;
   }
   const Result<DirectoryEntry> entry = DecodeAgentEntry(change.object);
@@ -162,7 +197,7 @@
   Log(LogLevel::kInfo, "agent_listed",
       {{"agent", change.object.name},
        {"failure_domain", ValueOf(entry).failure_domain},
-       {"revision", static_cast<int64_t>(change.object.revision)}});
+       {"revision", static_cast<int64_t>(change.object.revision.number)}});
   PollAgent(ValueOf(entry).agent, true);
 }
 
@@ -181,16 +216,30 @@
       {{"agent", ToString(entry.agent)},
        {"silent_for_ms",
         (now - relay_.directory.upstreams.at(entry.agent).last_contact).value},
-       {"revision", static_cast<int64_t>(entry.revision)}});
+       {"revision", static_cast<int64_t>(entry.revision.number)}});
   if (removal_store_ == nullptr) removal_store_ = platform_.open_store();
-  removal_store_->Remove(kAgentEntryKind, name, entry.revision,
-                         [name](const Result<Ok>& result) {
-                           if (IsOk(result)) return;
-                           Log(LogLevel::kWarning, "agent_entry_not_removed",
-                               {{"agent", name},
-                                {"error", ErrorCodeName(ErrorOf(result).code)},
-                                {"message", ErrorOf(result).message}});
-                         });
+  const auto log_failure = [name](const Error& error) {
+    Log(LogLevel::kWarning, "agent_entry_not_removed",
+        {{"agent", name},
+         {"error", ErrorCodeName(error.code)},
+         {"message", error.message}});
+  };
+  // Reads the entry first, since the store may have been restored and its
+  // revision number may now belong to the entry of another agent.
+  removal_store_->Get(
+      kAgentEntryKind, name,
+      [this, name, revision = entry.revision,
+       log_failure](const Result<StoredObject>& found) {
+        if (!IsOk(found)) return log_failure(ErrorOf(found));
+        if (ValueOf(found).revision != revision) {
+          return log_failure(Error{ErrorCode::kConflict, "entry was written"});
+        }
+        removal_store_->Remove(kAgentEntryKind, name, revision,
+                               [log_failure](const Result<Ok>& result) {
+                                 if (!IsOk(result))
+                                   log_failure(ErrorOf(result));
+                               });
+      });
 }
 
 }  // namespace medlarwinch
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -43,7 +43,11 @@
   metrics.Set("medlarwinch_balancer_flows_cached", {},
               static_cast<double>(relay.cache.size()));
   metrics.Set("medlarwinch_balancer_configuration_revision", {},
-              static_cast<double>(relay.routes.revision));
+              static_cast<double>(relay.routes.revision.number));
+  metrics.Set("medlarwinch_balancer_configuration_version", {},
+              static_cast<double>(relay.routes.configuration.version));
+  metrics.Set("medlarwinch_balancer_store_era", {},
+              static_cast<double>(relay.directory.listed_revision.era));
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     const MetricLabels labels = {{"agent", ToString(agent)}};
     metrics.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -12,6 +12,9 @@
 // The first retry is fast because a refused call is cheap. The maximum is well
 // below the time within which a configuration must be in force.
 constexpr BackoffPolicy kStoreBackoff{Millis{60}, Millis{1'200}};
+// Long-poll time of the first watch call after a failed one. The store may have
+// been restored meanwhile, and a response shows its era.
+constexpr Millis kProbeWait{1};
 
 }  // namespace
 
@@ -48,7 +51,11 @@
                    return;
                  }
                  const ObjectListing listing = TakeValue(std::move(result));
-                 revision_ = listing.revision;
+                 if (listing.revision.era < position_.era) {
+                   Retry("listing of an earlier era", true);
+                   return;
+                 }
+                 position_ = listing.revision;
                  SetConnected(true, "listed");
                  observer_.on_listing(listing);
                  Watch();
@@ -56,14 +63,15 @@
 }
 
 void StoreWatch::Watch() {
-  const Millis wait =
+  const Millis usual_wait =
       observer_.wait != nullptr ? observer_.wait() : options_.wait;
-  store_->Watch(options_.kind, revision_, wait, options_.allow_stale,
+  const Millis wait = failures_ > 0 ? kProbeWait : usual_wait;
+  store_->Watch(options_.kind, position_, wait, options_.allow_stale,
                 [this](Result<ObjectChanges> result) {
                   if (!IsOk(result)) {
-                    const bool is_history_compacted =
+                    const bool is_history_missing =
                         ErrorOf(result).code == ErrorCode::kLimitExceeded;
-                    if (is_history_compacted) {
+                    if (is_history_missing) {
                       List();
                       return;
                     }
@@ -71,7 +79,13 @@
                     return;
                   }
                   const ObjectChanges changes = TakeValue(std::move(result));
-                  revision_ = std::max(revision_, changes.revision);
+                  // The position is not part of the history of another era, so
+                  // the changes after it may be incomplete.
+                  if (changes.revision.era != position_.era) {
+                    List();
+                    return;
+                  }
+                  position_ = std::max(position_, changes.revision);
                   SetConnected(true, "watched");
                   for (const ObjectChange& change : changes.changes) {
                     observer_.on_change(change);
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -46,8 +46,8 @@
 // Guards against flows of the previous service at a reused address: without the
 // replacement, balancers would read the old service name from the entry.
 BOOST_AUTO_TEST_CASE(EntryOfPredecessor_Published_IsReplaced) {
-  store.objects[name] =
-      StoredObject{name, 1, EncodeAgentEntry(directory_entry, "report-desk")};
+  store.objects[name] = StoredObject{
+      name, {1, 1}, EncodeAgentEntry(directory_entry, "report-desk")};
   registration->Publish();
   Run();
   BOOST_CHECK(ValueOf(DecodeAgentEntry(store.objects.at(name))).service ==
@@ -57,10 +57,10 @@
 BOOST_AUTO_TEST_CASE(EqualEntry_Published_IsNotWritten) {
   registration->Publish();
   Run();
-  const uint64_t revision = store.revision;
+  const StoreRevision revision = store.revision;
   registration->Publish();
   Run();
-  BOOST_TEST(store.revision == revision);
+  BOOST_CHECK(store.revision == revision);
   BOOST_TEST(registration->is_published());
 }
 
@@ -69,7 +69,7 @@
   registration->Publish();
   Run(400);
   BOOST_TEST(registration->is_published());
-  BOOST_TEST(store.revision == 2U);
+  BOOST_TEST(store.revision.number == 2U);
 }
 
 // Guards against removing the entry of another agent that has since taken over
@@ -105,6 +105,71 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against an entry of a departed agent that balancers find for a minute:
+// its removal is refused because the restored store has an older revision of
+// it.
+BOOST_AUTO_TEST_CASE(RestoredStore_OwnOlderEntry_WithdrawnIsRemoved) {
+  registration->Publish();
+  Run();
+  const std::map<std::string, StoredObject> copy = store.objects;
+  store.Put(name, EncodeAgentEntry(directory_entry, "probe-hub"));
+  registration->Publish();
+  Run();
+  store.Restore(copy, 2);
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(registration->is_in_sync());
+  BOOST_TEST(store.objects.empty());
+}
+
+// Guards against removing the entry of a successor whose write got the number
+// that the removed entry had before the store was restored.
+BOOST_AUTO_TEST_CASE(RestoredStore_EntryOfSuccessor_WithdrawnIsKept) {
+  registration->Publish();
+  Run();
+  store.Restore({}, 1);
+  store.Put(name, EncodeAgentEntry(directory_entry, "report-desk"));
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(registration->is_in_sync());
+  BOOST_TEST(store.objects.count(name) == 1U);
+}
+
+// Guards against an entry that stays listed because the store has lost its
+// removal.
+BOOST_AUTO_TEST_CASE(RestoredStore_RemovalLost_EntryIsRemovedAgain) {
+  registration->Publish();
+  Run();
+  const std::map<std::string, StoredObject> copy = store.objects;
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(store.objects.empty());
+  store.Restore(copy, 2);
+  const Endpoint balancer{0x0a010001, 7'000};
+  registration->RecordPoll(balancer, true, TimePoint{5'000});
+  registration->RecordPoll(balancer, true, TimePoint{6'000});
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+  registration->RecordPoll(balancer, true, TimePoint{7'000});
+  Run();
+  BOOST_TEST(store.objects.empty());
+  BOOST_TEST(registration->is_in_sync());
+}
+
+// Guards against an agent that removes the entry of its previous process while
+// its upstream is still starting.
+BOOST_AUTO_TEST_CASE(EntryOfPreviousProcess_PolledAsListed_IsKept) {
+  store.objects[name] = StoredObject{
+      name, {1, 1}, EncodeAgentEntry(directory_entry, "probe-hub")};
+  registration->Withdraw();
+  Run();
+  const Endpoint balancer{0x0a010001, 7'000};
+  registration->RecordPoll(balancer, true, TimePoint{5'000});
+  registration->RecordPoll(balancer, true, TimePoint{9'000});
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+}
+
 // Guards against an agent that stays unreachable for good after its entry was
 // removed while it was partitioned: balancers don't poll an agent without an
 // entry, so no poll reports to it that the entry is missing.
@@ -128,7 +193,7 @@
       "", "[]", "{}", R"({"relay":"10.1.0.9:8172","upstream_service":"a"})",
       R"({"relay":"10.1.0.8:8172","upstream_service":4})"};
   for (const std::string& content : contents) {
-    BOOST_TEST(!IsOk(DecodeAgentEntry(StoredObject{name, 1, content})));
+    BOOST_TEST(!IsOk(DecodeAgentEntry(StoredObject{name, {1, 1}, content})));
   }
 }
 
--- a/packages/node/tests/store_fixture.h
+++ b/packages/node/tests/store_fixture.h
@@ -20,7 +20,7 @@
 /// instead of results.
 struct FakeStore {
   std::map<std::string, StoredObject> objects;
-  uint64_t revision = 1;
+  StoreRevision revision{1, 1};
   /// Each of the next calls fails with one of these errors.
   std::deque<Error> pending_errors;
   std::vector<std::string> calls;
@@ -33,11 +33,20 @@
 
   /// Writes an object and completes the watches with the change.
   void Put(const std::string& name, const std::string& content) {
-    objects[name] = StoredObject{name, ++revision, content};
+    ++revision.number;
+    objects[name] = StoredObject{name, revision, content};
     CompleteWatches(
         ObjectChanges{{ObjectChange{objects[name], false}}, revision});
   }
 
+  /// Replaces the content by a copy with its last revision number, in the next
+  /// era. Watches in progress keep waiting.
+  void Restore(std::map<std::string, StoredObject> copy, uint64_t number) {
+    revision = StoreRevision{revision.era + 1, number};
+    objects = std::move(copy);
+    for (auto& [name, object] : objects) object.revision.era = revision.era;
+  }
+
   void CompleteWatches(const Result<ObjectChanges>& result) {
     std::vector<std::function<void(Result<ObjectChanges>)>> completed;
     completed.swap(pending_watches);
@@ -76,14 +85,20 @@
     return !store_.pending_watches.empty() && store_.is_response_arriving;
   }
 
-  void Watch(const std::string& /*kind*/, uint64_t revision, Millis /*wait*/,
-             bool /*allow_stale*/, Callback<ObjectChanges> callback) override {
-    store_.calls.push_back("watch " + std::to_string(revision));
+  void Watch(const std::string& /*kind*/, const StoreRevision& revision,
+             Millis wait, bool /*allow_stale*/,
+             Callback<ObjectChanges> callback) override {
+    store_.calls.push_back("watch " + std::to_string(revision.number));
     if (!store_.pending_errors.empty()) {
       const Error error = TakeError();
       boost::asio::post(loop_, [callback, error] { callback(error); });
       return;
     }
+    if (wait <= kImmediateWait) {
+      const ObjectChanges unchanged{{}, store_.revision};
+      boost::asio::post(loop_, [callback, unchanged] { callback(unchanged); });
+      return;
+    }
     store_.pending_watches.push_back(callback);
   }
 
@@ -115,7 +130,7 @@
           if (found == store_.objects.end()) {
             return Error{ErrorCode::kNotFound, "missing"};
           }
-          if (found->second.revision != object.revision) {
+          if (found->second.revision.number != object.revision.number) {
             return Error{ErrorCode::kConflict, "revision mismatch"};
           }
           return Write(object);
@@ -123,13 +138,13 @@
   }
 
   void Remove(const std::string& /*kind*/, const std::string& name,
-              uint64_t revision, Callback<Ok> callback) override {
+              const StoreRevision& revision, Callback<Ok> callback) override {
     Call<Ok>("remove", callback, [this, name, revision]() -> Result<Ok> {
       const auto found = store_.objects.find(name);
       if (found == store_.objects.end()) {
         return Error{ErrorCode::kNotFound, "missing"};
       }
-      if (found->second.revision != revision) {
+      if (found->second.revision.number != revision.number) {
         return Error{ErrorCode::kConflict, "revision mismatch"};
       }
       store_.objects.erase(found);
@@ -138,6 +153,9 @@
   }
 
  private:
+  // Watches with a shorter wait are completed at once.
+  static constexpr Millis kImmediateWait{10};
+
   Error TakeError() {
     const Error error = store_.pending_errors.front();
     store_.pending_errors.pop_front();
@@ -145,7 +163,8 @@
   }
 
   Result<StoredObject> Write(StoredObject object) {
-    object.revision = ++store_.revision;
+    ++store_.revision.number;
+    object.revision = store_.revision;
     store_.objects[object.name] = object;
     return object;
   }
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -10,7 +10,7 @@
 
 struct StoreWatchFixture {
   StoreWatchFixture() {
-    store.objects["main"] = StoredObject{"main", 1, "1"};
+    store.objects["main"] = StoredObject{"main", {1, 1}, "1"};
     StoreObserver observer;
     observer.on_listing = [this](const ObjectListing& listing) {
       ++listing_count;
@@ -138,6 +138,50 @@
   BOOST_TEST(listing_count == 2);
 }
 
+// Guards against changes that a watch never reports: a restored store gives
+// them numbers that the watch has already passed.
+BOOST_AUTO_TEST_CASE(RestoredStore_WatchInProgress_ListsAgain) {
+  Run();
+  store.Put("main", "2");
+  Run();
+  store.Restore({{"main", StoredObject{"main", {1, 1}, "1"}}}, 1);
+  store.Put("main", "3");
+  Run();
+  BOOST_TEST(listing_count == 2);
+  BOOST_CHECK((watch->position() == StoreRevision{2, 2}));
+  store.Put("main", "4");
+  BOOST_TEST(changed_contents == (std::vector<std::string>{"2", "4"}),
+             boost::test_tools::per_element());
+}
+
+// Guards against a watch that waits at a revision of the era before for a whole
+// long poll after the store has returned.
+BOOST_AUTO_TEST_CASE(RestoredStore_ConnectionLost_ListsAtFirstResponse) {
+  Run();
+  store.CompleteWatches(Error{ErrorCode::kTimeout, "reset"});
+  store.Restore({}, 1);
+  Run(100);
+  BOOST_TEST(listing_count == 2);
+  BOOST_TEST(listed_count == 0U);
+}
+
+// Guards against a listing that takes back what a later era has shown.
+BOOST_AUTO_TEST_CASE(ListingOfEarlierEra_Received_IsNotReported) {
+  Run();
+  store.revision.era = 2;
+  store.Put("main", "2");
+  Run();
+  BOOST_TEST(listing_count == 2);
+  store.revision.era = 1;
+  watch->Reconnect(std::make_unique<FakeStoreConnection>(loop, store));
+  Run(20);
+  BOOST_TEST(listing_count == 2);
+  BOOST_TEST(!watch->is_connected());
+  store.revision.era = 3;
+  Run(300);
+  BOOST_TEST(listing_count == 3);
+}
+
 // Guards against a loop of listings that are each older than the history that
 // the store still has.
 BOOST_AUTO_TEST_CASE(StaleAllowed_HistoryCompacted_SecondListingIsCurrent) {
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -49,8 +49,8 @@
   /// False if the store has no entry of the agent, which makes the agent write
   /// it again.
   bool is_listed = true;
-  /// Revision of the configuration that the balancer has applied.
-  uint64_t configuration_revision = 0;
+  /// Version of the configuration that the balancer has applied.
+  uint64_t configuration_version = 0;
 
   friend bool operator==(const AgentPoll&, const AgentPoll&) = default;
 };
@@ -59,10 +59,10 @@
 /// changes.
 struct AgentStatus {
   AgentReport report;
-  /// Highest configuration revision that the agent has received from any
+  /// Highest configuration version that the agent has received from any
   /// balancer. Lets a balancer detect that its store watch has stalled and that
   /// it is behind.
-  uint64_t configuration_revision = 0;
+  uint64_t configuration_version = 0;
 
   friend bool operator==(const AgentStatus&, const AgentStatus&) = default;
 };
@@ -143,7 +143,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, AgentPoll& message) {
-  archive(message.is_listed, message.configuration_revision);
+  archive(message.is_listed, message.configuration_version);
 }
 
 template <typename Archive>
@@ -153,7 +153,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, AgentStatus& message) {
-  archive(message.report, message.configuration_revision);
+  archive(message.report, message.configuration_version);
 }
 
 /// New messages are appended, so that processes of different versions read each
--- a/packages/transport/include/medlarwinch/transport/http_server.h
+++ b/packages/transport/include/medlarwinch/transport/http_server.h
@@ -28,6 +28,8 @@
   int status = 200;
   std::string content_type = "text/plain";
   std::string body;
+  /// Further header fields, with lower-case names.
+  std::map<std::string, std::string> headers = {};
 };
 
 /// The path and the decoded query parameters of a request target.
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "http_fields.h"
 #include "medlarwinch/transport/idle_connection.h"
 
 namespace medlarwinch {
@@ -91,6 +92,7 @@
     http::response<http::string_body> parsed_response = parser->release();
     HttpResponse response;
     response.status = static_cast<int>(parsed_response.result_int());
+    response.headers = ToHeaderMap(parsed_response);
     response.body = std::move(parsed_response.body());
     // Bytes after the response belong to no request.
     const bool keeps_alive = parsed_response.keep_alive() && buffer.size() == 0;
--- a/packages/transport/src/async_http_server.cc
+++ b/packages/transport/src/async_http_server.cc
@@ -93,6 +93,9 @@
     response_.version(request.version());
     response_.result(static_cast<unsigned>(response.status));
     response_.set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers) {
+      response_.set(name, value);
+    }
     response_.keep_alive(request.keep_alive());
     response_.body() = std::move(response.body);
     response_.prepare_payload();
--- a/packages/transport/src/http_server.cc
+++ b/packages/transport/src/http_server.cc
@@ -9,6 +9,8 @@
 #include <mutex>
 #include <set>
 
+#include "http_fields.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -42,14 +44,7 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.body = message.body();
-  for (const auto& field : message) {
-    std::string name(field.name_string());
-    for (char& character : name) {
-      character = static_cast<char>(
-          std::tolower(static_cast<unsigned char>(character)));
-    }
-    request.headers[name] = std::string(field.value());
-  }
+  request.headers = ToHeaderMap(message);
   return request;
 }
 
--- a/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
@@ -27,7 +27,7 @@
 };
 
 /// Simulates the platform's metadata store: objects by kind and name,
-/// conditional writes, lists and watches.
+/// conditional writes, lists, watches, and restoration from an older copy.
 class MetadataService {
  public:
   /// Handles one call. `respond` may be called later if the call is a watch,
@@ -43,7 +43,13 @@
   /// 410.
   void Compact();
 
-  /// Responds without events to the watches whose wait time has elapsed.
+  /// Returns to the latest copy that is at least `age` old, or to the oldest
+  /// one: later writes are lost, their revisions are given out again, and the
+  /// era rises by one. Cuts the watches in progress.
+  void Restore(Millis age, TimePoint now);
+
+  /// Responds without events to the watches whose wait time has elapsed, and
+  /// copies the objects if they have changed.
   void Tick(TimePoint now);
 
   uint64_t calls() const { return calls_; }
@@ -60,6 +66,12 @@
     nlohmann::json object;
     bool is_deleted = false;
   };
+  using ObjectsByKind = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy {
+    TimePoint taken_at;
+    uint64_t revision = 0;
+    ObjectsByKind objects_by_kind;
+  };
   struct PendingWatch {
     std::string kind;
     uint64_t since = 0;
@@ -67,6 +79,8 @@
     AsyncHttpServer::Responder respond;
   };
 
+  void HandleReachable(const HttpRequest& request, StoreFault fault,
+                       TimePoint now, AsyncHttpServer::Responder respond);
   HttpResponse Write(const HttpRequest& request, const std::string& kind,
                      const std::string& name, uint64_t expected_revision);
   void RecordChange(const std::string& kind, const std::string& name,
@@ -76,11 +90,14 @@
   nlohmann::json EventsSince(const std::string& kind, uint64_t since) const;
   HttpResponse ListAll(const std::string& kind) const;
 
-  std::map<std::string, std::map<std::string, Object>> objects_by_kind_;
+  ObjectsByKind objects_by_kind_;
+  /// In the order of their times.
+  std::deque<Copy> copies_;
   std::deque<Event> events_;
   std::list<PendingWatch> pending_watches_;
   uint64_t revision_ = 1;
   uint64_t oldest_event_revision_ = 1;
+  uint64_t era_ = 1;
   uint64_t calls_ = 0;
 };
 
--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
@@ -37,11 +37,13 @@
  public:
   /// Called with a description of each violated guarantee.
   using ViolationHandler = std::function<void(const std::string&)>;
+  /// Called for each flow that is opened.
+  using OpeningHandler = std::function<void(const FlowTuple&)>;
 
   SimulatedUpstream(boost::asio::io_context& loop,
                     SimulatedUpstreamSettings settings,
                     std::set<Endpoint> allowed_routes, uint32_t incarnation,
-                    ViolationHandler on_violation);
+                    ViolationHandler on_violation, OpeningHandler on_opening);
   ~SimulatedUpstream();
   SimulatedUpstream(const SimulatedUpstream&) = delete;
   SimulatedUpstream& operator=(const SimulatedUpstream&) = delete;
@@ -83,6 +85,7 @@
   std::set<Endpoint> allowed_routes_;
   uint32_t incarnation_;
   ViolationHandler on_violation_;
+  OpeningHandler on_opening_;
   std::string id_;
   std::unique_ptr<AsyncUdpSocket> socket_;
   AsyncHttpClient heartbeat_client_;
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -79,9 +79,11 @@
   void InjectUpstreamFault(UpstreamVm& vm);
   void InjectStoreFault();
   void ChangeConfiguration();
+  void WriteConfiguration();
   void EndFaults();
   Endpoint BalancerOf(const FlowTuple& flow) const;
   void CheckReset(const FlowTuple& flow, uint32_t sender);
+  void CheckOpening(const std::string& service, const FlowTuple& flow);
   void LogEvent(const std::string& event);
   void ReportViolation(const std::string& what);
   double ElapsedSeconds() const;
@@ -100,6 +102,7 @@
   TimePoint next_fault_;
   TimePoint next_readiness_probe_;
   TimePoint store_disrupted_at_;
+  TimePoint configuration_changed_at_;
   CallerCounts final_check_baseline_;
   uint32_t last_incarnation_ = 0;
   uint64_t configuration_version_ = 1;
--- a/standins/platform_side/src/metadata_service.cc
+++ b/standins/platform_side/src/metadata_service.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/platform_side/metadata_service.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarwinch {
@@ -7,6 +8,9 @@
 
 using Json = nlohmann::json;
 
+// Longer than the age of any copy that a test or a soak run restores.
+constexpr Millis kMaxCopyAge{30'000};
+
 HttpResponse JsonResponse(int status, const Json& body) {
   return HttpResponse{status, "application/json", body.dump()};
 }
@@ -92,7 +96,31 @@
   oldest_event_revision_ = revision_ + 1;
 }
 
+void MetadataService::Restore(Millis age, TimePoint now) {
+  if (copies_.empty()) return;
+  while (copies_.size() > 1 && now - copies_.back().taken_at < age) {
+    copies_.pop_back();
+  }
+  objects_by_kind_ = copies_.back().objects_by_kind;
+  revision_ = copies_.back().revision;
+  std::erase_if(events_, [this](const Event& event) {
+    return event.revision > revision_;
+  });
+  oldest_event_revision_ = std::min(oldest_event_revision_, revision_ + 1);
+  ++era_;
+  for (const PendingWatch& watch : pending_watches_) {
+    watch.respond(std::nullopt);
+  }
+  pending_watches_.clear();
+}
+
 void MetadataService::Tick(TimePoint now) {
+  if (copies_.empty() || copies_.back().revision != revision_) {
+    copies_.push_back(Copy{now, revision_, objects_by_kind_});
+  }
+  if (now - copies_.front().taken_at > kMaxCopyAge && copies_.size() > 1) {
+    copies_.pop_front();
+  }
   for (auto watch = pending_watches_.begin();
        watch != pending_watches_.end();) {
     if (now < watch->deadline) {
@@ -139,6 +167,19 @@
     return respond(JsonResponse(503, Json::object()));
   if (fault == StoreFault::kConnectionReset) return respond(std::nullopt);
   if (fault == StoreFault::kNoResponse) return;
+  HandleReachable(
+      request, fault, now,
+      [this, respond = std::move(respond)](std::optional<HttpResponse> result) {
+        if (result.has_value()) {
+          result->headers["store-era"] = std::to_string(era_);
+        }
+        respond(std::move(result));
+      });
+}
+
+void MetadataService::HandleReachable(const HttpRequest& request,
+                                      StoreFault fault, TimePoint now,
+                                      AsyncHttpServer::Responder respond) {
   const HttpTarget target = ParseTarget(request.target);
   const std::string prefix = "/objects/";
   if (target.path.rfind(prefix, 0) != 0) {
@@ -171,7 +212,7 @@
   }
   if (target.query.count("watch") == 0) return respond(ListAll(kind));
   const uint64_t since = NumberParameter(target, "watch");
-  if (since + 1 < oldest_event_revision_)
+  if (since + 1 < oldest_event_revision_ || since > revision_)
     return respond(JsonResponse(410, Json::object()));
   const Json events = EventsSince(kind, since);
   if (!events.empty()) {
--- a/standins/platform_side/src/simulated_upstream.cc
+++ b/standins/platform_side/src/simulated_upstream.cc
@@ -26,12 +26,14 @@
                                      SimulatedUpstreamSettings settings,
                                      std::set<Endpoint> allowed_routes,
                                      uint32_t incarnation,
-                                     ViolationHandler on_violation)
+                                     ViolationHandler on_violation,
+                                     OpeningHandler on_opening)
     : loop_(loop),
       settings_(std::move(settings)),
       allowed_routes_(std::move(allowed_routes)),
       incarnation_(incarnation),
       on_violation_(std::move(on_violation)),
+      on_opening_(std::move(on_opening)),
       id_("i-" + std::to_string(incarnation)),
       heartbeat_client_(loop, Endpoint{settings_.ip, kAgentControlPort}),
       heartbeat_timer_(loop) {}
@@ -87,6 +89,7 @@
       Bounce(datagram);
       return;
     }
+    on_opening_(flow);
     Flow& state = flows_[flow];
     if (state.initial_sequence == 0) {
       // A sequence number that no other incarnation uses for this flow.
--- a/standins/platform_side/src/soak_faults.cc
+++ b/standins/platform_side/src/soak_faults.cc
@@ -5,6 +5,11 @@
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
+namespace {
+
+constexpr uint64_t kMaxRestoredAgeMs = 10'000;
+
+}  // namespace
 
 void SoakRun::InjectFault() {
   // A quarter of the faults hit up to four random targets at once.
@@ -72,6 +77,14 @@
     store_.Compact();
     return;
   }
+  if (random_() % 4 == 0) {
+    const Millis age{static_cast<int64_t>(random_() % kMaxRestoredAgeMs)};
+    LogEvent("store is restored from a copy " + std::to_string(age.value) +
+             " ms old");
+    store_.Restore(age, MonotonicNow());
+    WriteConfiguration();
+    return;
+  }
   const StoreFault fault = static_cast<StoreFault>(random_() % 5);
   const bool affects_all = random_() % 3 == 0;
   LogEvent("store fault " + std::to_string(static_cast<int>(fault)) +
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -29,9 +29,11 @@
 // the requests must succeed.
 constexpr Millis kFinalCheckPeriod{3'000};
 constexpr double kMinFinalSuccessRate = 0.9;
+// A new configuration must be in force after this time.
+constexpr Millis kMaxConfigurationDelay{3'000};
 // A reset is checked only if its sender, the agent of the upstream and the
 // store were not disrupted for this long.
-constexpr Millis kResetCheckDelay{4'000};
+constexpr Millis kStabilityWindow{4'000};
 // Each run uses one of the networks 127.80.0.0/16 to 127.179.0.0/16, chosen by
 // its seed, so that runs in parallel use different addresses.
 constexpr uint32_t kFirstNetwork = 0x7f500000;
@@ -45,6 +47,8 @@
 const Endpoint kHubRoute{0xc6120001, 8'080};
 const Endpoint kSplitRoute{0xc6120001, 8'443};
 const Endpoint kDeskRoute{0xc6120002, 8'443};
+// Leads to another service with each version of the configuration.
+const Endpoint kAlternatingRoute{0xc6120003, 8'080};
 
 std::string IpText(uint32_t ip) {
   const std::string text = ToString(Endpoint{ip, 1});
@@ -59,6 +63,10 @@
           {"timeout_ms", 1'500}};
 }
 
+const char* AlternatingService(uint64_t version) {
+  return version % 2 == 0 ? kHubService : kDeskService;
+}
+
 Json ConfigurationJson(uint64_t version) {
   Json hub = RouteJson("hub", kHubRoute);
   hub["service"] = kHubService;
@@ -67,14 +75,18 @@
                             {{"service", kDeskService}, {"weight", 10}}};
   Json desk = RouteJson("desk", kDeskRoute);
   desk["service"] = kDeskService;
+  Json alternating = RouteJson("alternating", kAlternatingRoute);
+  alternating["service"] = AlternatingService(version);
   return {{"version", version},
-          {"routes", {hub, split, desk}},
+          {"routes", {hub, split, desk, alternating}},
           {"limits", {{"idle_timeout_ms", 15'000}}}};
 }
 
 std::set<Endpoint> RouteAddresses(const std::string& service) {
-  if (service == kHubService) return {kHubRoute, kSplitRoute};
-  return {kDeskRoute, kSplitRoute};
+  if (service == kHubService) {
+    return {kHubRoute, kSplitRoute, kAlternatingRoute};
+  }
+  return {kDeskRoute, kSplitRoute, kAlternatingRoute};
 }
 
 }  // namespace
@@ -104,7 +116,7 @@
 Result<Ok> SoakRun::Start() {
   started_ = MonotonicNow();
   next_fault_ = started_ + kFaultFreeStart;
-  store_.Put("config", "main", ConfigurationJson(configuration_version_));
+  WriteConfiguration();
   for (int index = 0; index < settings_.balancers; ++index) {
     const Result<Ok> added = AddDaemon(
         "front-" + std::to_string(index + 1),
@@ -140,7 +152,8 @@
   };
   callers_.push_back(std::make_unique<SimulatedCallers>(
       loop_, network_ + 0x301, settings_.users,
-      std::vector<Endpoint>{kHubRoute, kSplitRoute, kSplitRoute, kDeskRoute},
+      std::vector<Endpoint>{kHubRoute, kSplitRoute, kSplitRoute, kDeskRoute,
+                            kAlternatingRoute},
       random_(), hooks));
   for (const std::unique_ptr<SimulatedCallers>& callers : callers_) {
     const Result<Ok> started = callers->Start();
@@ -211,7 +224,10 @@
   vm.upstream = std::make_unique<SimulatedUpstream>(
       loop_, vm.upstream_settings, RouteAddresses(vm.upstream_settings.service),
       ++last_incarnation_,
-      [this](const std::string& what) { ReportViolation(what); });
+      [this](const std::string& what) { ReportViolation(what); },
+      [this, service = vm.upstream_settings.service](const FlowTuple& flow) {
+        CheckOpening(service, flow);
+      });
   return vm.upstream->Start();
 }
 
@@ -238,12 +254,12 @@
 void SoakRun::CheckReset(const FlowTuple& flow, uint32_t sender) {
   const TimePoint now = MonotonicNow();
   const auto is_stable = [&](const Daemon& daemon) {
-    return now - daemon.disrupted_at >= kResetCheckDelay;
+    return now - daemon.disrupted_at >= kStabilityWindow;
   };
   for (const std::unique_ptr<UpstreamVm>& vm : vms_) {
     if (vm->upstream == nullptr || !vm->upstream->HasOpenFlow(flow)) continue;
     const bool is_checked = is_stable(*daemons_[vm->daemon]) &&
-                            now - store_disrupted_at_ >= kResetCheckDelay;
+                            now - store_disrupted_at_ >= kStabilityWindow;
     for (const std::unique_ptr<Daemon>& daemon : daemons_) {
       if (daemon->ip != sender || !is_checked || !is_stable(*daemon)) continue;
       ReportViolation("an open flow was reset by " + daemon->name +
@@ -252,6 +268,26 @@
   }
 }
 
+// Any balancer may have sent the opening, so all of them must be undisrupted.
+void SoakRun::CheckOpening(const std::string& service, const FlowTuple& flow) {
+  const TimePoint now = MonotonicNow();
+  const bool is_allowed =
+      flow.service_address != kAlternatingRoute ||
+      service == AlternatingService(configuration_version_) ||
+      now - configuration_changed_at_ < kMaxConfigurationDelay;
+  if (is_allowed || now - store_disrupted_at_ < kStabilityWindow) return;
+  const bool are_balancers_stable = std::all_of(
+      daemons_.begin(), daemons_.end(),
+      [now](const std::unique_ptr<Daemon>& daemon) {
+        return daemon->is_agent ||
+               (daemon->fault == StoreFault::kNone && !daemon->is_paused &&
+                now - daemon->disrupted_at >= kStabilityWindow);
+      });
+  if (!are_balancers_stable) return;
+  ReportViolation("a flow was opened as only a configuration before version " +
+                  std::to_string(configuration_version_) + " allows");
+}
+
 void SoakRun::ProbeReadiness() {
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (daemon->is_agent || daemon->readiness_client->is_busy()) continue;
@@ -330,7 +366,13 @@
 
 void SoakRun::ChangeConfiguration() {
   LogEvent("write configuration " + std::to_string(configuration_version_ + 1));
-  store_.Put("config", "main", ConfigurationJson(++configuration_version_));
+  ++configuration_version_;
+  WriteConfiguration();
+  configuration_changed_at_ = MonotonicNow();
+}
+
+void SoakRun::WriteConfiguration() {
+  store_.Put("config", "main", ConfigurationJson(configuration_version_));
 }
 
 void SoakRun::EndFaults() {
@@ -345,6 +387,7 @@
     daemon->process->Signal(SIGCONT);
     daemon->is_paused = false;
   }
+  ChangeConfiguration();
 }
 
 CallerCounts SoakRun::Counts() const {
--- a/standins/platform_side/tests/metadata_service_test.cc
+++ b/standins/platform_side/tests/metadata_service_test.cc
@@ -53,6 +53,24 @@
   BOOST_TEST(Call("GET", "/objects/k?watch=1&wait_ms=10")->status == 410);
 }
 
+BOOST_AUTO_TEST_CASE(Restore_OlderCopy_LosesLaterWritesAndReusesRevisions) {
+  Call("POST", "/objects/k", kCreateA);
+  service.Tick(now);
+  Call("DELETE", "/objects/k/a?revision=2");
+  service.Put("config", "main", 1);
+  now = now + Millis{5'000};
+  service.Tick(now);
+  BOOST_TEST(Call("GET", "/objects/k/a")->headers.at("store-era") == "1");
+  service.Restore(Millis{4'000}, now);
+  BOOST_TEST(Call("GET", "/objects/k/a")->headers.at("store-era") == "2");
+  BOOST_TEST(Call("GET", "/objects/k/a")->status == 200);
+  BOOST_TEST(Call("GET", "/objects/config/main")->status == 404);
+  BOOST_TEST(Call("GET", "/objects/k?watch=4&wait_ms=10")->status == 410);
+  service.Put("config", "main", 1);
+  const std::optional<HttpResponse> main = Call("GET", "/objects/config/main");
+  BOOST_TEST(main->body.find("\"revision\":3") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(LostResponse_Write_IsExecutedWithoutResponse) {
   BOOST_TEST(!Call("POST", "/objects/k", kCreateA, StoreFault::kLostResponse)
                   .has_value());
