--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -6,11 +6,11 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <set>
 #include <utility>
 
 #include "medlarwinch/coordination/relay_types.h"
 #include "medlarwinch/platform_side/flow_packets.h"
+#include "medlarwinch/platform_side/soak_configuration.h"
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
@@ -42,52 +42,6 @@
 constexpr uint16_t kReadinessPort = 8167;
 constexpr uint16_t kStorePort = 8169;
 constexpr uint16_t kRelayPort = 7'720;
-constexpr const char* kHubService = "probe-hub";
-constexpr const char* kDeskService = "report-desk";
-const Endpoint kHubRoute{0xc6120001, 8'080};
-const Endpoint kSplitRoute{0xc6120001, 8'443};
-const Endpoint kDeskRoute{0xc6120002, 8'443};
-// Leads to another service with each version of the configuration.
-const Endpoint kAlternatingRoute{0xc6120003, 8'080};
-
-std::string IpText(uint32_t ip) {
-  const std::string text = ToString(Endpoint{ip, 1});
-  return text.substr(0, text.find(':'));
-}
-
-Json RouteJson(const char* name, const Endpoint& address) {
-  return {{"name", name},
-          {"host", IpText(address.ip)},
-          {"path_prefix", "/" + std::to_string(address.port) + "/"},
-          {"route_kind", "safe"},
-          {"timeout_ms", 1'500}};
-}
-
-const char* AlternatingService(uint64_t version) {
-  return version % 2 == 0 ? kHubService : kDeskService;
-}
-
-Json ConfigurationJson(uint64_t version) {
-  Json hub = RouteJson("hub", kHubRoute);
-  hub["service"] = kHubService;
-  Json split = RouteJson("split", kSplitRoute);
-  split["traffic_split"] = {{{"service", kHubService}, {"weight", 90}},
-                            {{"service", kDeskService}, {"weight", 10}}};
-  Json desk = RouteJson("desk", kDeskRoute);
-  desk["service"] = kDeskService;
-  Json alternating = RouteJson("alternating", kAlternatingRoute);
-  alternating["service"] = AlternatingService(version);
-  return {{"version", version},
-          {"routes", {hub, split, desk, alternating}},
-          {"limits", {{"idle_timeout_ms", 15'000}}}};
-}
-
-std::set<Endpoint> RouteAddresses(const std::string& service) {
-  if (service == kHubService) {
-    return {kHubRoute, kSplitRoute, kAlternatingRoute};
-  }
-  return {kDeskRoute, kSplitRoute, kAlternatingRoute};
-}
 
 }  // namespace
 
@@ -151,10 +105,8 @@
     ReportViolation(what);
   };
   callers_.push_back(std::make_unique<SimulatedCallers>(
-      loop_, network_ + 0x301, settings_.users,
-      std::vector<Endpoint>{kHubRoute, kSplitRoute, kSplitRoute, kDeskRoute,
-                            kAlternatingRoute},
-      random_(), hooks));
+      loop_, network_ + 0x301, settings_.users, SoakRoutes(), random_(),
+      hooks));
   for (const std::unique_ptr<SimulatedCallers>& callers : callers_) {
     const Result<Ok> started = callers->Start();
     if (!IsOk(started)) return started;
@@ -272,8 +224,7 @@
 void SoakRun::CheckOpening(const std::string& service, const FlowTuple& flow) {
   const TimePoint now = MonotonicNow();
   const bool is_allowed =
-      flow.service_address != kAlternatingRoute ||
-      service == AlternatingService(configuration_version_) ||
+      IsRouteOf(service, flow.service_address, configuration_version_) ||
       now - configuration_changed_at_ < kMaxConfigurationDelay;
   if (is_allowed || now - store_disrupted_at_ < kStabilityWindow) return;
   const bool are_balancers_stable = std::all_of(
@@ -372,7 +323,7 @@
 }
 
 void SoakRun::WriteConfiguration() {
-  store_.Put("config", "main", ConfigurationJson(configuration_version_));
+  store_.Put("config", "main", SoakConfiguration(configuration_version_));
 }
 
 void SoakRun::EndFaults() {
