Build the candidate index on arm64

Cause: HashBlock() asked for a clone for AVX2 on every machine, which g++ for arm64 refuses, so that a clean checkout did not build there.

Change: one macro gives x86-64 the clones for AVX2 and the default, chosen at start as before, and nothing on arm64, whose vector instructions every machine has. A test holds the seeds of three agents and the ranks of 75 agents of three weights under eight fixed keys as literals. A scalar model computed them from the definition, outside the program, so that both kinds of machine are tested against the same numbers.

--- a/packages/coordination/src/candidate_index.cc
+++ b/packages/coordination/src/candidate_index.cc
@@ -79,10 +79,18 @@
   return mixed ^ (mixed >> 16);
 }
 
+// AVX2 is optional on x86-64; the vector instructions of arm64 are not.
+#ifdef __x86_64__
+#define MEDLARWINCH_VECTOR_CLONES \
+  __attribute__((target_clones("avx2", "default")))
+#else
+#define MEDLARWINCH_VECTOR_CLONES
+#endif
+
 // Computes the hashes of kHashBlock seeds and returns the highest one.
-__attribute__((target_clones("avx2", "default"))) uint32_t HashBlock(
-    uint64_t key, const uint32_t* seeds,
-    std::array<uint32_t, kHashBlock>& hashes) {
+MEDLARWINCH_VECTOR_CLONES uint32_t
+HashBlock(uint64_t key, const uint32_t* seeds,
+          std::array<uint32_t, kHashBlock>& hashes) {
   for (size_t index = 0; index < kHashBlock; ++index) {
     hashes[index] = Mix(key, seeds[index]);
   }
--- a/packages/coordination/tests/candidate_index_test.cc
+++ b/packages/coordination/tests/candidate_index_test.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/coordination/candidate_index.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -139,6 +140,45 @@
   }
 }
 
+struct ExpectedRanks {
+  uint64_t key;
+  std::array<uint32_t, 5> ranks;
+};
+
+// Ranks that a scalar model outside this repository computed: XXH64 for the
+// seeds, the two rounds of mixing, and one score per upstream.
+constexpr ExpectedRanks kExpectedRanks[] = {
+    {0x0000000000000000, {26, 13, 38, 56, 55}},
+    {0x0000000000000001, {41, 59, 58, 46, 43}},
+    {0x0123456789abcdef, {41, 43, 25, 70, 5}},
+    {0xfedcba9876543210, {54, 47, 16, 23, 68}},
+    {0x8000000000000000, {73, 22, 52, 51, 17}},
+    {0xffffffffffffffff, {10, 52, 73, 28, 67}},
+    {0xa5a5a5a55a5a5a5a, {20, 25, 48, 59, 44}},
+    {0x00000000ffffffff, {41, 65, 44, 12, 50}}};
+
+// Guards against hashes that depend on the processor: balancers of different
+// kinds of machine must choose the same agents.
+BOOST_AUTO_TEST_CASE(FixedKeysAndSeeds_Chosen_ExpectedRanks) {
+  BOOST_TEST(HashKeyWithNode(0, AgentAt(0)) == 0xbb42b0d3f0cf9c18);
+  BOOST_TEST(HashKeyWithNode(0, AgentAt(1)) == 0xbc68120c658525fe);
+  BOOST_TEST(HashKeyWithNode(0, AgentAt(2)) == 0xfc82fabfcadfa142);
+  std::vector<TableUpstream> upstreams = EqualUpstreams(75);
+  for (size_t index = 0; index < upstreams.size(); ++index) {
+    const double weight = 1 + static_cast<double>(index % 3);
+    upstreams[index].weights = {weight, weight, 0};
+  }
+  const CandidateIndex index(upstreams);
+  for (const ExpectedRanks& expected : kExpectedRanks) {
+    const CandidateList list = index.Choose(expected.key, 4);
+    BOOST_REQUIRE(list.accepting == 4);
+    BOOST_REQUIRE(list.size == expected.ranks.size());
+    for (size_t rank = 0; rank < list.size; ++rank) {
+      BOOST_TEST((list.agents[rank] == AgentAt(expected.ranks[rank])));
+    }
+  }
+}
+
 enum class Change { kAdded, kHeavier, kOtherLeft, kWithdrawn, kDrained };
 
 struct TablePair {
