--- /dev/null
+++ b/review/standins/cases.cc
@@ -0,0 +1,315 @@
+#include "cases.h"
+
+#include <boost/asio/connect.hpp>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch::review {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kDesk = "kiosk-desk";
+constexpr const char* kDepot = "depot-manifest";
+constexpr Millis kRollGap{1'200};
+constexpr Millis kPoll{100};
+// Limit for one daemon to stop, start again and become ready.
+constexpr Millis kRollTimeout{15'000};
+
+Json Route(const std::string& name, const Endpoint& address,
+           const std::string& service, const std::string& kind) {
+  const std::string text = ToString(address);
+  const size_t colon = text.find(':');
+  return {{"name", name},
+          {"host", text.substr(0, colon)},
+          {"path_prefix", "/" + text.substr(colon + 1) + "/"},
+          {"service", service},
+          {"route_kind", kind},
+          {"timeout_ms", 3000},
+          {"target_latency_ms", 150},
+          {"priority", 1}};
+}
+
+Json UsualRoutes() {
+  return {Route("orders", kFirstRoute, kDesk, "unsafe"),
+          Route("manifests", kSecondRoute, kDepot, "download")};
+}
+
+// Stops daemons by SIGTERM and lets the platform start them again, one after
+// the other, each when the one before is ready again.
+class Roll : public std::enable_shared_from_this<Roll> {
+ public:
+  Roll(const CaseContext& context, std::vector<Daemon*> daemons,
+       std::function<void()> done)
+      : context_(context),
+        daemons_(std::move(daemons)),
+        done_(std::move(done)) {}
+
+  void Next() {
+    if (index_ == daemons_.size()) {
+      done_();
+      return;
+    }
+    stopped_at_ = MonotonicNow();
+    context_.deployment.Signal(*daemons_[index_], SIGTERM);
+    Wait();
+  }
+
+ private:
+  void Wait() {
+    After(context_.loop, kPoll, [self = shared_from_this()] { self->Check(); });
+  }
+
+  void Check() {
+    const Daemon& daemon = *daemons_[index_];
+    const bool is_back = daemon.started_at > stopped_at_ && daemon.is_ready &&
+                         daemon.misses == 0;
+    if (!is_back) {
+      if (MonotonicNow() - stopped_at_ > kRollTimeout) {
+        context_.record.Invalid(daemon.name + " did not come back");
+        context_.loop.stop();
+        return;
+      }
+      Wait();
+      return;
+    }
+    ++index_;
+    After(context_.loop, kRollGap,
+          [self = shared_from_this()] { self->Next(); });
+  }
+
+  CaseContext context_;
+  std::vector<Daemon*> daemons_;
+  std::function<void()> done_;
+  size_t index_ = 0;
+  TimePoint stopped_at_;
+};
+
+std::vector<Daemon*> Pointers(std::vector<std::unique_ptr<Daemon>>& daemons) {
+  std::vector<Daemon*> pointers;
+  pointers.reserve(daemons.size());
+  for (const std::unique_ptr<Daemon>& daemon : daemons) {
+    pointers.push_back(daemon.get());
+  }
+  return pointers;
+}
+
+void BeginRoll(const CaseContext& context,
+               std::vector<std::unique_ptr<Daemon>>& daemons,
+               std::function<void()> done) {
+  std::make_shared<Roll>(context, Pointers(daemons), std::move(done))->Next();
+}
+
+// FLOW: a reset of an open flow by the system breaks the rule if the host that
+// holds the flow lives.
+void CheckFlows(const CaseContext& context) {
+  context.deployment.on_reset = [context](const FlowTuple& flow,
+                                          const std::string& request,
+                                          bool is_unsafe, uint32_t from) {
+    const Host* holder = context.deployment.HolderOf(flow);
+    if (holder == nullptr) return;
+    context.record.Broken(
+        "FLOW " + context.deployment.NameOfAddress(from) + " reset " +
+        FlowText(flow) + ", which is open at the living host " +
+        holder->settings().id +
+        (request.empty()
+             ? ""
+             : std::string(", during the ") + (is_unsafe ? "unsafe" : "safe") +
+                   " request " + request));
+  };
+}
+
+Result<Ok> StartMachines(const CaseContext& context) {
+  Deployment& deployment = context.deployment;
+  Result<Ok> started = deployment.Start();
+  if (!IsOk(started)) return started;
+  deployment.WriteConfiguration(100, UsualRoutes());
+  const std::vector<std::string> zones = {"ktm-teku", "ktm-balaju"};
+  for (size_t index = 0; index < zones.size(); ++index) {
+    started =
+        deployment.AddFront("front-" + std::to_string(index + 1), zones[index]);
+    if (!IsOk(started)) return started;
+  }
+  const std::vector<std::string> services = {kDesk, kDesk, kDepot, kDepot};
+  for (size_t index = 0; index < services.size(); ++index) {
+    const Result<size_t> side =
+        deployment.AddSide("side-" + std::to_string(index + 1),
+                           zones[index % zones.size()], services[index]);
+    if (!IsOk(side)) return ErrorOf(side);
+    started = deployment.StartHost(
+        ValueOf(side), "i-" + std::to_string(index + 1), WallNow().value);
+    if (!IsOk(started)) return started;
+  }
+  return Ok{};
+}
+
+void EndIn(const CaseContext& context, Millis delay) {
+  After(context.loop, delay, [context] { context.loop.stop(); });
+}
+
+// Calls `done` once the daemon's process has ended.
+void WaitForExit(const CaseContext& context, Daemon* daemon,
+                 const std::function<void()>& done) {
+  if (daemon->exited_at.has_value()) {
+    done();
+    return;
+  }
+  After(context.loop, Millis{10},
+        [context, daemon, done] { WaitForExit(context, daemon, done); });
+}
+
+// A route moves to another service, and a software update restarts all
+// balancers and then all agents, one after the other.
+Result<Ok> MovedRoute(const CaseContext& context, bool has_trouble) {
+  const Result<Ok> started = StartMachines(context);
+  if (!IsOk(started)) return started;
+  CheckFlows(context);
+  for (int index = 0; index < 8; ++index) {
+    ConsumerSettings orders;
+    orders.route = kFirstRoute;
+    orders.is_unsafe = true;
+    orders.pause = Millis{2'500};
+    context.deployment.consumers().Add(orders, Millis{3'000 + 150 * index});
+  }
+  After(context.loop, Millis{6'000}, [context, has_trouble] {
+    if (!has_trouble) {
+      EndIn(context, Millis{30'000});
+      return;
+    }
+    Json routes = {Route("orders", kFirstRoute, kDepot, "unsafe"),
+                   Route("manifests", kSecondRoute, kDepot, "download")};
+    context.deployment.WriteConfiguration(107, routes);
+    After(context.loop, Millis{4'000}, [context] {
+      BeginRoll(context, context.deployment.fronts(), [context] {
+        BeginRoll(context, context.deployment.sides(),
+                  [context] { EndIn(context, Millis{5'000}); });
+      });
+    });
+  });
+  return Ok{};
+}
+
+// A software update restarts all agents, one after the other, while consumers
+// download.
+Result<Ok> RolledAgents(const CaseContext& context, bool has_trouble) {
+  const Result<Ok> started = StartMachines(context);
+  if (!IsOk(started)) return started;
+  CheckFlows(context);
+  for (int index = 0; index < 12; ++index) {
+    ConsumerSettings downloads;
+    downloads.route = index % 2 == 0 ? kSecondRoute : kFirstRoute;
+    downloads.answer_bytes = 480'000;
+    downloads.pause = Millis{50};
+    downloads.opens_flow_for_each = index % 3 == 0;
+    context.deployment.consumers().Add(downloads, Millis{3'000 + 40 * index});
+  }
+  After(context.loop, Millis{6'000}, [context, has_trouble] {
+    if (!has_trouble) {
+      EndIn(context, Millis{15'000});
+      return;
+    }
+    BeginRoll(context, context.deployment.sides(),
+              [context] { EndIn(context, Millis{5'000}); });
+  });
+  return Ok{};
+}
+
+// Sends the ping of an earlier incarnation of a side's host again and again
+// until a daemon acknowledges it, as one that was delayed on its way.
+class LatePing : public std::enable_shared_from_this<LatePing> {
+ public:
+  LatePing(const CaseContext& context, Endpoint control, std::string id,
+           std::string body)
+      : context_(context),
+        client_(context.loop, control),
+        id_(std::move(id)),
+        body_(std::move(body)) {}
+
+  void Send() {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/Instances.Heartbeat/" + id_;
+    request.body = body_;
+    client_.Send(std::move(request), kAttempt, kAttempt,
+                 [self = shared_from_this()](const Result<HttpResponse>& sent) {
+                   self->HandleResponse(IsOk(sent));
+                 });
+  }
+
+ private:
+  static constexpr Millis kAttempt{300};
+  static constexpr Millis kPause{10};
+
+  void HandleResponse(bool is_received) {
+    if (!is_received) {
+      After(context_.loop, kPause,
+            [self = shared_from_this()] { self->Send(); });
+      return;
+    }
+    context_.record.Line("the late ping of host " + id_ + " has arrived");
+  }
+
+  CaseContext context_;
+  AsyncHttpClient client_;
+  std::string id_;
+  std::string body_;
+};
+
+// A host crashes and a new incarnation registers at its address. Later its
+// agent is restarted, and a ping of the first incarnation arrives late.
+Result<Ok> LatePingAfterRestart(const CaseContext& context, bool has_trouble) {
+  const Result<Ok> started = StartMachines(context);
+  if (!IsOk(started)) return started;
+  CheckFlows(context);
+  constexpr size_t kSide = 0;
+  Deployment& deployment = context.deployment;
+  const HostSettings first = deployment.host(kSide)->settings();
+  const Json ping = {{"service", first.service},
+                     {"address", ToString(Endpoint{first.ip, kAppPort})},
+                     {"zone", first.zone},
+                     {"version", "v1"},
+                     {"slots", first.slots},
+                     {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"sequence", 4},
+                     {"born", first.born}};
+  After(context.loop, Millis{2'500},
+        [&deployment] { deployment.CrashHost(kSide); });
+  After(context.loop, Millis{4'500}, [&deployment, context] {
+    if (!IsOk(deployment.StartHost(kSide, "i-11", WallNow().value)))
+      context.record.Invalid("host i-11 can't be started");
+  });
+  for (int index = 0; index < 12; ++index) {
+    ConsumerSettings orders;
+    orders.route = kFirstRoute;
+    orders.is_unsafe = true;
+    orders.pause = Millis{2'500};
+    deployment.consumers().Add(orders, Millis{6'000 + 150 * index});
+  }
+  After(context.loop, Millis{14'000}, [=, &deployment] {
+    const std::shared_ptr<LatePing> late = std::make_shared<LatePing>(
+        context, Endpoint{first.ip, kControlPort}, first.id, ping.dump());
+    Daemon* agent = deployment.sides()[kSide].get();
+    std::make_shared<Roll>(context, std::vector<Daemon*>{agent}, [context] {
+      EndIn(context, Millis{8'000});
+    })->Next();
+    if (!has_trouble) return;
+    WaitForExit(context, agent, [late] { late->Send(); });
+  });
+  return Ok{};
+}
+
+}  // namespace
+
+Result<Ok> BeginCase(const std::string& name, bool has_trouble,
+                     const CaseContext& context) {
+  if (name == "moved-route") return MovedRoute(context, has_trouble);
+  if (name == "rolled-agents") return RolledAgents(context, has_trouble);
+  if (name == "late-ping") return LatePingAfterRestart(context, has_trouble);
+  return Error{ErrorCode::kInvalidInput, "unknown case " + name};
+}
+
+}  // namespace medlarwinch::review
