--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -16,6 +17,7 @@
 constexpr const char* kDepot = "depot-manifest";
 constexpr Millis kRollGap{1'200};
 constexpr Millis kPoll{100};
+constexpr Millis kStabilityWindow{4'000};
 // Limit for one daemon to stop, start again and become ready.
 constexpr Millis kRollTimeout{15'000};
 
@@ -104,13 +106,21 @@
 }
 
 // FLOW: a reset of an open flow by the system breaks the rule if the host that
-// holds the flow lives.
-void CheckFlows(const CaseContext& context) {
-  context.deployment.on_reset = [context](const FlowTuple& flow,
-                                          const std::string& request,
-                                          bool is_unsafe, uint32_t from) {
+// holds the flow lives, and, with unplanned disturbance, if the machines have
+// been calm for the stability window. `calm_since` is the end of the last such
+// disturbance, or empty without one.
+void CheckFlows(const CaseContext& context,
+                const std::function<std::optional<TimePoint>()>& calm_since) {
+  context.deployment.on_reset = [=](const FlowTuple& flow,
+                                    const std::string& request, bool is_unsafe,
+                                    uint32_t from) {
     const Host* holder = context.deployment.HolderOf(flow);
     if (holder == nullptr) return;
+    const std::optional<TimePoint> since = calm_since();
+    if (since.has_value() && MonotonicNow() - *since < kStabilityWindow) {
+      context.record.Line("not counted: the machines are not in touch");
+      return;
+    }
     context.record.Broken(
         "FLOW " + context.deployment.NameOfAddress(from) + " reset " +
         FlowText(flow) + ", which is open at the living host " +
@@ -122,6 +132,10 @@
   };
 }
 
+void CheckFlowsUnderPlannedWork(const CaseContext& context) {
+  CheckFlows(context, [] { return std::nullopt; });
+}
+
 Result<Ok> StartMachines(const CaseContext& context) {
   Deployment& deployment = context.deployment;
   Result<Ok> started = deployment.Start();
@@ -166,7 +180,7 @@
 Result<Ok> MovedRoute(const CaseContext& context, bool has_trouble) {
   const Result<Ok> started = StartMachines(context);
   if (!IsOk(started)) return started;
-  CheckFlows(context);
+  CheckFlowsUnderPlannedWork(context);
   for (int index = 0; index < 8; ++index) {
     ConsumerSettings orders;
     orders.route = kFirstRoute;
@@ -197,7 +211,7 @@
 Result<Ok> RolledAgents(const CaseContext& context, bool has_trouble) {
   const Result<Ok> started = StartMachines(context);
   if (!IsOk(started)) return started;
-  CheckFlows(context);
+  CheckFlowsUnderPlannedWork(context);
   for (int index = 0; index < 12; ++index) {
     ConsumerSettings downloads;
     downloads.route = index % 2 == 0 ? kSecondRoute : kFirstRoute;
@@ -217,21 +231,21 @@
   return Ok{};
 }
 
-// Sends the ping of an earlier incarnation of a side's host again and again
-// until a daemon acknowledges it, as one that was delayed on its way.
-class LatePing : public std::enable_shared_from_this<LatePing> {
+// Delivers a call of an earlier incarnation of a host that was delayed on its
+// way, as soon as the daemon accepts it.
+class LateCall : public std::enable_shared_from_this<LateCall> {
  public:
-  LatePing(const CaseContext& context, Endpoint control, std::string id,
-           std::string body)
+  LateCall(const CaseContext& context, const Endpoint& control,
+           std::string target, std::string body)
       : context_(context),
         client_(context.loop, control),
-        id_(std::move(id)),
+        target_(std::move(target)),
         body_(std::move(body)) {}
 
   void Send() {
     HttpRequest request;
     request.method = "POST";
-    request.target = "/Instances.Heartbeat/" + id_;
+    request.target = target_;
     request.body = body_;
     client_.Send(std::move(request), kAttempt, kAttempt,
                  [self = shared_from_this()](const Result<HttpResponse>& sent) {
@@ -249,12 +263,12 @@
             [self = shared_from_this()] { self->Send(); });
       return;
     }
-    context_.record.Line("the late ping of host " + id_ + " has arrived");
+    context_.record.Line("the late call " + target_ + " has arrived");
   }
 
   CaseContext context_;
   AsyncHttpClient client_;
-  std::string id_;
+  std::string target_;
   std::string body_;
 };
 
@@ -263,7 +277,7 @@
 Result<Ok> LatePingAfterRestart(const CaseContext& context, bool has_trouble) {
   const Result<Ok> started = StartMachines(context);
   if (!IsOk(started)) return started;
-  CheckFlows(context);
+  CheckFlowsUnderPlannedWork(context);
   constexpr size_t kSide = 0;
   Deployment& deployment = context.deployment;
   const HostSettings first = deployment.host(kSide)->settings();
@@ -290,8 +304,9 @@
     deployment.consumers().Add(orders, Millis{6'000 + 150 * index});
   }
   After(context.loop, Millis{14'000}, [=, &deployment] {
-    const std::shared_ptr<LatePing> late = std::make_shared<LatePing>(
-        context, Endpoint{first.ip, kControlPort}, first.id, ping.dump());
+    const std::shared_ptr<LateCall> late = std::make_shared<LateCall>(
+        context, Endpoint{first.ip, kControlPort},
+        "/Instances.Heartbeat/" + first.id, ping.dump());
     Daemon* agent = deployment.sides()[kSide].get();
     std::make_shared<Roll>(context, std::vector<Daemon*>{agent}, [context] {
       EndIn(context, Millis{8'000});
@@ -302,6 +317,130 @@
   return Ok{};
 }
 
+// A host drains, deregisters and exits without an ack, and starts again under
+// its id. Its deregistration arrives late, when consumers have opened flows at
+// the new incarnation.
+Result<Ok> LateDeregistration(const CaseContext& context, bool has_trouble) {
+  const Result<Ok> started = StartMachines(context);
+  if (!IsOk(started)) return started;
+  CheckFlowsUnderPlannedWork(context);
+  constexpr size_t kSide = 0;
+  Deployment& deployment = context.deployment;
+  const HostSettings first = deployment.host(kSide)->settings();
+  const Json body = {{"service", first.service},
+                     {"address", ToString(Endpoint{first.ip, kAppPort})},
+                     {"born", first.born}};
+  After(context.loop, Millis{2'500},
+        [&deployment] { deployment.host(kSide)->Drain(); });
+  After(context.loop, Millis{6'000}, [context, first] {
+    context.record.Line("host " + first.id +
+                        " sends its deregistration, which is delayed");
+  });
+  After(context.loop, Millis{9'000},
+        [&deployment] { deployment.CrashHost(kSide); });
+  After(context.loop, Millis{10'500}, [&deployment, context, first] {
+    if (!IsOk(deployment.StartHost(kSide, first.id, WallNow().value)))
+      context.record.Invalid("host " + first.id + " can't be started");
+  });
+  for (int index = 0; index < 12; ++index) {
+    ConsumerSettings orders;
+    orders.route = kFirstRoute;
+    orders.is_unsafe = true;
+    orders.pause = Millis{2'500};
+    deployment.consumers().Add(orders, Millis{13'000 + 150 * index});
+  }
+  After(context.loop, Millis{19'000}, [=] {
+    if (!has_trouble) return;
+    std::make_shared<LateCall>(context, Endpoint{first.ip, kControlPort},
+                               "/Instances.Deregister/" + first.id, body.dump())
+        ->Send();
+  });
+  EndIn(context, Millis{30'000});
+  return Ok{};
+}
+
+// Kills an agent right after a ping of its host, lets the platform start it
+// again, and freezes it before the next ping.
+class KillAndFreeze : public std::enable_shared_from_this<KillAndFreeze> {
+ public:
+  KillAndFreeze(const CaseContext& context, size_t side,
+                std::function<void()> done)
+      : context_(context),
+        side_(side),
+        agent_(context.deployment.sides().at(side).get()),
+        done_(std::move(done)) {}
+
+  void WaitForPing() {
+    const TimePoint pinged =
+        context_.deployment.host(side_)->last_acknowledged_at();
+    if (MonotonicNow() - pinged > kJustPinged) {
+      Later(&KillAndFreeze::WaitForPing);
+      return;
+    }
+    killed_at_ = MonotonicNow();
+    context_.deployment.Signal(*agent_, SIGKILL);
+    WaitForStart();
+  }
+
+ private:
+  static constexpr Millis kStep{10};
+  static constexpr Millis kJustPinged{30};
+  // Until the daemon has opened its sockets.
+  static constexpr Millis kStartTime{60};
+  // The site's longest freeze.
+  static constexpr Millis kFreeze{3'500};
+
+  void Later(void (KillAndFreeze::*step)()) {
+    After(context_.loop, kStep,
+          [self = shared_from_this(), step] { (self.get()->*step)(); });
+  }
+
+  void WaitForStart() {
+    if (agent_->started_at <= killed_at_) {
+      Later(&KillAndFreeze::WaitForStart);
+      return;
+    }
+    After(context_.loop, kStartTime, [self = shared_from_this()] {
+      self->context_.deployment.Signal(*self->agent_, SIGSTOP);
+    });
+    After(context_.loop, kStartTime + kFreeze, [self = shared_from_this()] {
+      self->context_.deployment.Signal(*self->agent_, SIGCONT);
+      self->done_();
+    });
+  }
+
+  CaseContext context_;
+  size_t side_;
+  Daemon* agent_;
+  std::function<void()> done_;
+  TimePoint killed_at_;
+};
+
+// An agent is killed and, when it is back, freezes before the first ping of its
+// host. Flows with a pause between two requests are used again when all
+// machines are in touch.
+Result<Ok> KilledThenFrozen(const CaseContext& context, bool has_trouble) {
+  const Result<Ok> started = StartMachines(context);
+  if (!IsOk(started)) return started;
+  const auto calm_since = std::make_shared<std::optional<TimePoint>>();
+  CheckFlows(context, [calm_since] { return *calm_since; });
+  for (int index = 0; index < 12; ++index) {
+    ConsumerSettings orders;
+    orders.route = kFirstRoute;
+    orders.is_unsafe = true;
+    orders.pause = Millis{10'500};
+    context.deployment.consumers().Add(orders, Millis{3'000 + 50 * index});
+  }
+  After(context.loop, Millis{4'000}, [=] {
+    if (!has_trouble) return;
+    std::make_shared<KillAndFreeze>(context, 0, [calm_since] {
+      *calm_since = MonotonicNow();
+    })->WaitForPing();
+  });
+  EndIn(context, Millis{20'000});
+  return Ok{};
+}
+
 }  // namespace
 
 Result<Ok> BeginCase(const std::string& name, bool has_trouble,
@@ -309,6 +448,10 @@
   if (name == "moved-route") return MovedRoute(context, has_trouble);
   if (name == "rolled-agents") return RolledAgents(context, has_trouble);
   if (name == "late-ping") return LatePingAfterRestart(context, has_trouble);
+  if (name == "late-deregistration")
+    return LateDeregistration(context, has_trouble);
+  if (name == "killed-then-frozen")
+    return KilledThenFrozen(context, has_trouble);
   return Error{ErrorCode::kInvalidInput, "unknown case " + name};
 }
 
--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -77,20 +77,6 @@
          !found->second.is_finished;
 }
 
-size_t Host::open_flows() const {
-  return static_cast<size_t>(
-      std::count_if(flows_.begin(), flows_.end(), [](const auto& entry) {
-        return entry.second.is_open && !entry.second.is_finished;
-      }));
-}
-
-size_t Host::OpenedAfter(TimePoint time) const {
-  return static_cast<size_t>(
-      std::count_if(flows_.begin(), flows_.end(), [time](const auto& entry) {
-        return entry.second.is_open && entry.second.opened_at > time;
-      }));
-}
-
 void Host::Send(const FlowPacket& packet, std::string_view data) {
   socket_->Send(Endpoint{settings_.ip, kOutboundPort},
                 EncodePacket(packet, data));
@@ -195,7 +181,6 @@
     const auto [tuple, head] = queue_.front();
     queue_.pop_front();
     ++running_;
-    ++runs_;
     record_.Line("host " + settings_.id + " runs " +
                  HeaderOf(head, "X-Request-Id"));
     auto timer = std::make_shared<boost::asio::steady_timer>(
@@ -262,6 +247,7 @@
        alive = alive_](const Result<HttpResponse>& result) {
         if (!*alive || !IsOk(result)) return;
         if (ValueOf(result).status / 100 != 2) return;
+        last_acknowledged_at_ = MonotonicNow();
         if (!says_draining || drain_acknowledged_at_.has_value()) return;
         drain_acknowledged_at_ = MonotonicNow();
         record_.Line("host " + settings_.id + " has the ack of its drain");
--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -49,19 +49,13 @@
 
   /// Says `draining` from the next ping on, which is sent at once.
   void Drain();
-  /// Time of the acknowledgement of the first ping that said `draining`.
-  std::optional<TimePoint> drain_acknowledged_at() const {
-    return drain_acknowledged_at_;
-  }
+
+  /// Time of the last acknowledged ping.
+  TimePoint last_acknowledged_at() const { return last_acknowledged_at_; }
 
   bool HoldsOpenFlow(const FlowTuple& flow) const;
-  size_t open_flows() const;
-  uint64_t runs() const { return runs_; }
   const HostSettings& settings() const { return settings_; }
 
-  /// Number of flows that were opened after the given time.
-  size_t OpenedAfter(TimePoint time) const;
-
  private:
   struct Flow {
     uint32_t first_sequence = 0;
@@ -97,9 +91,9 @@
   std::deque<std::pair<FlowTuple, std::string>> queue_;
   int running_ = 0;
   uint64_t sequence_ = 0;
-  uint64_t runs_ = 0;
   bool is_draining_ = false;
   std::optional<TimePoint> drain_acknowledged_at_;
+  TimePoint last_acknowledged_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
