--- a/bench/include/medlarwinch/bench/control_fixture.h
+++ b/bench/include/medlarwinch/bench/control_fixture.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/balancer_control.h"
+#include "medlarwinch/coordination/control_plane/balancer_control.h"
 #include "medlarwinch/protocol/control_messages.h"
 
 namespace medlarwinch {
--- a/bench/include/medlarwinch/bench/maglev_table.h
+++ b/bench/include/medlarwinch/bench/maglev_table.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 
--- a/bench/include/medlarwinch/bench/routing_fixture.h
+++ b/bench/include/medlarwinch/bench/routing_fixture.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 #include "medlarwinch/protocol/data_messages.h"
 #include "medlarwinch/protocol/key_ring.h"
 
--- a/bench/selection_model.cc
+++ b/bench/selection_model.cc
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "medlarwinch/bench/maglev_table.h"
-#include "medlarwinch/coordination/candidate_index.h"
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/request_path/candidate_index.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/bench/src/control_fixture.cc
+++ b/bench/src/control_fixture.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "medlarwinch/coordination/digest_tree.h"
+#include "medlarwinch/coordination/control_plane/digest_tree.h"
 
 namespace medlarwinch {
 namespace {
--- a/bench/src/imbalance_model.cc
+++ b/bench/src/imbalance_model.cc
@@ -7,8 +7,8 @@
 #include <random>
 #include <set>
 
-#include "medlarwinch/coordination/flow_acceptance.h"
-#include "medlarwinch/coordination/routing_decision.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/routing_decision.h"
 
 namespace medlarwinch {
 namespace {
--- a/bench/src/routing_fixture.cc
+++ b/bench/src/routing_fixture.cc
@@ -1,6 +1,6 @@
 #include "medlarwinch/bench/routing_fixture.h"
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 #include "medlarwinch/protocol/packet_header.h"
 
 namespace medlarwinch {
--- a/bench/tests/routing_counts_test.cc
+++ b/bench/tests/routing_counts_test.cc
@@ -4,7 +4,7 @@
 #include "medlarwinch/bench/allocation_count.h"
 #include "medlarwinch/bench/imbalance_model.h"
 #include "medlarwinch/bench/routing_fixture.h"
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 #include "medlarwinch/daemon/packet_router.h"
 
 namespace medlarwinch {
--- a/packages/cli/include/medlarwinch/cli/apply_command.h
+++ b/packages/cli/include/medlarwinch/cli/apply_command.h
@@ -7,7 +7,7 @@
 
 #include "medlarwinch/cli/command_context.h"
 #include "medlarwinch/cli/exit_code.h"
-#include "medlarwinch/coordination/change_checks.h"
+#include "medlarwinch/coordination/control_plane/change_checks.h"
 #include "medlarwinch/state/result.h"
 
 namespace medlarwinch {
--- a/packages/cli/include/medlarwinch/cli/history_object.h
+++ b/packages/cli/include/medlarwinch/cli/history_object.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/document_changes.h"
+#include "medlarwinch/coordination/control_plane/document_changes.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/result.h"
 
--- a/packages/cli/include/medlarwinch/cli/report_json.h
+++ b/packages/cli/include/medlarwinch/cli/report_json.h
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "medlarwinch/coordination/change_checks.h"
+#include "medlarwinch/coordination/control_plane/change_checks.h"
 
 namespace medlarwinch {
 
--- a/packages/cli/src/document_edit.cc
+++ b/packages/cli/src/document_edit.cc
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 #include "medlarwinch/protocol/document_parser.h"
 
 namespace medlarwinch {
--- a/packages/cli/src/status_command.cc
+++ b/packages/cli/src/status_command.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "medlarwinch/cli/report_text.h"
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/cli/src/svg_chart.cc
+++ b/packages/cli/src/svg_chart.cc
@@ -4,7 +4,7 @@
 #include <cstdio>
 
 #include "medlarwinch/cli/report_text.h"
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/agent_control.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/agent_control.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_actions.h"
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/control_actions.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/balancer_control.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/balancer_control.h
@@ -6,13 +6,13 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_actions.h"
-#include "medlarwinch/coordination/member_table.h"
-#include "medlarwinch/coordination/monitored_members.h"
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/record_store.h"
-#include "medlarwinch/coordination/service_means.h"
-#include "medlarwinch/coordination/suspicion.h"
+#include "medlarwinch/coordination/control_plane/control_actions.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
+#include "medlarwinch/coordination/control_plane/monitored_members.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
+#include "medlarwinch/coordination/control_plane/service_means.h"
+#include "medlarwinch/coordination/control_plane/suspicion.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/bootstrap_list.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/bootstrap_list.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 #include "medlarwinch/state/endpoint.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/change_checks.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/change_checks.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/document_changes.h"
+#include "medlarwinch/coordination/control_plane/document_changes.h"
 #include "medlarwinch/state/member_entry.h"
 #include "medlarwinch/state/service_document.h"
 
--- a/packages/coordination/include/medlarwinch/coordination/control_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/control_actions.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
 #include "medlarwinch/state/account_entry.h"
 #include "medlarwinch/state/result.h"
 #include "medlarwinch/state/service_document.h"
--- a/packages/coordination/include/medlarwinch/coordination/digest_tree.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/digest_tree.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
-#include "medlarwinch/coordination/member_table.h"
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/member_table.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/member_table.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/member_entry.h"
 
--- a/packages/coordination/include/medlarwinch/coordination/monitored_members.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/monitored_members.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/service_document.h"
 
--- a/packages/coordination/include/medlarwinch/coordination/platform_schedule.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/platform_schedule.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/coordination/shared/random.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/record_store.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/record_store.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
 #include "medlarwinch/state/account_entry.h"
 #include "medlarwinch/state/result.h"
 
--- a/packages/coordination/include/medlarwinch/coordination/service_means.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/service_means.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/member_table.h"
-#include "medlarwinch/coordination/monitored_members.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
+#include "medlarwinch/coordination/control_plane/monitored_members.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/withdrawal_bound.h
+++ b/packages/coordination/include/medlarwinch/coordination/control_plane/withdrawal_bound.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -6,9 +6,9 @@
 #include <span>
 #include <unordered_map>
 
-#include "medlarwinch/coordination/flow_tracker.h"
-#include "medlarwinch/coordination/local_upstream.h"
-#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/coordination/packet_path/flow_tracker.h"
+#include "medlarwinch/coordination/packet_path/local_upstream.h"
+#include "medlarwinch/coordination/packet_path/relay_actions.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -4,12 +4,12 @@
 #include <optional>
 #include <span>
 
-#include "medlarwinch/coordination/flow_cache.h"
-#include "medlarwinch/coordination/owner_search.h"
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/relay_actions.h"
-#include "medlarwinch/coordination/relay_routes.h"
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/flow_cache.h"
+#include "medlarwinch/coordination/packet_path/owner_search.h"
+#include "medlarwinch/coordination/packet_path/relay_actions.h"
+#include "medlarwinch/coordination/packet_path/relay_routes.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/flow_cache.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_cache.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/flow_placement.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_placement.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "medlarwinch/coordination/relay_routes.h"
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/relay_routes.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/flow_tracker.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/local_upstream.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/local_upstream.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -6,10 +6,10 @@
 #include <span>
 #include <vector>
 
-#include "medlarwinch/coordination/flow_placement.h"
-#include "medlarwinch/coordination/relay_actions.h"
-#include "medlarwinch/coordination/relay_types.h"
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/relay_actions.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/relay_routes.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_routes.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/relay_types.h"
-#include "medlarwinch/coordination/store_revision.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
+#include "medlarwinch/coordination/shared/store_revision.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/address_owners.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/address_owners.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/flow_acceptance.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/flow_acceptance.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/key_attempt.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/key_attempt.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/key_state.h"
 #include "medlarwinch/state/verdict.h"
--- a/packages/coordination/include/medlarwinch/coordination/outlier_detection.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/outlier_detection.h
@@ -4,7 +4,7 @@
 #include <deque>
 #include <optional>
 
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/request_admission.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/request_admission.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/routing_decision.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/routing_decision.h
@@ -5,7 +5,7 @@
 #include <span>
 #include <variant>
 
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 #include "medlarwinch/state/flow_identifier.h"
 
 namespace medlarwinch {
--- a/packages/coordination/include/medlarwinch/coordination/routing_table.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/routing_table.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "medlarwinch/coordination/candidate_index.h"
+#include "medlarwinch/coordination/request_path/candidate_index.h"
 #include "medlarwinch/state/account_entry.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/member_entry.h"
--- a/packages/coordination/include/medlarwinch/coordination/table_changes.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/table_changes.h
@@ -2,8 +2,8 @@
 
 #include <vector>
 
-#include "medlarwinch/coordination/routing_table.h"
-#include "medlarwinch/coordination/upstream_state.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
+#include "medlarwinch/coordination/request_path/upstream_state.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/include/medlarwinch/coordination/upstream_state.h
+++ b/packages/coordination/include/medlarwinch/coordination/request_path/upstream_state.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "medlarwinch/coordination/address_owners.h"
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/address_owners.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 #include "medlarwinch/state/account_entry.h"
 #include "medlarwinch/state/clock.h"
 
--- a/packages/coordination/src/account_log.cc
+++ b/packages/coordination/src/control_plane/account_log.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/account_log.h"
+#include "medlarwinch/coordination/control_plane/account_log.h"
 
 #include <algorithm>
 
--- a/packages/coordination/src/agent_control.cc
+++ b/packages/coordination/src/control_plane/agent_control.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/agent_control.h"
+#include "medlarwinch/coordination/control_plane/agent_control.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/balancer_control.cc
+++ b/packages/coordination/src/control_plane/balancer_control.cc
@@ -1,12 +1,12 @@
-#include "medlarwinch/coordination/balancer_control.h"
+#include "medlarwinch/coordination/control_plane/balancer_control.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "heartbeat_ack.h"
-#include "medlarwinch/coordination/balancer_liveness.h"
-#include "medlarwinch/coordination/digest_tree.h"
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/balancer_liveness.h"
+#include "medlarwinch/coordination/control_plane/digest_tree.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/balancer_liveness.cc
+++ b/packages/coordination/src/control_plane/balancer_liveness.cc
@@ -1,12 +1,12 @@
-#include "medlarwinch/coordination/balancer_liveness.h"
+#include "medlarwinch/coordination/control_plane/balancer_liveness.h"
 
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
-#include "medlarwinch/coordination/digest_tree.h"
-#include "medlarwinch/coordination/monitor_selection.h"
-#include "medlarwinch/coordination/withdrawal_bound.h"
+#include "medlarwinch/coordination/control_plane/digest_tree.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/withdrawal_bound.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/bootstrap_list.cc
+++ b/packages/coordination/src/control_plane/bootstrap_list.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/bootstrap_list.h"
+#include "medlarwinch/coordination/control_plane/bootstrap_list.h"
 
 #include <algorithm>
 #include <sstream>
--- a/packages/coordination/src/change_checks.cc
+++ b/packages/coordination/src/control_plane/change_checks.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/change_checks.h"
+#include "medlarwinch/coordination/control_plane/change_checks.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/coordination/src/digest_tree.cc
+++ b/packages/coordination/src/control_plane/digest_tree.cc
@@ -1,10 +1,10 @@
-#include "medlarwinch/coordination/digest_tree.h"
+#include "medlarwinch/coordination/control_plane/digest_tree.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <utility>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/document_changes.cc
+++ b/packages/coordination/src/control_plane/document_changes.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/document_changes.h"
+#include "medlarwinch/coordination/control_plane/document_changes.h"
 
 #include <map>
 #include <set>
 
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/document_context.cc
+++ b/packages/coordination/src/control_plane/document_context.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/document_fields.cc
+++ b/packages/coordination/src/control_plane/document_fields.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 
 #include <charconv>
 #include <cmath>
--- a/packages/coordination/src/heartbeat_ack.cc
+++ b/packages/coordination/src/control_plane/heartbeat_ack.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/balancer_liveness.h"
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/balancer_liveness.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/heartbeat_ack.h
+++ b/packages/coordination/src/control_plane/heartbeat_ack.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "medlarwinch/coordination/balancer_control.h"
+#include "medlarwinch/coordination/control_plane/balancer_control.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/member_table.cc
+++ b/packages/coordination/src/control_plane/member_table.cc
@@ -1,10 +1,10 @@
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/monitor_selection.cc
+++ b/packages/coordination/src/control_plane/monitor_selection.cc
@@ -1,10 +1,10 @@
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <utility>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/monitored_members.cc
+++ b/packages/coordination/src/control_plane/monitored_members.cc
@@ -1,8 +1,8 @@
-#include "medlarwinch/coordination/monitored_members.h"
+#include "medlarwinch/coordination/control_plane/monitored_members.h"
 
 #include <utility>
 
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/platform_schedule.cc
+++ b/packages/coordination/src/control_plane/platform_schedule.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/platform_schedule.h"
+#include "medlarwinch/coordination/control_plane/platform_schedule.h"
 
 #include <algorithm>
 
--- a/packages/coordination/src/record_store.cc
+++ b/packages/coordination/src/control_plane/record_store.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
 
 #include <algorithm>
 #include <string_view>
--- a/packages/coordination/src/service_means.cc
+++ b/packages/coordination/src/control_plane/service_means.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/service_means.h"
+#include "medlarwinch/coordination/control_plane/service_means.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/coordination/src/suspicion.cc
+++ b/packages/coordination/src/control_plane/suspicion.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/suspicion.h"
+#include "medlarwinch/coordination/control_plane/suspicion.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/withdrawal_bound.cc
+++ b/packages/coordination/src/control_plane/withdrawal_bound.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/withdrawal_bound.h"
+#include "medlarwinch/coordination/control_plane/withdrawal_bound.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/agent_relay.h"
+#include "medlarwinch/coordination/packet_path/agent_relay.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/coordination/src/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/flow_placement.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/flow_cache.cc
+++ b/packages/coordination/src/packet_path/flow_cache.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/flow_cache.h"
+#include "medlarwinch/coordination/packet_path/flow_cache.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/coordination/src/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/flow_placement.h"
 
 #include <algorithm>
 #include <map>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/flow_tracker.cc
+++ b/packages/coordination/src/packet_path/flow_tracker.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/flow_tracker.h"
+#include "medlarwinch/coordination/packet_path/flow_tracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/coordination/src/local_upstream.cc
+++ b/packages/coordination/src/packet_path/local_upstream.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/local_upstream.h"
+#include "medlarwinch/coordination/packet_path/local_upstream.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/owner_search.h"
+#include "medlarwinch/coordination/packet_path/owner_search.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/coordination/src/relay_actions.cc
+++ b/packages/coordination/src/packet_path/relay_actions.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/coordination/packet_path/relay_actions.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/relay_types.cc
+++ b/packages/coordination/src/packet_path/relay_types.cc
@@ -1,10 +1,10 @@
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/address_owners.cc
+++ b/packages/coordination/src/request_path/address_owners.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/address_owners.h"
+#include "medlarwinch/coordination/request_path/address_owners.h"
 
 #include <tuple>
 
--- a/packages/coordination/src/agent_drain.cc
+++ b/packages/coordination/src/request_path/agent_drain.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/agent_drain.h"
+#include "medlarwinch/coordination/request_path/agent_drain.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/coordination/src/candidate_index.cc
+++ b/packages/coordination/src/request_path/candidate_index.cc
@@ -1,11 +1,11 @@
-#include "medlarwinch/coordination/candidate_index.h"
+#include "medlarwinch/coordination/request_path/candidate_index.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <utility>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/key_attempt.cc
+++ b/packages/coordination/src/request_path/key_attempt.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/key_attempt.h"
+#include "medlarwinch/coordination/request_path/key_attempt.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/coordination/src/key_homes.cc
+++ b/packages/coordination/src/request_path/key_homes.cc
@@ -1,8 +1,8 @@
-#include "medlarwinch/coordination/key_homes.h"
+#include "medlarwinch/coordination/request_path/key_homes.h"
 
 #include <algorithm>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/outlier_detection.cc
+++ b/packages/coordination/src/request_path/outlier_detection.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/outlier_detection.h"
+#include "medlarwinch/coordination/request_path/outlier_detection.h"
 
 #include <string>
 #include <utility>
--- a/packages/coordination/src/request_admission.cc
+++ b/packages/coordination/src/request_path/request_admission.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/request_admission.h"
+#include "medlarwinch/coordination/request_path/request_admission.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/coordination/src/request_ledger.cc
+++ b/packages/coordination/src/request_path/request_ledger.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/request_ledger.h"
+#include "medlarwinch/coordination/request_path/request_ledger.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/request_window.cc
+++ b/packages/coordination/src/request_path/request_window.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/request_window.h"
+#include "medlarwinch/coordination/request_path/request_window.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/routing_decision.cc
+++ b/packages/coordination/src/request_path/routing_decision.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/routing_decision.h"
+#include "medlarwinch/coordination/request_path/routing_decision.h"
 
 #include <algorithm>
 #include <array>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/routing_table.cc
+++ b/packages/coordination/src/request_path/routing_table.cc
@@ -1,13 +1,13 @@
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 
 #include <algorithm>
 #include <optional>
 
-#include "medlarwinch/coordination/address_owners.h"
-#include "medlarwinch/coordination/rendezvous.h"
-#include "medlarwinch/coordination/slow_start.h"
-#include "medlarwinch/coordination/table_changes.h"
-#include "medlarwinch/coordination/upstream_state.h"
+#include "medlarwinch/coordination/request_path/address_owners.h"
+#include "medlarwinch/coordination/request_path/slow_start.h"
+#include "medlarwinch/coordination/request_path/table_changes.h"
+#include "medlarwinch/coordination/request_path/upstream_state.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/slow_start.cc
+++ b/packages/coordination/src/request_path/slow_start.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/slow_start.h"
+#include "medlarwinch/coordination/request_path/slow_start.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/src/table_changes.cc
+++ b/packages/coordination/src/request_path/table_changes.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/table_changes.h"
+#include "medlarwinch/coordination/request_path/table_changes.h"
 
 #include <utility>
 
--- a/packages/coordination/src/upstream_state.cc
+++ b/packages/coordination/src/request_path/upstream_state.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/upstream_state.h"
+#include "medlarwinch/coordination/request_path/upstream_state.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/slow_start.h"
+#include "medlarwinch/coordination/request_path/slow_start.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/src/platform_calls.cc
+++ b/packages/coordination/src/shared/platform_calls.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/coordination/src/random.cc
+++ b/packages/coordination/src/shared/random.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/coordination/src/store_watch_policy.cc
+++ b/packages/coordination/src/shared/store_watch_policy.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/store_watch_policy.h"
+#include "medlarwinch/coordination/shared/store_watch_policy.h"
 
 #include <algorithm>
 
--- a/packages/coordination/tests/control_decisions_test.cc
+++ b/packages/coordination/tests/control_plane/control_decisions_test.cc
@@ -1,10 +1,10 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-#include "medlarwinch/coordination/bootstrap_list.h"
-#include "medlarwinch/coordination/monitor_selection.h"
-#include "medlarwinch/coordination/platform_schedule.h"
-#include "medlarwinch/coordination/service_means.h"
+#include "medlarwinch/coordination/control_plane/bootstrap_list.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/platform_schedule.h"
+#include "medlarwinch/coordination/control_plane/service_means.h"
 #include "property_check.h"
 
 namespace medlarwinch {
--- a/packages/coordination/tests/digest_tree_test.cc
+++ b/packages/coordination/tests/control_plane/digest_tree_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/digest_tree.h"
+#include "medlarwinch/coordination/control_plane/digest_tree.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
--- a/packages/coordination/tests/mean_trend_test.cc
+++ b/packages/coordination/tests/control_plane/mean_trend_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/mean_trend.h"
+#include "medlarwinch/coordination/control_plane/mean_trend.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/packages/coordination/tests/member_table_test.cc
+++ b/packages/coordination/tests/control_plane/member_table_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/packages/coordination/tests/simulated_cluster.h
+++ b/packages/coordination/tests/control_plane/simulated_cluster.h
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "medlarwinch/coordination/agent_control.h"
-#include "medlarwinch/coordination/balancer_control.h"
+#include "medlarwinch/coordination/control_plane/agent_control.h"
+#include "medlarwinch/coordination/control_plane/balancer_control.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/tests/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
--- a/packages/coordination/tests/flow_cache_test.cc
+++ b/packages/coordination/tests/packet_path/flow_cache_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/flow_cache.h"
+#include "medlarwinch/coordination/packet_path/flow_cache.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/packages/coordination/tests/flow_placement_test.cc
+++ b/packages/coordination/tests/packet_path/flow_placement_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/flow_placement.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/packages/coordination/tests/large_site_search_test.cc
+++ b/packages/coordination/tests/packet_path/large_site_search_test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 #include "relay_fixture.h"
 
 namespace medlarwinch {
--- a/packages/coordination/tests/relay_fixture.h
+++ b/packages/coordination/tests/packet_path/relay_fixture.h
@@ -4,7 +4,7 @@
 #include <variant>
 #include <vector>
 
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
 namespace medlarwinch {
 
--- a/packages/coordination/tests/relay_routes_test.cc
+++ b/packages/coordination/tests/packet_path/relay_routes_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/relay_routes.h"
+#include "medlarwinch/coordination/packet_path/relay_routes.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/coordination/tests/upstream_directory_test.cc
+++ b/packages/coordination/tests/packet_path/upstream_directory_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/coordination/tests/agent_limits_test.cc
+++ b/packages/coordination/tests/request_path/agent_limits_test.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 
-#include "medlarwinch/coordination/agent_drain.h"
-#include "medlarwinch/coordination/outlier_detection.h"
-#include "medlarwinch/coordination/request_admission.h"
+#include "medlarwinch/coordination/request_path/agent_drain.h"
+#include "medlarwinch/coordination/request_path/outlier_detection.h"
+#include "medlarwinch/coordination/request_path/request_admission.h"
 #include "property_check.h"
 
 namespace medlarwinch {
--- a/packages/coordination/tests/candidate_index_test.cc
+++ b/packages/coordination/tests/request_path/candidate_index_test.cc
@@ -1,11 +1,11 @@
-#include "medlarwinch/coordination/candidate_index.h"
+#include "medlarwinch/coordination/request_path/candidate_index.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <map>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 #include "seeded_property.h"
 
 namespace medlarwinch {
--- a/packages/coordination/tests/flow_acceptance_test.cc
+++ b/packages/coordination/tests/request_path/flow_acceptance_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
 
 #include "property_check.h"
 
--- a/packages/coordination/tests/key_homes_test.cc
+++ b/packages/coordination/tests/request_path/key_homes_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/key_homes.h"
+#include "medlarwinch/coordination/request_path/key_homes.h"
 
 #include <algorithm>
 
--- a/packages/coordination/tests/request_ledger_test.cc
+++ b/packages/coordination/tests/request_path/request_ledger_test.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/request_ledger.h"
+#include "medlarwinch/coordination/request_path/request_ledger.h"
 
 #include <map>
 #include <set>
 
-#include "medlarwinch/coordination/request_window.h"
+#include "medlarwinch/coordination/request_path/request_window.h"
 #include "property_check.h"
 
 namespace medlarwinch {
--- a/packages/coordination/tests/routing_table_test.cc
+++ b/packages/coordination/tests/request_path/routing_table_test.cc
@@ -1,10 +1,10 @@
-#include "medlarwinch/coordination/routing_table.h"
+#include "medlarwinch/coordination/request_path/routing_table.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-#include "medlarwinch/coordination/routing_decision.h"
-#include "medlarwinch/coordination/slow_start.h"
+#include "medlarwinch/coordination/request_path/routing_decision.h"
+#include "medlarwinch/coordination/request_path/slow_start.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/coordination/tests/platform_calls_test.cc
+++ b/packages/coordination/tests/shared/platform_calls_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/coordination/tests/rendezvous_test.cc
+++ b/packages/coordination/tests/shared/rendezvous_test.cc
@@ -1,4 +1,4 @@
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/packages/coordination/tests/store_watch_policy_test.cc
+++ b/packages/coordination/tests/shared/store_watch_policy_test.cc
@@ -1,9 +1,9 @@
-#include "medlarwinch/coordination/store_watch_policy.h"
+#include "medlarwinch/coordination/shared/store_watch_policy.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/coordination/shared/random.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/daemon/include/medlarwinch/daemon/agent_engine.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_engine.h
@@ -8,8 +8,8 @@
 #include <mutex>
 #include <string>
 
-#include "medlarwinch/coordination/agent_drain.h"
-#include "medlarwinch/coordination/mean_trend.h"
+#include "medlarwinch/coordination/control_plane/mean_trend.h"
+#include "medlarwinch/coordination/request_path/agent_drain.h"
 #include "medlarwinch/daemon/agent_shared_state.h"
 #include "medlarwinch/daemon/control_view.h"
 #include "medlarwinch/daemon/decision_coalescer.h"
--- a/packages/daemon/include/medlarwinch/daemon/agent_shared_state.h
+++ b/packages/daemon/include/medlarwinch/daemon/agent_shared_state.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/document_context.h"
+#include "medlarwinch/coordination/control_plane/document_context.h"
 #include "medlarwinch/protocol/key_ring.h"
 #include "medlarwinch/state/endpoint.h"
 
--- a/packages/daemon/include/medlarwinch/daemon/control_loop.h
+++ b/packages/daemon/include/medlarwinch/daemon/control_loop.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_actions.h"
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/control_actions.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
+#include "medlarwinch/coordination/shared/random.h"
 #include "medlarwinch/daemon/control_plane.h"
 #include "medlarwinch/daemon/control_view.h"
 #include "medlarwinch/daemon/platform_worker.h"
--- a/packages/daemon/include/medlarwinch/daemon/flow_forwarding.h
+++ b/packages/daemon/include/medlarwinch/daemon/flow_forwarding.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <optional>
 
-#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
 #include "medlarwinch/protocol/data_messages.h"
 
 namespace medlarwinch {
--- a/packages/daemon/include/medlarwinch/daemon/flow_table.h
+++ b/packages/daemon/include/medlarwinch/daemon/flow_table.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <unordered_map>
 
-#include "medlarwinch/coordination/request_window.h"
+#include "medlarwinch/coordination/request_path/request_window.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/protocol/packet_header.h"
 #include "medlarwinch/state/clock.h"
--- a/packages/daemon/include/medlarwinch/daemon/key_service.h
+++ b/packages/daemon/include/medlarwinch/daemon/key_service.h
@@ -8,9 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "medlarwinch/coordination/key_attempt.h"
-#include "medlarwinch/coordination/key_homes.h"
-#include "medlarwinch/coordination/request_ledger.h"
+#include "medlarwinch/coordination/request_path/key_attempt.h"
+#include "medlarwinch/coordination/request_path/key_homes.h"
+#include "medlarwinch/coordination/request_path/request_ledger.h"
 #include "medlarwinch/daemon/agent_shared_state.h"
 #include "medlarwinch/daemon/caller_transport.h"
 #include "medlarwinch/protocol/data_messages.h"
--- a/packages/daemon/include/medlarwinch/daemon/packet_router.h
+++ b/packages/daemon/include/medlarwinch/daemon/packet_router.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/routing_decision.h"
+#include "medlarwinch/coordination/request_path/routing_decision.h"
 #include "medlarwinch/protocol/data_messages.h"
 #include "medlarwinch/protocol/key_ring.h"
 
--- a/packages/daemon/include/medlarwinch/daemon/platform_worker.h
+++ b/packages/daemon/include/medlarwinch/daemon/platform_worker.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/control_types.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
 #include "medlarwinch/transport/platform_client.h"
 
 namespace medlarwinch {
--- a/packages/daemon/include/medlarwinch/daemon/quic_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/quic_transport.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
 #include "medlarwinch/daemon/agent_shared_state.h"
 #include "medlarwinch/daemon/caller_transport.h"
 #include "medlarwinch/daemon/thin_transport.h"
--- a/packages/daemon/include/medlarwinch/daemon/record_parser.h
+++ b/packages/daemon/include/medlarwinch/daemon/record_parser.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "medlarwinch/coordination/control_actions.h"
+#include "medlarwinch/coordination/control_plane/control_actions.h"
 #include "medlarwinch/protocol/key_ring.h"
 #include "medlarwinch/state/service_document.h"
 
--- a/packages/daemon/include/medlarwinch/daemon/request_executor.h
+++ b/packages/daemon/include/medlarwinch/daemon/request_executor.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/outlier_detection.h"
-#include "medlarwinch/coordination/request_admission.h"
+#include "medlarwinch/coordination/request_path/outlier_detection.h"
+#include "medlarwinch/coordination/request_path/request_admission.h"
 #include "medlarwinch/daemon/agent_shared_state.h"
 #include "medlarwinch/daemon/caller_transport.h"
 #include "medlarwinch/daemon/key_service.h"
--- a/packages/daemon/include/medlarwinch/daemon/thin_transport.h
+++ b/packages/daemon/include/medlarwinch/daemon/thin_transport.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "medlarwinch/coordination/flow_acceptance.h"
+#include "medlarwinch/coordination/request_path/flow_acceptance.h"
 #include "medlarwinch/daemon/agent_shared_state.h"
 #include "medlarwinch/daemon/caller_transport.h"
 #include "medlarwinch/daemon/flow_table.h"
--- a/packages/daemon/src/account_writer.cc
+++ b/packages/daemon/src/account_writer.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "medlarwinch/coordination/account_log.h"
+#include "medlarwinch/coordination/control_plane/account_log.h"
 #include "medlarwinch/transport/account_json.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/platform_client.h"
--- a/packages/daemon/src/agent_loop.cc
+++ b/packages/daemon/src/agent_loop.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "medlarwinch/coordination/agent_control.h"
-#include "medlarwinch/coordination/bootstrap_list.h"
-#include "medlarwinch/coordination/platform_schedule.h"
+#include "medlarwinch/coordination/control_plane/agent_control.h"
+#include "medlarwinch/coordination/control_plane/bootstrap_list.h"
+#include "medlarwinch/coordination/control_plane/platform_schedule.h"
 #include "medlarwinch/daemon/control_loop.h"
 
 namespace medlarwinch {
--- a/packages/daemon/src/balancer_loop.cc
+++ b/packages/daemon/src/balancer_loop.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "medlarwinch/coordination/balancer_control.h"
-#include "medlarwinch/coordination/bootstrap_list.h"
-#include "medlarwinch/coordination/monitor_selection.h"
-#include "medlarwinch/coordination/platform_schedule.h"
+#include "medlarwinch/coordination/control_plane/balancer_control.h"
+#include "medlarwinch/coordination/control_plane/bootstrap_list.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/platform_schedule.h"
 #include "medlarwinch/daemon/control_loop.h"
 
 namespace medlarwinch {
--- a/packages/daemon/src/control_loop.cc
+++ b/packages/daemon/src/control_loop.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "medlarwinch/coordination/member_table.h"
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
--- a/packages/daemon/src/flow_table.cc
+++ b/packages/daemon/src/flow_table.cc
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <string_view>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/daemon/src/key_service.cc
+++ b/packages/daemon/src/key_service.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <variant>
 
-#include "medlarwinch/coordination/rendezvous.h"
+#include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/daemon/src/own_member.h
+++ b/packages/daemon/src/own_member.h
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "medlarwinch/coordination/member_table.h"
+#include "medlarwinch/coordination/control_plane/member_table.h"
 #include "medlarwinch/daemon/settings.h"
 
 namespace medlarwinch {
--- a/packages/daemon/src/platform_worker.cc
+++ b/packages/daemon/src/platform_worker.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "medlarwinch/coordination/bootstrap_list.h"
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/bootstrap_list.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/daemon/src/record_parser.cc
+++ b/packages/daemon/src/record_parser.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "medlarwinch/coordination/record_store.h"
+#include "medlarwinch/coordination/control_plane/record_store.h"
 #include "medlarwinch/protocol/document_parser.h"
 
 namespace medlarwinch {
--- a/packages/daemon/src/routing_actor.cc
+++ b/packages/daemon/src/routing_actor.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-#include "medlarwinch/coordination/monitor_selection.h"
+#include "medlarwinch/coordination/control_plane/monitor_selection.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "medlarwinch/coordination/agent_relay.h"
+#include "medlarwinch/coordination/packet_path/agent_relay.h"
 #include "medlarwinch/node/agent_registration.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
--- a/packages/node/include/medlarwinch/node/agent_registration.h
+++ b/packages/node/include/medlarwinch/node/agent_registration.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "medlarwinch/coordination/random.h"
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
+#include "medlarwinch/coordination/shared/random.h"
 #include "medlarwinch/node/store_connection.h"
 
 namespace medlarwinch {
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
 #include "medlarwinch/node/store_watch.h"
--- a/packages/node/include/medlarwinch/node/log_rate_limiter.h
+++ b/packages/node/include/medlarwinch/node/log_rate_limiter.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 #include "medlarwinch/state/clock.h"
 
 namespace medlarwinch {
--- a/packages/node/include/medlarwinch/node/node_metrics.h
+++ b/packages/node/include/medlarwinch/node/node_metrics.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <string>
 
-#include "medlarwinch/coordination/agent_relay.h"
-#include "medlarwinch/coordination/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/agent_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_relay.h"
 #include "medlarwinch/transport/metrics.h"
 
 namespace medlarwinch {
--- a/packages/node/include/medlarwinch/node/node_runtime.h
+++ b/packages/node/include/medlarwinch/node/node_runtime.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "medlarwinch/coordination/relay_actions.h"
+#include "medlarwinch/coordination/packet_path/relay_actions.h"
 #include "medlarwinch/node/log_rate_limiter.h"
 #include "medlarwinch/node/node_settings.h"
 #include "medlarwinch/node/platform_adapter.h"
--- a/packages/node/include/medlarwinch/node/platform_adapter.h
+++ b/packages/node/include/medlarwinch/node/platform_adapter.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <variant>
 
-#include "medlarwinch/coordination/local_upstream.h"
-#include "medlarwinch/coordination/relay_routes.h"
-#include "medlarwinch/coordination/upstream_directory.h"
+#include "medlarwinch/coordination/packet_path/local_upstream.h"
+#include "medlarwinch/coordination/packet_path/relay_routes.h"
+#include "medlarwinch/coordination/packet_path/upstream_directory.h"
 #include "medlarwinch/node/node_settings.h"
 #include "medlarwinch/node/store_connection.h"
 #include "medlarwinch/protocol/bytes.h"
--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/store_revision.h"
+#include "medlarwinch/coordination/shared/store_revision.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/result.h"
 
--- a/packages/node/include/medlarwinch/node/store_watch.h
+++ b/packages/node/include/medlarwinch/node/store_watch.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "medlarwinch/coordination/random.h"
+#include "medlarwinch/coordination/shared/random.h"
 #include "medlarwinch/node/store_connection.h"
 
 namespace medlarwinch {
--- a/packages/node/src/agent_registration.cc
+++ b/packages/node/src/agent_registration.cc
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -1,7 +1,7 @@
 // The calls of a balancer to the platform's metadata store.
 #include <utility>
 
-#include "medlarwinch/coordination/store_watch_policy.h"
+#include "medlarwinch/coordination/shared/store_watch_policy.h"
 #include "medlarwinch/node/agent_registration.h"
 #include "medlarwinch/node/balancer_node.h"
 #include "medlarwinch/transport/log.h"
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <utility>
 
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/protocol/include/medlarwinch/protocol/control_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/control_messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "medlarwinch/coordination/control_types.h"
+#include "medlarwinch/coordination/control_plane/control_types.h"
 #include "medlarwinch/protocol/key_ring.h"
 #include "medlarwinch/protocol/serialization.h"
 
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <variant>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/protocol/codec.h"
 #include "medlarwinch/protocol/serialization.h"
--- a/packages/protocol/src/document_parser.cc
+++ b/packages/protocol/src/document_parser.cc
@@ -4,7 +4,7 @@
 #include <map>
 #include <set>
 
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 #include "medlarwinch/protocol/yaml_reader.h"
 
 namespace medlarwinch {
--- a/packages/protocol/src/yaml_reader.cc
+++ b/packages/protocol/src/yaml_reader.cc
@@ -6,7 +6,7 @@
 #include <numeric>
 #include <set>
 
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/protocol/tests/document_parser_test.cc
+++ b/packages/protocol/tests/document_parser_test.cc
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "medlarwinch/coordination/document_fields.h"
+#include "medlarwinch/coordination/control_plane/document_fields.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/transport/include/medlarwinch/transport/platform_client.h
+++ b/packages/transport/include/medlarwinch/transport/platform_client.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "medlarwinch/coordination/platform_calls.h"
+#include "medlarwinch/coordination/shared/platform_calls.h"
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/endpoint.h"
 #include "medlarwinch/state/result.h"
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <utility>
 
-#include "medlarwinch/coordination/relay_types.h"
+#include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/platform_side/flow_packets.h"
 #include "medlarwinch/platform_side/soak_configuration.h"
 #include "medlarwinch/transport/system_clock.h"
