Carry terms, load and refusals of openings between balancers and agents

Openings now carry the balancer's time on a clock that counts suspension, and the balancer resets the flow only within the time in which no later copy can exist.

The same messages carry what the evacuation and the parts for hard load need: terms of routes and services from the configuration, the features that the settings ask for, the link of a balancer, and the load of an agent. They are appended to the others and sent only to agents that offered to read them, so that processes of both versions work together during a roll.

RefusedOpening_WithContext_IsReportedToItsBalancer and RefusedOpening_LaterCopyPossible_IsDropped cover the decisions.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -41,6 +41,8 @@
   /// Opening packets that no other agent could take and that were not answered
   /// with a reset.
   uint64_t dropped_openings = 0;
+  /// Opening packets of which the balancer was told that no agent takes them.
+  uint64_t refused_openings = 0;
   FlowResetCounts resets{};
 };
 
@@ -50,6 +52,7 @@
   /// yet.
   struct Opening {
     RelayHeader header;
+    std::optional<OpeningContext> context;
     TimePoint delivered_at;
   };
   /// A packet of an unknown flow that was delivered to the upstream to find out
@@ -82,8 +85,10 @@
   AgentCounters counters;
 };
 
-/// Processes a packet relayed by a balancer or by another agent.
+/// Processes a packet relayed by a balancer or by another agent. `context` is
+/// set for an opening from a balancer that sends extended messages.
 void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
+                         const std::optional<OpeningContext>& context,
                          const FlowPacket& packet, TimePoint now,
                          RelayActions& actions);
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -39,6 +39,8 @@
   uint64_t searches_unresolved = 0;
   /// Searches refused because kMaxSearches were in progress.
   uint64_t searches_refused = 0;
+  /// Refusals of openings that came too late for a reset.
+  uint64_t outdated_refusals = 0;
   FlowResetCounts resets{};
 };
 
@@ -58,11 +60,19 @@
   BalancerCounters counters;
 };
 
-/// Decides where a caller's packet is sent.
+/// Decides where a caller's packet is sent. An opening's OpeningContext has
+/// `relayed_at` 0: the caller of this function sets it when it sends the
+/// message.
 void HandleCallerPacket(BalancerRelay& relay, const FlowPacket& packet,
                         std::span<const uint8_t> raw, TimePoint now,
                         RelayActions& actions);
 
+/// Processes the refusal of an opening that this balancer relayed `age` ago.
+/// Resets the flow if the caller can't have sent a later copy yet, which may
+/// have opened the flow at another upstream.
+void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
+                          uint32_t copy, Millis age, RelayActions& actions);
+
 /// An agent's reply to an ownership query.
 struct OwnershipReply {
   Endpoint agent;
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
@@ -51,6 +52,8 @@
   kOwnerUnproven = 2,
   /// No configuration of this process names the address.
   kRouteNotKnown = 3,
+  /// No agent takes the opening, but a later copy may have opened the flow.
+  kOutdatedRefusal = 4,
 };
 const char* PacketDropReasonName(PacketDropReason reason);
 
@@ -60,6 +63,8 @@
   RelayHeader header;
   /// At an agent: why it does not accept the packet itself.
   std::optional<RefusalReason> refusal;
+  /// Set for an opening whose receivers all read the extended messages.
+  std::optional<OpeningContext> context = std::nullopt;
 };
 
 /// Drop the current packet, or the buffered packets of the flow.
@@ -114,6 +119,13 @@
   bool returns_packet = false;
 };
 
+/// Tell the balancer that no agent takes an opening.
+struct SendOpeningRefused {
+  Endpoint balancer;
+  FlowTuple flow;
+  OpeningContext context;
+};
+
 /// Send a reset to the caller.
 struct ResetCaller {
   FlowTuple flow;
@@ -129,8 +141,8 @@
     std::variant<RelayToAgent, RelayBufferedPacket, DeliverToUpstream,
                  DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
                  ScheduleQueryFlush, SendOwnershipReply,
-                 SendOwnershipBatchReply, RefreshDirectory, DropPackets,
-                 ResetCaller>;
+                 SendOwnershipBatchReply, SendOpeningRefused, RefreshDirectory,
+                 DropPackets, ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_routes.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_routes.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/coordination/shared/store_revision.h"
 
@@ -30,6 +31,7 @@
   std::vector<ServiceId> owner_services = {};
   /// Number of services at the front of `owner_services` that get new flows.
   size_t accepting_count = 0;
+  RouteTerms terms = {};
 
   friend bool operator==(const RelayRoute&, const RelayRoute&) = default;
 };
@@ -39,6 +41,7 @@
   /// Given by the operators; rises with each change.
   uint64_t version = 0;
   std::map<Endpoint, RelayRoute> routes;
+  std::map<ServiceId, ServiceTerms> services;
   /// Flows that were idle for longer may be removed.
   Millis flow_idle_timeout{0};
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/coordination/shared/store_revision.h"
 #include "medlarwinch/state/clock.h"
@@ -48,6 +49,11 @@
   bool is_local = false;
   /// The last report; its phase is kUnknown before the first one.
   AgentReport report;
+  /// True once the agent has offered the extended messages; until a new process
+  /// reports.
+  bool reads_extended = false;
+  /// The last reported load; empty for an agent without extended messages.
+  AgentLoad load;
   /// Time of the last report, or of the first listing before any report.
   TimePoint last_contact;
   /// Time at which a new revision of the entry was last seen.
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -79,8 +79,10 @@
 }
 
 // Forwards an opening to the next agent. Without another agent it is dropped or
-// rejected with a reset.
+// refused. Only the balancer knows whether the refusal is recent enough for a
+// reset, since an agent does not see for how long the opening was on its way.
 void ForwardOpening(AgentRelay& relay, RelayHeader header,
+                    const std::optional<OpeningContext>& context,
                     const FlowPacket& packet, RefusalReason reason,
                     RelayActions& actions) {
   if (!header.alternates.empty() && header.hops < kMaxRelayHops) {
@@ -88,7 +90,7 @@
     const Endpoint next = header.alternates.front();
     header.alternates.erase(header.alternates.begin());
     ++header.hops;
-    actions.push_back(RelayToAgent{next, std::move(header), reason});
+    actions.push_back(RelayToAgent{next, std::move(header), reason, context});
     return;
   }
   if (AwaitsRetransmission(relay, packet, reason)) {
@@ -97,11 +99,18 @@
                                   PacketDropReason::kLeftToRetransmission});
     return;
   }
+  if (context.has_value()) {
+    ++relay.counters.refused_openings;
+    actions.push_back(
+        SendOpeningRefused{header.balancer, FlowFromCaller(packet), *context});
+    return;
+  }
   AddReset(ResetCaller{FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream},
            relay.counters.resets, actions);
 }
 
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
+                   const std::optional<OpeningContext>& context,
                    const FlowPacket& packet, TimePoint now,
                    RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
@@ -112,11 +121,12 @@
     const std::optional<RefusalReason> refusal =
         CheckOpeningAdmission(relay, header, now);
     if (refusal.has_value()) {
-      ForwardOpening(relay, header, packet, *refusal, actions);
+      ForwardOpening(relay, header, context, packet, *refusal, actions);
       return;
     }
   }
-  relay.openings.insert_or_assign(flow, AgentRelay::Opening{header, now});
+  relay.openings.insert_or_assign(flow,
+                                  AgentRelay::Opening{header, context, now});
   DeliverExpectingResponse(relay, now, actions);
 }
 
@@ -183,10 +193,10 @@
   if (packet.is_syn) {
     const auto opening = relay.openings.find(flow);
     if (opening == relay.openings.end()) return;
-    RelayHeader header = std::move(opening->second.header);
+    AgentRelay::Opening bounced = std::move(opening->second);
     relay.openings.erase(opening);
-    ForwardOpening(relay, std::move(header), packet, RefusalReason::kBounced,
-                   actions);
+    ForwardOpening(relay, std::move(bounced.header), bounced.context, packet,
+                   RefusalReason::kBounced, actions);
     return;
   }
   const auto probe = relay.probes.find(flow);
@@ -263,10 +273,11 @@
 }
 
 void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
+                         const std::optional<OpeningContext>& context,
                          const FlowPacket& packet, TimePoint now,
                          RelayActions& actions) {
   if (packet.is_syn) {
-    HandleOpening(relay, header, packet, now, actions);
+    HandleOpening(relay, header, context, packet, now, actions);
   } else {
     HandleFlowPacket(relay, header, packet, now, actions);
   }
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
@@ -12,6 +13,10 @@
 constexpr size_t kSweepSlotsPerTick = 1'024;
 // Idle timeout of flows when the configuration sets none.
 constexpr Millis kDefaultFlowIdleTimeout{60'000};
+// Time between a copy of an opening and the caller's next one, or the end of
+// its attempt after the last one.
+constexpr std::array<Millis, 3> kOpeningCopyIntervals = {
+    Millis{200}, Millis{400}, Millis{800}};
 
 RelayHeader MakeHeader(const BalancerRelay& relay, RelayPurpose purpose,
                        std::span<const ServiceId> allowed) {
@@ -22,6 +27,16 @@
   return header;
 }
 
+// Returns true if every agent that may get the opening reads the extended
+// messages.
+bool DoAllReadExtended(const UpstreamDirectory& directory,
+                       const std::vector<PlacementCandidate>& ranked) {
+  return std::all_of(
+      ranked.begin(), ranked.end(), [&](const PlacementCandidate& candidate) {
+        return directory.upstreams.at(candidate.agent).reads_extended;
+      });
+}
+
 void OpenFlow(BalancerRelay& relay, const RelayRoute& route,
               const FlowPacket& packet, TimePoint now, RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
@@ -61,7 +76,11 @@
   relay.cache.Put(flow, first, !is_retransmission, now);
   ++(is_retransmission ? relay.counters.open_retransmissions
                        : relay.counters.opened);
-  actions.push_back(RelayToAgent{first, std::move(header), std::nullopt});
+  RelayToAgent relayed{first, std::move(header), std::nullopt};
+  if (DoAllReadExtended(relay.directory, ranked)) {
+    relayed.context = OpeningContext{{}, retransmissions, route.terms};
+  }
+  actions.push_back(std::move(relayed));
 }
 
 std::span<const ServiceId> OwnerServicesOf(const BalancerRelay& relay,
@@ -285,6 +304,20 @@
       std::nullopt});
 }
 
+void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
+                          uint32_t copy, Millis age, RelayActions& actions) {
+  const size_t last = kOpeningCopyIntervals.size() - 1;
+  const Millis interval = kOpeningCopyIntervals[std::min<size_t>(copy, last)];
+  if (age < Millis{0} || age >= interval) {
+    ++relay.counters.outdated_refusals;
+    actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedRefusal});
+    return;
+  }
+  relay.cache.Remove(flow);
+  AddReset(ResetCaller{flow, 0, FlowResetReason::kNoUpstream},
+           relay.counters.resets, actions);
+}
+
 void HandleOwnershipReply(BalancerRelay& relay, const OwnershipReply& reply,
                           const FlowPacket& packet,
                           std::span<const uint8_t> raw, TimePoint now,
--- a/packages/coordination/src/packet_path/relay_actions.cc
+++ b/packages/coordination/src/packet_path/relay_actions.cc
@@ -46,6 +46,8 @@
       return "owner_not_proved";
     case PacketDropReason::kRouteNotKnown:
       return "route_not_known";
+    case PacketDropReason::kOutdatedRefusal:
+      return "outdated_refusal";
   }
   return "invalid";
 }
--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -101,6 +101,10 @@
     return effect;
   }
   effect.is_applied = true;
+  if (effect.is_new_process) {
+    upstream.reads_extended = false;
+    upstream.load = AgentLoad{};
+  }
   effect.phase_before = upstream.report.phase;
   upstream.report = report;
   upstream.is_resurrected = false;
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -36,7 +36,7 @@
                      RelayPurpose purpose = RelayPurpose::kEstablished) {
     header.purpose = packet.is_syn ? RelayPurpose::kOpen : purpose;
     RelayActions actions;
-    HandleRelayedPacket(relay, header, packet, now, actions);
+    HandleRelayedPacket(relay, header, context, packet, now, actions);
     return actions;
   }
 
@@ -85,6 +85,7 @@
   TimePoint now{1'000};
   UpstreamHeartbeat heartbeat;
   RelayHeader header;
+  std::optional<OpeningContext> context;
   AgentRelay relay;
 };
 
@@ -433,6 +434,22 @@
   }
 }
 
+// Guards against a reset by an agent, which does not know how old an opening
+// is: a later copy may have opened the flow elsewhere.
+BOOST_AUTO_TEST_CASE(RefusedOpening_WithContext_IsReportedToItsBalancer) {
+  context = OpeningContext{TimePoint{77}, 0, {}};
+  ++heartbeat.sequence;
+  heartbeat.is_draining = true;
+  SendHeartbeat();
+  const RelayActions actions = Relay(OpeningPacket(1));
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+  const std::vector<SendOpeningRefused> refusals =
+      ActionsOf<SendOpeningRefused>(actions);
+  BOOST_REQUIRE(refusals.size() == 1);
+  BOOST_CHECK(refusals[0].balancer == kBalancerAddress);
+  BOOST_CHECK(refusals[0].context == *context);
+}
+
 BOOST_AUTO_TEST_CASE(AnsweredRequest_Outstanding_ReturnsToZero) {
   OpenWithRequest(1);
   BOOST_TEST(relay.flow_tracker.outstanding == 1U);
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -247,6 +247,24 @@
   BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(1))).size() == 1U);
 }
 
+// Guards against the reset of an open flow by the refusal of an earlier copy,
+// which was held by a suspended agent while a later copy opened the flow.
+BOOST_AUTO_TEST_CASE(RefusedOpening_LaterCopyPossible_IsDropped) {
+  const FlowTuple flow = FlowFromCaller(OpeningPacket(1));
+  const auto refuse = [&](uint32_t copy, int64_t age) {
+    RelayActions actions;
+    HandleOpeningRefused(relay, flow, copy, Millis{age}, actions);
+    return actions;
+  };
+  BOOST_TEST(ActionsOf<ResetCaller>(refuse(0, 199)).size() == 1U);
+  BOOST_TEST(
+      AreOnlyDropped(refuse(0, 200), PacketDropReason::kOutdatedRefusal));
+  BOOST_TEST(ActionsOf<ResetCaller>(refuse(2, 799)).size() == 1U);
+  BOOST_TEST(
+      AreOnlyDropped(refuse(9, 800), PacketDropReason::kOutdatedRefusal));
+  BOOST_TEST(AreOnlyDropped(refuse(0, -1), PacketDropReason::kOutdatedRefusal));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -28,8 +28,15 @@
 
  private:
   void HandleMessage(const Endpoint& from, ByteView datagram);
-  void HandleRelayedMessage(const RelayedPacket& message);
+  void HandleRelayedBytes(const RelayHeader& header,
+                          const std::optional<OpeningContext>& context,
+                          ByteView bytes);
+  void RecordPoll(const Endpoint& from, const AgentPoll& poll);
   void HandlePoll(const Endpoint& from, const AgentPoll& poll);
+  void HandleExtendedPoll(const Endpoint& from, const ExtendedPoll& poll);
+  void SendProtocolOffer(const Endpoint& balancer);
+  void SendPeriodicNotices(const Endpoint& balancer);
+  AgentStatus MakeStatus();
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
   HttpResponse HandleNotice(const HttpRequest& request);
   void HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat);
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -43,6 +43,8 @@
   void HandleAgentChange(const ObjectChange& change);
   void WatchConfiguration();
   void WatchAgents();
+  bool UsesExtendedPolls() const;
+  BalancerTerms MakeTerms(const KnownUpstream& upstream) const;
   void PollAgent(const Endpoint& agent, bool is_listed);
   void PollAgents();
   void PollStartingAgents();
--- a/packages/node/include/medlarwinch/node/node_runtime.h
+++ b/packages/node/include/medlarwinch/node/node_runtime.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "medlarwinch/coordination/packet_path/relay_actions.h"
@@ -106,11 +107,15 @@
 /// Encodes relayed packets, reusing its buffers to avoid allocations.
 class RelayedPacketEncoder {
  public:
-  /// The result is valid until the next call.
-  const Bytes& Encode(RelayHeader header, ByteView packet);
+  /// Encodes a RelayedOpening if `context` is set, else a RelayedPacket. The
+  /// result is valid until the next call.
+  const Bytes& Encode(RelayHeader header,
+                      const std::optional<OpeningContext>& context,
+                      ByteView packet);
 
  private:
   RelayMessage message_ = RelayedPacket{};
+  RelayMessage opening_message_ = RelayedOpening{};
   Bytes encoded_;
 };
 
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -105,7 +105,11 @@
   }
   const RelayMessage message = TakeValue(std::move(decoded));
   if (const RelayedPacket* relayed = std::get_if<RelayedPacket>(&message)) {
-    HandleRelayedMessage(*relayed);
+    HandleRelayedBytes(relayed->header, std::nullopt, relayed->packet);
+    return;
+  }
+  if (const RelayedOpening* opening = std::get_if<RelayedOpening>(&message)) {
+    HandleRelayedBytes(opening->header, opening->context, opening->packet);
     return;
   }
   if (const OwnershipQuery* query = std::get_if<OwnershipQuery>(&message)) {
@@ -125,35 +129,64 @@
     HandlePoll(from, *poll);
     return;
   }
+  if (const ExtendedPoll* poll = std::get_if<ExtendedPoll>(&message)) {
+    HandleExtendedPoll(from, *poll);
+    return;
+  }
   ++malformed_messages_;
 }
 
-void AgentNode::HandleRelayedMessage(const RelayedPacket& message) {
-  const std::optional<FlowPacket> packet =
-      platform_.decode_packet(message.packet);
+void AgentNode::HandleRelayedBytes(const RelayHeader& header,
+                                   const std::optional<OpeningContext>& context,
+                                   ByteView bytes) {
+  const std::optional<FlowPacket> packet = platform_.decode_packet(bytes);
   if (!packet.has_value()) {
     ++malformed_packets_;
     return;
   }
   actions_.clear();
-  HandleRelayedPacket(relay_, message.header, *packet, MonotonicNow(),
+  HandleRelayedPacket(relay_, header, context, *packet, MonotonicNow(),
                       actions_);
-  ExecuteActions(actions_, message.packet);
+  ExecuteActions(actions_, bytes);
 }
 
-void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
+void AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
   const TimePoint now = MonotonicNow();
+  const bool is_first = last_poll_by_balancer_.count(from) == 0;
   last_poll_by_balancer_.insert_or_assign(from, now);
   configuration_version_ =
       std::max(configuration_version_, poll.configuration_version);
-  SendStatus(from);
-  if (report_sequence_ % kReportsPerBalancerCount == 0) {
-    EncodeRelayMessage(
-        BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
-        message_buffer_);
-    relay_socket_->Send(from, message_buffer_);
-  }
   registration_.RecordPoll(from, poll.is_listed, now);
+  if (is_first) SendProtocolOffer(from);
+}
+
+void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
+  RecordPoll(from, poll);
+  SendStatus(from);
+  SendPeriodicNotices(from);
+}
+
+void AgentNode::HandleExtendedPoll(const Endpoint& from,
+                                   const ExtendedPoll& poll) {
+  RecordPoll(from, poll.poll);
+  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, {}}, message_buffer_);
+  relay_socket_->Send(from, message_buffer_);
+  SendPeriodicNotices(from);
+}
+
+void AgentNode::SendProtocolOffer(const Endpoint& balancer) {
+  EncodeRelayMessage(ProtocolOffer{kExtendedProtocolVersion}, message_buffer_);
+  relay_socket_->Send(balancer, message_buffer_);
+}
+
+// Repeats what a balancer would miss if one datagram were lost.
+void AgentNode::SendPeriodicNotices(const Endpoint& balancer) {
+  if (report_sequence_ % kReportsPerBalancerCount != 0) return;
+  EncodeRelayMessage(
+      BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
+      message_buffer_);
+  relay_socket_->Send(balancer, message_buffer_);
+  SendProtocolOffer(balancer);
 }
 
 void AgentNode::HandleUpstreamDatagram(std::span<uint8_t> datagram) {
@@ -255,8 +288,9 @@
       continue;
     }
     if (const RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
-      relay_socket_->Send(relayed->to,
-                          packet_encoder_.Encode(relayed->header, packet));
+      relay_socket_->Send(
+          relayed->to,
+          packet_encoder_.Encode(relayed->header, relayed->context, packet));
       if (log_limiter_.AllowLine("flow_passed_on", kFailureLogLinesPerSecond,
                                  MonotonicNow())) {
         Log(LogLevel::kInfo, "flow_passed_on",
@@ -288,6 +322,13 @@
       relay_socket_->Send(reply->balancer, message_buffer_);
       continue;
     }
+    if (const SendOpeningRefused* refused =
+            std::get_if<SendOpeningRefused>(&action)) {
+      EncodeRelayMessage(OpeningRefused{refused->flow, refused->context},
+                         message_buffer_);
+      relay_socket_->Send(refused->balancer, message_buffer_);
+      continue;
+    }
     if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
       LogDroppedPackets(log_limiter_, *drop, MonotonicNow());
       continue;
@@ -310,7 +351,7 @@
         (MonotonicNow() - relay_.upstream.last_heartbeat).value}});
 }
 
-void AgentNode::SendStatus(const Endpoint& balancer) {
+AgentStatus AgentNode::MakeStatus() {
   const TimePoint now = MonotonicNow();
   AgentReport report;
   report.service = relay_.service;
@@ -322,8 +363,11 @@
   report.mean_outstanding = relay_.flow_tracker.mean_outstanding;
   report.outstanding = relay_.flow_tracker.outstanding;
   report.is_cold = now < relay_.upstream.cold_until;
-  EncodeRelayMessage(AgentStatus{report, configuration_version_},
-                     message_buffer_);
+  return AgentStatus{report, configuration_version_};
+}
+
+void AgentNode::SendStatus(const Endpoint& balancer) {
+  EncodeRelayMessage(MakeStatus(), message_buffer_);
   relay_socket_->Send(balancer, message_buffer_);
 }
 
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -77,11 +77,35 @@
 }
 
 void BalancerNode::PollAgent(const Endpoint& agent, bool is_listed) {
-  EncodeRelayMessage(AgentPoll{is_listed, relay_.routes.configuration.version},
-                     message_buffer_);
+  const AgentPoll poll{is_listed, relay_.routes.configuration.version};
+  const auto known = relay_.directory.upstreams.find(agent);
+  const bool is_extended = UsesExtendedPolls() &&
+                           known != relay_.directory.upstreams.end() &&
+                           known->second.reads_extended;
+  if (is_extended) {
+    EncodeRelayMessage(ExtendedPoll{poll, MakeTerms(known->second)},
+                       message_buffer_);
+  } else {
+    EncodeRelayMessage(poll, message_buffer_);
+  }
   agent_socket_->Send(agent, message_buffer_);
 }
 
+// Deployments that ask for no feature with extended polls get the shorter ones.
+bool BalancerNode::UsesExtendedPolls() const {
+  return settings_.features != NodeFeatures{};
+}
+
+BalancerTerms BalancerNode::MakeTerms(const KnownUpstream& upstream) const {
+  BalancerTerms terms;
+  const std::map<ServiceId, ServiceTerms>& services =
+      relay_.routes.configuration.services;
+  const auto service = services.find(upstream.report.service);
+  if (service != services.end()) terms.service = service->second;
+  terms.link_kbps = settings_.link_kbps;
+  return terms;
+}
+
 void BalancerNode::PollAgents() {
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     PollAgent(agent, upstream.is_listed);
@@ -124,6 +148,29 @@
     HandleStatus(from, *status);
     return;
   }
+  if (const ExtendedStatus* status = std::get_if<ExtendedStatus>(&message)) {
+    HandleStatus(from, status->status);
+    const auto known = relay_.directory.upstreams.find(from);
+    if (known != relay_.directory.upstreams.end()) {
+      known->second.load = status->load;
+    }
+    return;
+  }
+  if (std::holds_alternative<ProtocolOffer>(message)) {
+    const auto known = relay_.directory.upstreams.find(from);
+    if (known != relay_.directory.upstreams.end()) {
+      known->second.reads_extended =
+          std::get<ProtocolOffer>(message).version >= kExtendedProtocolVersion;
+    }
+    return;
+  }
+  if (const OpeningRefused* refused = std::get_if<OpeningRefused>(&message)) {
+    actions_.clear();
+    HandleOpeningRefused(relay_, refused->flow, refused->context.copy,
+                         BootTimeNow() - refused->context.relayed_at, actions_);
+    ExecuteActions(actions_, {});
+    return;
+  }
   if (const BalancerCount* count = std::get_if<BalancerCount>(&message)) {
     reported_balancers_ = count->balancers;
     return;
@@ -200,15 +247,19 @@
              {"revision",
               static_cast<int64_t>(relay_.routes.revision.number)}});
       }
-      agent_socket_->Send(relayed->to, packet_encoder_.Encode(
-                                           std::move(relayed->header), packet));
+      if (relayed->context.has_value()) {
+        relayed->context->relayed_at = BootTimeNow();
+      }
+      agent_socket_->Send(relayed->to,
+                          packet_encoder_.Encode(std::move(relayed->header),
+                                                 relayed->context, packet));
       continue;
     }
     if (RelayBufferedPacket* buffered =
             std::get_if<RelayBufferedPacket>(&action)) {
-      agent_socket_->Send(buffered->to,
-                          packet_encoder_.Encode(std::move(buffered->header),
-                                                 buffered->packet));
+      agent_socket_->Send(
+          buffered->to, packet_encoder_.Encode(std::move(buffered->header),
+                                               std::nullopt, buffered->packet));
       continue;
     }
     if (const SendOwnershipQuery* query =
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -32,6 +32,7 @@
   set_total("owners_found", counters.owners_found);
   set_total("searches_unresolved", counters.searches_unresolved);
   set_total("searches_refused", counters.searches_refused);
+  set_total("outdated_refusals", counters.outdated_refusals);
   set_total("openings_dropped_waiting", counters.waiting_for_upstream);
   set_total("packets_dropped_no_route", counters.dropped_no_route);
   set_total("packets_malformed", malformed_packets);
@@ -69,6 +70,7 @@
   set_total("packets_to_callers", counters.to_callers);
   set_total("ownership_denied", counters.denied);
   set_total("openings_dropped", counters.dropped_openings);
+  set_total("openings_refused", counters.refused_openings);
   set_total("log_lines_dropped", DroppedLogLines());
   SetByReason("medlarwinch_agent_openings_passed_on_total", labels,
               counters.forwarded_openings, RefusalReasonName, metrics);
--- a/packages/node/src/node_runtime.cc
+++ b/packages/node/src/node_runtime.cc
@@ -112,7 +112,17 @@
   return Ok{};
 }
 
-const Bytes& RelayedPacketEncoder::Encode(RelayHeader header, ByteView packet) {
+const Bytes& RelayedPacketEncoder::Encode(
+    RelayHeader header, const std::optional<OpeningContext>& context,
+    ByteView packet) {
+  if (context.has_value()) {
+    RelayedOpening& opening = std::get<RelayedOpening>(opening_message_);
+    opening.header = std::move(header);
+    opening.context = *context;
+    opening.packet.assign(packet.begin(), packet.end());
+    EncodeRelayMessage(opening_message_, encoded_);
+    return encoded_;
+  }
   RelayedPacket& relayed = std::get<RelayedPacket>(message_);
   relayed.header = std::move(header);
   relayed.packet.assign(packet.begin(), packet.end());
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <variant>
 
+#include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/protocol/codec.h"
@@ -76,6 +77,117 @@
   friend bool operator==(const BalancerCount&, const BalancerCount&) = default;
 };
 
+/// Version of the extended messages: ExtendedPoll, ExtendedStatus,
+/// RelayedOpening and OpeningRefused.
+inline constexpr uint32_t kExtendedProtocolVersion = 1;
+
+/// Agent to balancer: the version of the extended messages that the agent
+/// reads. A balancer sends such messages only to agents that have offered them.
+struct ProtocolOffer {
+  uint32_t version = 0;
+
+  friend bool operator==(const ProtocolOffer&, const ProtocolOffer&) = default;
+};
+
+/// Balancer to agent, in place of AgentPoll.
+struct ExtendedPoll {
+  AgentPoll poll;
+  BalancerTerms terms;
+
+  friend bool operator==(const ExtendedPoll&, const ExtendedPoll&) = default;
+};
+
+/// Agent to balancer, in place of AgentStatus, in reply to an ExtendedPoll.
+struct ExtendedStatus {
+  AgentStatus status;
+  EvacuationView evacuations;
+  AgentLoad load;
+
+  friend bool operator==(const ExtendedStatus&,
+                         const ExtendedStatus&) = default;
+};
+
+/// Balancer to agent, or agent to agent, in place of RelayedPacket for a packet
+/// that opens a flow.
+struct RelayedOpening {
+  RelayHeader header;
+  OpeningContext context;
+  Bytes packet;
+
+  friend bool operator==(const RelayedOpening&,
+                         const RelayedOpening&) = default;
+};
+
+/// Agent to the balancer that relayed an opening: no agent takes it, and it was
+/// delivered to no upstream.
+struct OpeningRefused {
+  FlowTuple flow;
+  OpeningContext context;
+
+  friend bool operator==(const OpeningRefused&,
+                         const OpeningRefused&) = default;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, StoreRevision& revision) {
+  archive(revision.era, revision.number);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Millis& duration) {
+  archive(duration.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, TimePoint& time) {
+  archive(time.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RouteTerms& terms) {
+  archive(BoundedEnum(terms.kind, RequestKind::kUpload), terms.priority,
+          terms.latency_objective, terms.request_timeout);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceTerms& terms) {
+  archive(terms.cold_openings_per_second, terms.cold_time);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OpeningContext& context) {
+  archive(context.relayed_at, context.copy, context.terms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, EvacuationView& view) {
+  archive(view.is_known, view.revision,
+          Bounded(view.failure_domains, kMaxEvacuatedDomains));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RouteResponses& route) {
+  archive(route.service_address, route.responses, route.median_ms,
+          route.median_bytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RouteBaseline& baseline) {
+  archive(baseline.service_address, baseline.median_ms, baseline.median_bytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AgentLoad& load) {
+  archive(load.work_ms, load.suspected_failures, load.cold_openings_left,
+          Bounded(load.routes, kMaxReportedRoutes));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BalancerTerms& terms) {
+  archive(terms.evacuations, terms.service, terms.link_kbps, terms.upload_flows,
+          Bounded(terms.baselines, kMaxReportedRoutes));
+}
+
 template <typename Archive>
 void serialize(Archive& archive, ServiceId& service) {
   archive(service.value);
@@ -156,12 +268,39 @@
   archive(message.report, message.configuration_version);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ProtocolOffer& message) {
+  archive(message.version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ExtendedPoll& message) {
+  archive(message.poll, message.terms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ExtendedStatus& message) {
+  archive(message.status, message.evacuations, message.load);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RelayedOpening& message) {
+  archive(message.header, message.context,
+          Bounded(message.packet, kMaxFlowPacketBytes));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OpeningRefused& message) {
+  archive(message.flow, message.context);
+}
+
 /// New messages are appended, so that processes of different versions read each
 /// other's older messages.
 using RelayMessage =
     std::variant<RelayedPacket, OwnershipQuery, FlowOwnershipReply, AgentPoll,
                  AgentStatus, OwnershipBatchQuery, OwnershipBatchReply,
-                 BalancerCount>;
+                 BalancerCount, ProtocolOffer, ExtendedPoll, ExtendedStatus,
+                 RelayedOpening, OpeningRefused>;
 
 /// Replaces the content of `bytes` with the encoding of `message`.
 void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -77,6 +77,21 @@
       OwnershipBatchReply{{{{{1, 2}, {3, 4}}, FlowOwnership::kOwned}}}));
   CheckMutations(RelayMessage(AgentPoll{false, 12}));
   CheckMutations(RelayMessage(BalancerCount{59}));
+  const OpeningContext context{
+      TimePoint{5'000}, 1,
+      RouteTerms{RequestKind::kUpload, 2, Millis{800}, Millis{4'000}}};
+  const EvacuationView evacuations{true, {1, 40}, {"catania", "ragusa"}};
+  CheckMutations(RelayMessage(ProtocolOffer{kExtendedProtocolVersion}));
+  CheckMutations(RelayMessage(RelayedOpening{header, context, Bytes(36, 7)}));
+  CheckMutations(RelayMessage(OpeningRefused{{{1, 2}, {3, 4}}, context}));
+  CheckMutations(RelayMessage(
+      ExtendedPoll{AgentPoll{true, 12}, BalancerTerms{evacuations,
+                                                      {20, Millis{2'000}},
+                                                      10'000,
+                                                      3,
+                                                      {{{3, 4}, 50, 4'000}}}}));
+  CheckMutations(RelayMessage(
+      ExtendedStatus{{}, evacuations, {47.5, 0.25, 10, {{{3, 4}, 9, 50, 4}}}}));
   AgentReport report;
   report.phase = UpstreamPhase::kDraining;
   report.mean_outstanding = 2.5;
--- a/packages/transport/include/medlarwinch/transport/system_clock.h
+++ b/packages/transport/include/medlarwinch/transport/system_clock.h
@@ -10,6 +10,10 @@
 /// wall clock.
 TimePoint MonotonicNow();
 
+/// Time since the VM started. Unlike MonotonicNow(), it also counts the time
+/// for which the VM was suspended.
+TimePoint BootTimeNow();
+
 /// Wall-clock time since the Unix epoch (1970).
 TimePoint WallNow();
 
--- a/packages/transport/src/system_clock.cc
+++ b/packages/transport/src/system_clock.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1'000;
+constexpr int64_t kNanosPerMilli = 1'000'000;
 
 }  // namespace
 
@@ -17,6 +18,13 @@
                        .count()};
 }
 
+TimePoint BootTimeNow() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint{static_cast<int64_t>(time.tv_sec) * kMillisPerSecond +
+                   time.tv_nsec / kNanosPerMilli};
+}
+
 TimePoint WallNow() {
   return TimePoint{std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
