Deny the ownership of a flow only on proof

The statement has one owner now, DetermineOwnership, and is a proof: the agent has seen the whole life of the upstream's present incarnation, or the upstream has exited. In any other case a packet goes to the upstream, one agent after the other, and the packet that it returns is the proof. An upstream counts as exited when a connection to its address is refused. Heartbeats without a field that the platform always sends are refused, and a heartbeat or deregistration without effect is not acknowledged.

Ruled out: earlier services of a route in the store, and probing all agents at once (docs/design/flow-ownership.md). agent_relay.cc and agent_node.cc are split by what they decide.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -30,6 +30,9 @@
   uint64_t relayed = 0;
   uint64_t searches = 0;
   uint64_t owners_found = 0;
+  /// Packets that were sent to an upstream to find out whether it owns the
+  /// flow.
+  uint64_t probes = 0;
   /// Opening packets dropped because an upstream may accept flows soon.
   uint64_t waiting_for_upstream = 0;
   /// Packets without a route: received before the first configuration, or part
--- /dev/null
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_history.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "medlarwinch/coordination/packet_path/relay_types.h"
+
+namespace medlarwinch {
+
+/// How much of its upstream's flows an agent has seen.
+///
+/// All packets from and to the upstream pass the agent. An agent that was there
+/// for the whole life of the upstream's present incarnation therefore knows all
+/// of its flows, and may deny the others. In any other case only the upstream
+/// can deny a flow, by returning one of its packets.
+struct FlowHistory {
+  /// True if the agent has seen the whole life of the present incarnation.
+  bool is_complete = false;
+  /// Time since which the agent has seen every packet.
+  TimePoint seen_since;
+  /// True while the first heartbeat suggests that the incarnation has just
+  /// started, and the second one has not confirmed it: the first heartbeat may
+  /// have been delayed until after a restart of the agent.
+  bool awaits_second_heartbeat = false;
+
+  friend bool operator==(const FlowHistory&, const FlowHistory&) = default;
+};
+
+/// Highest sequence number of the first heartbeat of an incarnation.
+inline constexpr uint64_t kFirstHeartbeatSequence = 1;
+
+/// Returns true if the upstream owns no flow that the agent has not seen, other
+/// than flows older than kMaxFlowLifetime.
+bool KnowsAllFlows(const FlowHistory& history, TimePoint now);
+
+/// Records that no process of the upstream runs at `now`.
+void RecordNoUpstream(FlowHistory& history, TimePoint now);
+
+/// Records that the agent discarded what it knew of flows that the upstream may
+/// still own.
+void RecordDiscardedFlows(FlowHistory& history, TimePoint now);
+
+/// Records the first heartbeat of an incarnation. `is_start_seen` is true if
+/// the incarnation is known to have started while this agent ran.
+void RecordIncarnation(FlowHistory& history, uint64_t sequence,
+                       bool is_start_seen);
+
+/// Records a later heartbeat of the incarnation, which follows the one with
+/// sequence number `previous`.
+void RecordNextHeartbeat(FlowHistory& history, uint64_t sequence,
+                         uint64_t previous);
+
+}  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -35,6 +36,11 @@
   /// highest.
   uint32_t upstream_first_sequence = 0;
   uint32_t upstream_end_sequence = 0;
+  /// True if the agent has seen the upstream's answer to the opening, so that
+  /// the sequence numbers above are exact. Else they are a guess.
+  bool is_opening_seen = false;
+  /// Sequence number of the caller's opening packet; empty if unknown.
+  std::optional<uint32_t> opening_sequence;
   /// Sequence number after the highest one that the caller has used.
   uint32_t caller_end_sequence = 0;
   bool has_caller_end_sequence = false;
@@ -72,10 +78,24 @@
 /// flows that were opened within kFirstRequestWindow.
 uint32_t CommittedRequests(const FlowTracker& tracker, TimePoint now);
 
-/// Returns true if `packet`, sent by the caller, belongs to a flow that the
-/// upstream owns: it acknowledges a sequence number that this upstream has
-/// used.
-bool OwnsFlow(const FlowTracker& tracker, const FlowPacket& packet);
+/// Returns true if the caller and the upstream have both ended the flow.
+bool HasEnded(const TrackedFlow& flow);
+
+/// Returns what the recorded packets say about the owner of a caller's packet:
+/// kOwned if it acknowledges a sequence number that this upstream has used;
+/// kNotOwned if the whole flow was seen and has not used it; else
+/// kUndetermined.
+FlowOwnership RecordedOwnership(const FlowTracker& tracker,
+                                const FlowTuple& flow, uint32_t acknowledged);
+
+/// Records that the upstream accepted an acknowledgement on a flow whose
+/// opening was not seen.
+void ExtendAcknowledged(FlowTracker& tracker, const FlowTuple& flow,
+                        uint32_t acknowledged);
+
+/// Records that the flows may be those of an earlier incarnation: the recorded
+/// sequence numbers prove nothing any more.
+void DistrustFlows(FlowTracker& tracker);
 
 /// Records a caller's packet that is delivered to the upstream.
 void RecordCallerPacket(FlowTracker& tracker, const FlowPacket& packet,
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -31,6 +32,13 @@
 inline constexpr Millis kQueryBatchDelay{50};
 /// An agent that has not replied within this time is queried again.
 inline constexpr Millis kQueryRetryInterval{250};
+/// An agent that could not determine the owner is probed after this time even
+/// if other agents have not replied yet: one of them may know the owner.
+inline constexpr Millis kProbeDelay{20};
+/// An upstream that does not own a flow returns a probe within milliseconds.
+/// One that is silent for this long may own the flow: it need not answer a bare
+/// acknowledgement.
+inline constexpr Millis kProbeTimeout{100};
 /// A search that has found no owner after this time ends without a conclusion.
 /// The caller's next packet starts a new search. Longer than kAgentTimeout, so
 /// that a search outlasts the detection of a failed agent.
@@ -50,9 +58,12 @@
   std::vector<Endpoint> pending;
   /// Agents in `pending` whose query is sent with the next batch.
   std::vector<Endpoint> unsent;
-  /// Agents that replied kUndetermined, and to which the first packet was sent
-  /// as a probe.
+  /// Agents in `pending` that replied kUndetermined and get the first packet as
+  /// a probe, one after the other.
+  std::vector<Endpoint> undetermined;
+  /// Agents that were sent the first packet as a probe.
   std::vector<Endpoint> probed;
+  TimePoint last_probed;
   /// The first packets of the flow, buffered until the owner is found.
   std::vector<std::vector<uint8_t>> packets;
   /// The last acknowledged sequence number of the caller, used for a reset.
@@ -76,6 +87,27 @@
 void AddQueried(OwnerSearch& search, std::span<const Endpoint> agents,
                 TimePoint now);
 
+/// Records that `agent` could not determine whether its upstream owns the flow.
+void RecordUndetermined(OwnerSearch& search, const Endpoint& agent);
+
+/// Returns the agent to probe now, if any. Probes go one at a time, first to
+/// the agents of the services in `allowed`, in the order in which the flow was
+/// most likely placed. The next one is sent when the upstream of the last one
+/// has returned it or was silent for kProbeTimeout.
+std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
+                                         const UpstreamDirectory& directory,
+                                         const FlowTuple& flow,
+                                         std::span<const ServiceId> allowed,
+                                         TimePoint now);
+
+/// Returns the probed agents that have not denied the flow.
+std::vector<Endpoint> SilentProbedAgents(const OwnerSearch& search);
+
+/// Returns the agent that remains when all others have denied the flow and its
+/// upstream is silent on a probe, if there is one.
+std::optional<Endpoint> RemainingAgent(const OwnerSearch& search,
+                                       TimePoint now);
+
 /// Records that `agent` does not own the flow.
 void RecordDenial(OwnerSearch& search, const Endpoint& agent);
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -54,6 +54,8 @@
   kRouteNotKnown = 3,
   /// No agent takes the opening, but a later copy may have opened the flow.
   kOutdatedRefusal = 4,
+  /// A late copy of an opening whose flow is open.
+  kOutdatedOpening = 5,
 };
 const char* PacketDropReasonName(PacketDropReason reason);
 
--- /dev/null
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -0,0 +1,145 @@
+#include "medlarwinch/coordination/packet_path/agent_openings.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "medlarwinch/coordination/packet_path/upstream_liveness.h"
+
+namespace medlarwinch {
+namespace {
+
+// Limit on the requests queued at an upstream that accepts an opening, in
+// rounds of work per slot. Indexed by the number of agents that have forwarded
+// the opening: the first agent must have an idle slot, and the last one may
+// queue the request. The last limit also applies to an agent without
+// alternates. Two rounds of waiting and the request's own round, each 1.6 times
+// as long while the upstream is cold, just meet the callers' latency objective
+// of five times the work on both deployments.
+constexpr std::array<double, 4> kMaxQueueRounds = {0, 0.5, 1, 2};
+// Upstreams have short queues and refuse requests beyond them. The queues of
+// both deployments have room for 16 requests.
+constexpr double kMaxQueuedRequests = 12;
+
+std::optional<RefusalReason> CheckOpeningAdmission(const AgentRelay& relay,
+                                                   const RelayHeader& header,
+                                                   TimePoint now) {
+  if (!Contains(header.allowed, relay.service)) {
+    return RefusalReason::kOtherService;
+  }
+  if (relay.is_stopping || relay.upstream.phase != UpstreamPhase::kReady) {
+    return RefusalReason::kNotReady;
+  }
+  if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
+  const size_t last = kMaxQueueRounds.size() - 1;
+  const size_t round =
+      header.alternates.empty() ? last : std::min<size_t>(header.hops, last);
+  const double queue = std::min(relay.upstream.slots * kMaxQueueRounds[round],
+                                kMaxQueuedRequests);
+  const double limit = relay.upstream.slots + queue;
+  if (CommittedRequests(relay.flow_tracker, now) >= limit)
+    return RefusalReason::kBusy;
+  return std::nullopt;
+}
+
+// Number of times that callers retransmit an opening: 200 ms and 600 ms after
+// the first packet.
+constexpr uint32_t kMaxOpeningRetransmissions = 2;
+
+// Returns true if an opening that no agent accepts is dropped, so that the
+// caller retransmits it, instead of being reset. After many VMs have lost
+// power, all callers open flows at once. Queues drain in the time between two
+// retransmissions, while a caller retries within milliseconds after a reset and
+// uses up its few attempts.
+bool AwaitsRetransmission(const AgentRelay& relay, const FlowPacket& packet,
+                          RefusalReason reason) {
+  // An agent that has just started does not know its upstream yet.
+  if (relay.upstream.phase == UpstreamPhase::kUnknown) return true;
+  if (reason == RefusalReason::kBusy || reason == RefusalReason::kBounced) {
+    return packet.acknowledged < kMaxOpeningRetransmissions;
+  }
+  // Another agent may have accepted an earlier copy of the opening.
+  return packet.acknowledged > 0;
+}
+
+// Forwards an opening to the next agent. Without another agent it is dropped or
+// refused. Only the balancer knows whether the refusal is recent enough for a
+// reset, since an agent does not see for how long the opening was on its way.
+void ForwardOpening(AgentRelay& relay, RelayHeader header,
+                    const std::optional<OpeningContext>& context,
+                    const FlowPacket& packet, RefusalReason reason,
+                    RelayActions& actions) {
+  if (!header.alternates.empty() && header.hops < kMaxRelayHops) {
+    ++relay.counters.forwarded_openings[static_cast<size_t>(reason)];
+    const Endpoint next = header.alternates.front();
+    header.alternates.erase(header.alternates.begin());
+    ++header.hops;
+    actions.push_back(RelayToAgent{next, std::move(header), reason, context});
+    return;
+  }
+  if (AwaitsRetransmission(relay, packet, reason)) {
+    ++relay.counters.dropped_openings;
+    actions.push_back(DropPackets{FlowFromCaller(packet),
+                                  PacketDropReason::kLeftToRetransmission});
+    return;
+  }
+  if (context.has_value()) {
+    ++relay.counters.refused_openings;
+    actions.push_back(
+        SendOpeningRefused{header.balancer, FlowFromCaller(packet), *context});
+    return;
+  }
+  AddReset(ResetCaller{FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream},
+           relay.counters.resets, actions);
+}
+
+// Returns true if the opening is a copy of the one with which the upstream
+// already has an unfinished flow. The port of an ended flow may be used again.
+bool IsCopyOfKnownOpening(const AgentRelay& relay, const FlowPacket& packet) {
+  const auto known = relay.flow_tracker.flows.find(FlowFromCaller(packet));
+  if (known == relay.flow_tracker.flows.end()) return false;
+  if (HasEnded(known->second)) return false;
+  return packet.acknowledged > 0 ||
+         known->second.opening_sequence == packet.sequence;
+}
+
+}  // namespace
+
+void HandleOpening(AgentRelay& relay, const RelayHeader& header,
+                   const std::optional<OpeningContext>& context,
+                   const FlowPacket& packet, TimePoint now,
+                   RelayActions& actions) {
+  const FlowTuple flow = FlowFromCaller(packet);
+  if (IsCopyOfKnownOpening(relay, packet)) {
+    // A first copy can come late, after a later one has opened the flow.
+    if (relay.flow_tracker.flows.at(flow).is_open) {
+      ++relay.counters.outdated_openings;
+      actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedOpening});
+      return;
+    }
+  } else {
+    const std::optional<RefusalReason> refusal =
+        CheckOpeningAdmission(relay, header, now);
+    if (refusal.has_value()) {
+      ForwardOpening(relay, header, context, packet, *refusal, actions);
+      return;
+    }
+  }
+  relay.openings.insert_or_assign(
+      flow, AgentRelay::Opening{header, context, packet.sequence, now});
+  if (!relay.unanswered_since.has_value()) relay.unanswered_since = now;
+  ++relay.counters.delivered;
+  actions.push_back(DeliverToUpstream{});
+}
+
+void HandleBouncedOpening(AgentRelay& relay, const FlowPacket& packet,
+                          RelayActions& actions) {
+  const auto opening = relay.openings.find(FlowFromCaller(packet));
+  if (opening == relay.openings.end()) return;
+  AgentRelay::Opening bounced = std::move(opening->second);
+  relay.openings.erase(opening);
+  ForwardOpening(relay, std::move(bounced.header), bounced.context, packet,
+                 RefusalReason::kBounced, actions);
+}
+
+}  // namespace medlarwinch
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -122,33 +122,70 @@
   }
 }
 
-// Queries the agents again that have not replied, except those that were sent a
-// probe.
+// Queries the agents again that have not replied.
 void RetryQueries(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
                   RelayActions& actions) {
   OwnerSearch& search = relay.searches.at(flow);
   if (now - search.last_queried < kQueryRetryInterval) return;
   std::vector<Endpoint> unanswered;
   for (const Endpoint& agent : search.pending) {
-    if (!Contains(search.probed, agent)) unanswered.push_back(agent);
+    if (!Contains(search.undetermined, agent)) unanswered.push_back(agent);
   }
   if (unanswered.empty()) return;
   QueryAgents(relay, flow, search, unanswered, now, actions);
 }
 
-// Queries the next agents, or concludes the search when none is left.
+// Sends the first packet of the search to the next agent that could not
+// determine the owner.
+void ProbeNextAgent(BalancerRelay& relay, const FlowTuple& flow,
+                    OwnerSearch& search, TimePoint now, RelayActions& actions) {
+  const std::optional<Endpoint> agent = TakeAgentToProbe(
+      search, relay.directory, flow, OwnerServicesOf(relay, flow), now);
+  if (!agent.has_value()) return;
+  ++relay.counters.probes;
+  SendBufferedPackets(relay, flow, std::span(search.packets).first(1), *agent,
+                      RelayPurpose::kProbe, actions);
+}
+
+// Ends the search with `agent` as the owner. `agent` has received the first
+// packet if it was probed.
+void ConcludeOwned(BalancerRelay& relay, const FlowTuple& flow,
+                   const Endpoint& agent, TimePoint now,
+                   RelayActions& actions) {
+  relay.cache.Put(flow, agent, true, now);
+  const auto found = relay.searches.find(flow);
+  if (found == relay.searches.end()) return;
+  ++relay.counters.owners_found;
+  const size_t received = Contains(found->second.probed, agent) ? 1 : 0;
+  SendBufferedPackets(relay, flow,
+                      std::span(found->second.packets).subspan(received), agent,
+                      RelayPurpose::kEstablished, actions);
+  relay.searches.erase(found);
+}
+
+// Queries or probes the next agents, or concludes the search when none is left.
 void ContinueSearch(BalancerRelay& relay, const FlowTuple& flow, TimePoint now,
                     RelayActions& actions) {
   const auto found = relay.searches.find(flow);
   if (found == relay.searches.end()) return;
   OwnerSearch& search = found->second;
-  if (!search.pending.empty()) return;
+  const std::optional<Endpoint> remaining = RemainingAgent(search, now);
+  if (!search.pending.empty() && !remaining.has_value()) {
+    ProbeNextAgent(relay, flow, search, now, actions);
+    return;
+  }
   const std::vector<Endpoint> next = NextAgentsToQuery(
       relay.directory, search, flow, OwnerServicesOf(relay, flow), now);
   if (!next.empty()) {
     QueryAgents(relay, flow, search, next, now, actions);
     return;
   }
+  // If it does not own the flow, its upstream returns the next packet, and a
+  // new search begins.
+  if (remaining.has_value()) {
+    ConcludeOwned(relay, flow, *remaining, now, actions);
+    return;
+  }
   // An agent that has registered since the last list may own the flow.
   const bool is_directory_recent =
       relay.directory_requested_at.has_value() &&
@@ -206,8 +243,7 @@
   if (search.packets.size() < kMaxBufferedPackets) {
     search.packets.emplace_back(raw.begin(), raw.end());
   }
-  for (const Endpoint& agent : search.probed) {
-    if (!Contains(search.pending, agent)) continue;
+  for (const Endpoint& agent : SilentProbedAgents(search)) {
     actions.push_back(RelayToAgent{
         agent,
         MakeHeader(relay, RelayPurpose::kProbe, OwnerServicesOf(relay, flow)),
@@ -215,29 +251,19 @@
   }
 }
 
-void HandleOwned(BalancerRelay& relay, const OwnershipReply& reply,
-                 TimePoint now, RelayActions& actions) {
-  relay.cache.Put(reply.flow, reply.agent, true, now);
-  const auto found = relay.searches.find(reply.flow);
-  if (found == relay.searches.end()) return;
-  ++relay.counters.owners_found;
-  // A probed agent has received the first packet already.
-  const size_t received = Contains(found->second.probed, reply.agent) ? 1 : 0;
-  SendBufferedPackets(relay, reply.flow,
-                      std::span(found->second.packets).subspan(received),
-                      reply.agent, RelayPurpose::kEstablished, actions);
-  relay.searches.erase(found);
-}
-
 void HandleUndetermined(BalancerRelay& relay, const OwnershipReply& reply,
-                        RelayActions& actions) {
+                        const FlowPacket& packet, std::span<const uint8_t> raw,
+                        TimePoint now, RelayActions& actions) {
+  // The agent returns a packet that it got because of an outdated cache entry.
+  if (relay.searches.count(reply.flow) == 0) {
+    if (raw.empty() || packet.is_reset) return;
+    relay.cache.Remove(reply.flow);
+    StartSearch(relay, reply.flow, packet, raw, {}, now, actions);
+  }
   const auto found = relay.searches.find(reply.flow);
   if (found == relay.searches.end()) return;
-  OwnerSearch& search = found->second;
-  if (Contains(search.probed, reply.agent)) return;
-  search.probed.push_back(reply.agent);
-  SendBufferedPackets(relay, reply.flow, std::span(search.packets).first(1),
-                      reply.agent, RelayPurpose::kProbe, actions);
+  RecordUndetermined(found->second, reply.agent);
+  ContinueSearch(relay, reply.flow, now, actions);
 }
 
 void HandleNotOwned(BalancerRelay& relay, const OwnershipReply& reply,
@@ -324,13 +350,13 @@
                           RelayActions& actions) {
   switch (reply.ownership) {
     case FlowOwnership::kOwned:
-      HandleOwned(relay, reply, now, actions);
+      ConcludeOwned(relay, reply.flow, reply.agent, now, actions);
       return;
     case FlowOwnership::kNotOwned:
       HandleNotOwned(relay, reply, packet, raw, now, actions);
       return;
     case FlowOwnership::kUndetermined:
-      HandleUndetermined(relay, reply, actions);
+      HandleUndetermined(relay, reply, packet, raw, now, actions);
       return;
   }
 }
--- /dev/null
+++ b/packages/coordination/src/packet_path/flow_history.cc
@@ -0,0 +1,36 @@
+#include "medlarwinch/coordination/packet_path/flow_history.h"
+
+namespace medlarwinch {
+
+bool KnowsAllFlows(const FlowHistory& history, TimePoint now) {
+  return history.is_complete || now - history.seen_since >= kMaxFlowLifetime;
+}
+
+void RecordNoUpstream(FlowHistory& history, TimePoint now) {
+  history.is_complete = true;
+  history.seen_since = now;
+  history.awaits_second_heartbeat = false;
+}
+
+void RecordDiscardedFlows(FlowHistory& history, TimePoint now) {
+  history.is_complete = false;
+  history.seen_since = now;
+  history.awaits_second_heartbeat = false;
+}
+
+void RecordIncarnation(FlowHistory& history, uint64_t sequence,
+                       bool is_start_seen) {
+  history.is_complete = is_start_seen;
+  history.awaits_second_heartbeat =
+      !is_start_seen && sequence <= kFirstHeartbeatSequence;
+}
+
+void RecordNextHeartbeat(FlowHistory& history, uint64_t sequence,
+                         uint64_t previous) {
+  if (!history.awaits_second_heartbeat) return;
+  history.awaits_second_heartbeat = false;
+  // An earlier process of the agent would have received the heartbeats between.
+  history.is_complete = sequence == previous + 1;
+}
+
+}  // namespace medlarwinch
--- a/packages/coordination/src/packet_path/flow_tracker.cc
+++ b/packages/coordination/src/packet_path/flow_tracker.cc
@@ -45,24 +45,44 @@
   SetOpen(tracker, flow, false);
 }
 
+bool IsAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+
+}  // namespace
+
 bool HasEnded(const TrackedFlow& flow) {
   return flow.caller_finished && flow.upstream_finished;
 }
 
-bool IsAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+FlowOwnership RecordedOwnership(const FlowTracker& tracker,
+                                const FlowTuple& flow, uint32_t acknowledged) {
+  const auto found = tracker.flows.find(flow);
+  if (found == tracker.flows.end()) return FlowOwnership::kUndetermined;
+  const TrackedFlow& tracked = found->second;
+  const uint32_t above_first = acknowledged - tracked.upstream_first_sequence;
+  const uint32_t span =
+      tracked.upstream_end_sequence - tracked.upstream_first_sequence;
+  if (above_first <= span) return FlowOwnership::kOwned;
+  return tracked.is_opening_seen ? FlowOwnership::kNotOwned
+                                 : FlowOwnership::kUndetermined;
+}
 
-}  // namespace
+void ExtendAcknowledged(FlowTracker& tracker, const FlowTuple& flow,
+                        uint32_t acknowledged) {
+  const auto found = tracker.flows.find(flow);
+  if (found == tracker.flows.end() || found->second.is_opening_seen) return;
+  TrackedFlow& tracked = found->second;
+  if (IsAfter(acknowledged, tracked.upstream_end_sequence)) {
+    tracked.upstream_end_sequence = acknowledged;
+  }
+}
 
-bool OwnsFlow(const FlowTracker& tracker, const FlowPacket& packet) {
-  const auto found = tracker.flows.find(FlowFromCaller(packet));
-  if (found == tracker.flows.end()) return false;
-  if (packet.is_reset) return true;
-  const TrackedFlow& flow = found->second;
-  const uint32_t above_first =
-      packet.acknowledged - flow.upstream_first_sequence;
-  const uint32_t span =
-      flow.upstream_end_sequence - flow.upstream_first_sequence;
-  return above_first <= span;
+void DistrustFlows(FlowTracker& tracker) {
+  for (auto& [tuple, flow] : tracker.flows) {
+    flow.is_opening_seen = false;
+    // An empty range matches no acknowledgement but one, so that the next
+    // packet goes to the upstream as a probe.
+    flow.upstream_first_sequence = flow.upstream_end_sequence;
+  }
 }
 
 void RecordCallerPacket(FlowTracker& tracker, const FlowPacket& packet,
@@ -104,6 +124,7 @@
   if (packet.is_syn && !flow.is_open) {
     flow.upstream_first_sequence = packet.sequence;
     flow.upstream_end_sequence = end;
+    flow.is_opening_seen = true;
     if (is_new)
       tracker.recently_opened.emplace_back(now, FlowFromUpstream(packet));
   } else if (is_new) {
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -78,6 +78,69 @@
   }
 }
 
+void RecordUndetermined(OwnerSearch& search, const Endpoint& agent) {
+  if (!Contains(search.undetermined, agent)) {
+    search.undetermined.push_back(agent);
+  }
+  InsertSorted(search.asked, agent);
+  InsertSorted(search.pending, agent);
+}
+
+std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
+                                         const UpstreamDirectory& directory,
+                                         const FlowTuple& flow,
+                                         std::span<const ServiceId> allowed,
+                                         TimePoint now) {
+  const bool has_unanswered_query = std::any_of(
+      search.pending.begin(), search.pending.end(), [&](const Endpoint& agent) {
+        return !Contains(search.undetermined, agent);
+      });
+  if (has_unanswered_query && now - search.last_queried < kProbeDelay) {
+    return std::nullopt;
+  }
+  const bool is_probe_open = !search.probed.empty() &&
+                             IsInSorted(search.pending, search.probed.back());
+  if (is_probe_open && now - search.last_probed < kProbeTimeout) {
+    return std::nullopt;
+  }
+  std::optional<Endpoint> best;
+  std::pair<bool, uint64_t> best_rank;
+  for (const Endpoint& agent : search.undetermined) {
+    if (!IsInSorted(search.pending, agent)) continue;
+    if (Contains(search.probed, agent)) continue;
+    const auto known = directory.upstreams.find(agent);
+    const bool is_allowed = known != directory.upstreams.end() &&
+                            Contains(allowed, known->second.report.service);
+    const std::pair<bool, uint64_t> rank{is_allowed,
+                                         PlacementScore(flow, agent)};
+    if (best.has_value() && rank <= best_rank) continue;
+    best = agent;
+    best_rank = rank;
+  }
+  if (!best.has_value()) return std::nullopt;
+  search.probed.push_back(*best);
+  search.last_probed = now;
+  return best;
+}
+
+std::vector<Endpoint> SilentProbedAgents(const OwnerSearch& search) {
+  std::vector<Endpoint> silent;
+  for (const Endpoint& agent : search.probed) {
+    if (IsInSorted(search.pending, agent)) silent.push_back(agent);
+  }
+  return silent;
+}
+
+std::optional<Endpoint> RemainingAgent(const OwnerSearch& search,
+                                       TimePoint now) {
+  if (search.pending.size() != 1) return std::nullopt;
+  const Endpoint& agent = search.pending.front();
+  const bool is_silent = Contains(search.probed, agent) &&
+                         now - search.last_probed >= kProbeTimeout;
+  if (!is_silent) return std::nullopt;
+  return agent;
+}
+
 void RecordDenial(OwnerSearch& search, const Endpoint& agent) {
   InsertSorted(search.asked, agent);
   const auto found =
--- a/packages/coordination/src/packet_path/relay_actions.cc
+++ b/packages/coordination/src/packet_path/relay_actions.cc
@@ -48,6 +48,8 @@
       return "route_not_known";
     case PacketDropReason::kOutdatedRefusal:
       return "outdated_refusal";
+    case PacketDropReason::kOutdatedOpening:
+      return "outdated_opening";
   }
   return "invalid";
 }
--- a/packages/coordination/tests/packet_path/large_site_search_test.cc
+++ b/packages/coordination/tests/packet_path/large_site_search_test.cc
@@ -150,6 +150,7 @@
   const Endpoint owner = ActionsOf<SendOwnershipQuery>(Send(packet))[0].to;
   raw = {4, 5, 6};
   Send(packet);
+  now = now + kProbeDelay;
   const std::vector<RelayBufferedPacket> probe = ActionsOf<RelayBufferedPacket>(
       Reply(owner, packet, FlowOwnership::kUndetermined));
   BOOST_REQUIRE(probe.size() == 1);
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -39,12 +39,14 @@
   AgentStatus MakeStatus();
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
   HttpResponse HandleNotice(const HttpRequest& request);
-  void HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat);
+  /// Returns false if the heartbeat must not be acknowledged.
+  bool HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat);
   void ExecuteActions(const RelayActions& actions, ByteView packet);
   void SendReset(const ResetCaller& reset);
   void SendStatus(const Endpoint& balancer);
   void AnnouncePhase(const char* cause);
   void CheckUpstream();
+  void CompleteUpstreamCheck(boost::system::error_code error);
   void Tick();
   void BeginStop();
   std::string RenderMetrics();
@@ -70,6 +72,7 @@
   std::unique_ptr<AsyncHttpServer> notice_server_;
   boost::asio::steady_timer upstream_check_timer_;
   NodeRuntime runtime_;
+  TimePoint last_tick_at_;
   TimePoint stop_requested_at_;
   bool is_withdraw_requested_ = false;
   uint64_t malformed_packets_ = 0;
--- a/packages/node/include/medlarwinch/node/platform_adapter.h
+++ b/packages/node/include/medlarwinch/node/platform_adapter.h
@@ -20,14 +20,6 @@
 
 namespace medlarwinch {
 
-/// Notice that an upstream deregisters.
-struct UpstreamDeregistration {
-  std::string id;
-
-  friend bool operator==(const UpstreamDeregistration&,
-                         const UpstreamDeregistration&) = default;
-};
-
 /// Notice that an upstream sends to its agent.
 using UpstreamNotice = std::variant<UpstreamHeartbeat, UpstreamDeregistration>;
 
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -1,11 +1,11 @@
 #include "medlarwinch/node/agent_node.h"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
-#include <chrono>
 #include <memory>
 #include <utility>
 
+#include "medlarwinch/coordination/packet_path/flow_ownership.h"
+#include "medlarwinch/coordination/packet_path/upstream_liveness.h"
 #include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
@@ -28,12 +28,6 @@
 // Number of reports after which the polling balancer is told the number of
 // balancers.
 constexpr uint64_t kReportsPerBalancerCount = 64;
-// A running upstream on the same VM accepts connections within a millisecond.
-constexpr Millis kUpstreamCheckTimeout{300};
-constexpr double kNoticeLogLinesPerSecond = 10;
-constexpr int kHttpOk = 200;
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
 
 DirectoryEntry MakeOwnEntry(const NodeSettings& settings) {
   return DirectoryEntry{settings.datagram_address,
@@ -59,6 +53,7 @@
       runtime_(loop, settings_, platform_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
+  relay_.flow_history.seen_since = relay_.started;
   relay_.heartbeat_interval = settings.heartbeat_interval;
   relay_.flow_tracker.integrated_until = relay_.started;
   relay_.flow_tracker.averaged_until = relay_.started;
@@ -88,6 +83,7 @@
                     [this] { return RenderMetrics(); }, [this] { Tick(); },
                     [this] { BeginStop(); }});
   if (!IsOk(started)) return started;
+  CheckUpstream();
   Log(LogLevel::kInfo, "start",
       {{"role", "agent"},
        {"service", settings_.service},
@@ -207,75 +203,6 @@
   }
 }
 
-HttpResponse AgentNode::HandleNotice(const HttpRequest& request) {
-  HttpResponse response;
-  response.content_type = "application/json";
-  response.body = "{}";
-  const Result<UpstreamNotice> notice = platform_.decode_notice(request);
-  if (!IsOk(notice)) {
-    ++refused_notices_;
-    const bool is_unknown = ErrorOf(notice).code == ErrorCode::kNotFound;
-    response.status = is_unknown ? kHttpNotFound : kHttpBadRequest;
-    if (log_limiter_.AllowLine("notice_refused", kNoticeLogLinesPerSecond,
-                               MonotonicNow())) {
-      Log(LogLevel::kWarning, "notice_refused",
-          {{"target", request.target}, {"message", ErrorOf(notice).message}});
-    }
-    return response;
-  }
-  response.status = kHttpOk;
-  if (const UpstreamHeartbeat* heartbeat =
-          std::get_if<UpstreamHeartbeat>(&ValueOf(notice))) {
-    if (heartbeat->service != settings_.service ||
-        heartbeat->address != settings_.upstream_address) {
-      ++refused_notices_;
-      Log(LogLevel::kWarning, "beat_refused",
-          {{"upstream", heartbeat->id},
-           {"service", heartbeat->service},
-           {"address", ToString(heartbeat->address)}});
-      return response;
-    }
-    HandleHeartbeatNotice(*heartbeat);
-    return response;
-  }
-  const std::string& id = std::get<UpstreamDeregistration>(ValueOf(notice)).id;
-  const bool is_current = HandleDeregistration(relay_, id, MonotonicNow());
-  Log(LogLevel::kInfo, "upstream_deregistered",
-      {{"upstream", id}, {"current", is_current ? "true" : "false"}});
-  if (is_current) AnnouncePhase("deregistered");
-  return response;
-}
-
-void AgentNode::HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat) {
-  actions_.clear();
-  const HeartbeatEffect effect =
-      HandleUpstreamHeartbeat(relay_, heartbeat, MonotonicNow(), actions_);
-  ExecuteActions(actions_, {});
-  switch (effect) {
-    case HeartbeatEffect::kIgnored:
-      Log(LogLevel::kInfo, "beat_ignored",
-          {{"upstream", heartbeat.id},
-           {"sequence", static_cast<int64_t>(heartbeat.sequence)},
-           {"current", relay_.upstream.id},
-           {"current_sequence",
-            static_cast<int64_t>(relay_.upstream.sequence)}});
-      return;
-    case HeartbeatEffect::kUnchanged:
-      return;
-    case HeartbeatEffect::kFirst:
-      AnnouncePhase("first_beat");
-      break;
-    case HeartbeatEffect::kNewIncarnation:
-      AnnouncePhase("new_incarnation");
-      break;
-    case HeartbeatEffect::kDraining:
-      AnnouncePhase("draining");
-      break;
-  }
-  is_withdraw_requested_ = false;
-  if (!registration_.is_published()) registration_.Publish();
-}
-
 void AgentNode::ExecuteActions(const RelayActions& actions, ByteView packet) {
   for (const RelayAction& action : actions) {
     if (std::holds_alternative<DeliverToUpstream>(action)) {
@@ -382,7 +309,8 @@
        {"sequence", static_cast<int64_t>(relay_.upstream.sequence)},
        {"started_ms", relay_.upstream.started_ms},
        {"slots", static_cast<int64_t>(relay_.upstream.slots)},
-       {"knows_all_flows", relay_.knows_all_flows ? "true" : "false"},
+       {"knows_all_flows",
+        KnowsAllFlows(relay_.flow_history, now) ? "true" : "false"},
        {"flows", static_cast<int64_t>(relay_.flow_tracker.open)}});
   announced_phase_ = phase;
   for (const auto& [balancer, polled_at] : last_poll_by_balancer_) {
@@ -391,47 +319,20 @@
   }
 }
 
-// Connects to the upstream's address, where a running upstream listens for
-// health checks, and closes the connection without a request.
-void AgentNode::CheckUpstream() {
-  if (!NeedsUpstreamCheck(relay_, MonotonicNow())) return;
-  BeginUpstreamCheck(relay_, MonotonicNow());
-  using boost::asio::ip::tcp;
-  const auto socket = std::make_shared<tcp::socket>(loop_);
-  upstream_check_timer_.expires_after(
-      std::chrono::milliseconds(kUpstreamCheckTimeout.value));
-  upstream_check_timer_.async_wait([socket](boost::system::error_code error) {
-    if (error) return;
-    boost::system::error_code ignored;
-    socket->close(ignored);
-  });
-  const tcp::endpoint address(
-      boost::asio::ip::address_v4(settings_.upstream_address.ip),
-      settings_.upstream_address.port);
-  socket->async_connect(address,
-                        [this, socket](boost::system::error_code error) {
-                          upstream_check_timer_.cancel();
-                          if (error != boost::asio::error::connection_refused)
-                            return;
-                          actions_.clear();
-                          const TimePoint now = MonotonicNow();
-                          if (!HandleConnectionRefused(relay_, now, actions_))
-                            return;
-                          ExecuteActions(actions_, {});
-                          AnnouncePhase("connection_refused");
-                        });
-}
-
 void AgentNode::Tick() {
   const TimePoint now = MonotonicNow();
-  CheckUpstream();
   relay_.heartbeat_interval = settings_.heartbeat_interval;
+  const Millis tick_delay = last_tick_at_ == TimePoint{}
+                                ? Millis{0}
+                                : now - last_tick_at_ - kTickInterval;
+  last_tick_at_ = now;
   actions_.clear();
-  HandleAgentTick(relay_, now, actions_);
+  HandleAgentTick(relay_, tick_delay, now, actions_);
   ExecuteActions(actions_, {});
   std::erase_if(last_poll_by_balancer_, [&](const auto& entry) {
     return now - entry.second > kBalancerExpiry;
   });
+  CheckUpstream();
   if (ReportedPhase(relay_, now) != announced_phase_) AnnouncePhase("liveness");
   const bool is_deregistered = relay_.upstream.deregistered_at.has_value();
   const bool is_absent = relay_.upstream.phase == UpstreamPhase::kAbsent;
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -30,6 +30,7 @@
   set_total("packets_relayed", counters.relayed);
   set_total("owner_searches", counters.searches);
   set_total("owners_found", counters.owners_found);
+  set_total("ownership_probes", counters.probes);
   set_total("searches_unresolved", counters.searches_unresolved);
   set_total("searches_refused", counters.searches_refused);
   set_total("outdated_refusals", counters.outdated_refusals);
@@ -71,6 +72,7 @@
   set_total("ownership_denied", counters.denied);
   set_total("openings_dropped", counters.dropped_openings);
   set_total("openings_refused", counters.refused_openings);
+  set_total("outdated_openings", counters.outdated_openings);
   set_total("log_lines_dropped", DroppedLogLines());
   SetByReason("medlarwinch_agent_openings_passed_on_total", labels,
               counters.forwarded_openings, RefusalReasonName, metrics);
