Trust the first heartbeat of an upstream that has just started

A first heartbeat that arrives within a second of the start, by the VM's clock, can't have been preceded by another one to an earlier process of the agent, and is proof enough.

FirstHeartbeat_OfRecentStart_ProvesThatNoFlowIsUnseen failed before.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_history.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_history.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
+
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
@@ -37,8 +40,17 @@
 /// still own.
 void RecordDiscardedFlows(FlowHistory& history, TimePoint now);
 
-/// Records the first heartbeat of an incarnation. `is_start_seen` is true if
-/// the incarnation is known to have started while this agent ran.
+/// An upstream that gets no acknowledgement of its first heartbeat sends the
+/// second one after this time.
+inline constexpr Millis kHeartbeatAckTimeout{1'000};
+
+/// Returns true if a heartbeat shows that its incarnation has just started: it
+/// is the first one, and arrives before the upstream can have sent a second one
+/// to an earlier process of this agent. `age` is the time since the start.
+bool HasJustStarted(uint64_t sequence, std::optional<Millis> age);
+
+/// Records the first heartbeat of an incarnation that this process receives.
+/// `is_start_seen` is true if the incarnation started while this agent ran.
 void RecordIncarnation(FlowHistory& history, uint64_t sequence,
                        bool is_start_seen);
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/local_upstream.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/local_upstream.h
@@ -24,6 +24,9 @@
   /// Wall-clock start time of this incarnation; absent on platforms that do not
   /// send it.
   std::optional<int64_t> started_ms;
+  /// Time since the start of this incarnation by the wall clock of the VM,
+  /// which the upstream and its agent share; empty if unknown.
+  std::optional<Millis> age = std::nullopt;
 
   friend bool operator==(const UpstreamHeartbeat&,
                          const UpstreamHeartbeat&) = default;
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -18,9 +18,10 @@
 void HandleNewIncarnation(AgentRelay& relay, const UpstreamHeartbeat& heartbeat,
                           bool was_confirmed, TimePoint now,
                           RelayActions& actions) {
-  const bool has_just_started = heartbeat.sequence <= kFirstHeartbeatSequence;
-  RecordIncarnation(relay.flow_history, heartbeat.sequence, was_confirmed);
-  if (was_confirmed && has_just_started) {
+  const bool is_start_seen =
+      was_confirmed || HasJustStarted(heartbeat.sequence, heartbeat.age);
+  RecordIncarnation(relay.flow_history, heartbeat.sequence, is_start_seen);
+  if (is_start_seen && heartbeat.sequence <= kFirstHeartbeatSequence) {
     ResetAllFlows(relay, now, actions);
     return;
   }
@@ -121,7 +122,8 @@
       // The agent saw the start if nothing ran at the upstream's address
       // before.
       RecordIncarnation(relay.flow_history, heartbeat.sequence,
-                        relay.flow_history.is_complete);
+                        relay.flow_history.is_complete ||
+                            HasJustStarted(heartbeat.sequence, heartbeat.age));
       break;
     case HeartbeatEffect::kNewIncarnation:
       HandleNewIncarnation(relay, heartbeat, was_confirmed || had_exited, now,
--- a/packages/coordination/src/packet_path/flow_history.cc
+++ b/packages/coordination/src/packet_path/flow_history.cc
@@ -18,6 +18,11 @@
   history.awaits_second_heartbeat = false;
 }
 
+bool HasJustStarted(uint64_t sequence, std::optional<Millis> age) {
+  return sequence <= kFirstHeartbeatSequence && age.has_value() &&
+         *age >= Millis{0} && *age < kHeartbeatAckTimeout;
+}
+
 void RecordIncarnation(FlowHistory& history, uint64_t sequence,
                        bool is_start_seen) {
   history.is_complete = is_start_seen;
--- a/packages/coordination/src/packet_path/upstream_liveness.cc
+++ b/packages/coordination/src/packet_path/upstream_liveness.cc
@@ -7,9 +7,6 @@
 namespace medlarwinch {
 namespace {
 
-// Added to the time of the missed heartbeats: how long an upstream waits for
-// the acknowledgement of a heartbeat.
-constexpr Millis kHeartbeatAckTimeout{1'000};
 // Unanswered openings and probes are removed after this time.
 constexpr Millis kPendingTimeout{3'000};
 
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -335,6 +335,22 @@
   BOOST_CHECK(QueryOwnership(1, 77) == FlowOwnership::kNotOwned);
 }
 
+// Guards against searches that wait for the second heartbeat of every upstream
+// after a loss of power, and against trust in a first heartbeat that was
+// delayed.
+BOOST_AUTO_TEST_CASE(FirstHeartbeat_OfRecentStart_ProvesThatNoFlowIsUnseen) {
+  for (const int64_t age : {50, 999, 1'000, -1}) {
+    RestartAgent();
+    heartbeat.sequence = 1;
+    heartbeat.age = Millis{age};
+    SendHeartbeat();
+    const bool is_recent = age == 50 || age == 999;
+    BOOST_CHECK(
+        QueryOwnership(1, 77) ==
+        (is_recent ? FlowOwnership::kNotOwned : FlowOwnership::kUndetermined));
+  }
+}
+
 // Guards against an upstream that is never used again because the time of day
 // was set back between two of its starts, and against the acknowledgement of a
 // drain that has no effect.
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -40,7 +40,7 @@
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
   HttpResponse HandleNotice(const HttpRequest& request);
   /// Returns false if the heartbeat must not be acknowledged.
-  bool HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat);
+  bool HandleHeartbeatNotice(UpstreamHeartbeat heartbeat);
   void ExecuteActions(const RelayActions& actions, ByteView packet);
   void SendReset(const ResetCaller& reset);
   void SendStatus(const Endpoint& balancer);
--- a/packages/node/src/agent_node_upstream.cc
+++ b/packages/node/src/agent_node_upstream.cc
@@ -72,7 +72,10 @@
   return response;
 }
 
-bool AgentNode::HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat) {
+bool AgentNode::HandleHeartbeatNotice(UpstreamHeartbeat heartbeat) {
+  if (heartbeat.started_ms.has_value()) {
+    heartbeat.age = WallNow() - TimePoint{*heartbeat.started_ms};
+  }
   actions_.clear();
   const HeartbeatEffect effect =
       HandleUpstreamHeartbeat(relay_, heartbeat, MonotonicNow(), actions_);
