Evacuate failure domains and limit the openings of cold upstreams

Operators request an evacuation by an object in the store. Balancers watch the kind, agents are the last gate and pass the newest view on between balancers. An agent that knows no view admits nothing, and a balancer without one is not ready. A cold upstream gets at most its configured openings in any second, and balancers place their share of what is left. Both are off unless the settings or the configuration ask for them.

An agent sent its offer of the extended messages before its first status, at which balancers forget the offer of an earlier process: none sent an extended poll for the next 63 statuses. The offer now follows the status, and a balancer polls again as soon as it has read it.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -9,6 +9,7 @@
 #include "medlarwinch/coordination/packet_path/flow_history.h"
 #include "medlarwinch/coordination/packet_path/flow_tracker.h"
 #include "medlarwinch/coordination/packet_path/local_upstream.h"
+#include "medlarwinch/coordination/packet_path/opening_gate.h"
 #include "medlarwinch/coordination/packet_path/relay_actions.h"
 
 namespace medlarwinch {
@@ -57,6 +58,7 @@
   std::unordered_map<FlowTuple, Opening, FlowTupleHash> openings;
   std::unordered_map<FlowTuple, Probe, FlowTupleHash> probes;
   FlowHistory flow_history;
+  OpeningGate gate;
   /// True once the agent was requested to stop.
   bool is_stopping = false;
   /// Time of the last packet or heartbeat from the upstream; empty before the
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -23,8 +23,10 @@
   kUpstreamLost = 4,
   /// The upstream that owned the flow has restarted or is absent.
   kUpstreamRestarted = 5,
+  /// All upstreams of the route are in evacuated failure domains.
+  kEvacuated = 6,
 };
-inline constexpr size_t kFlowResetReasons = 6;
+inline constexpr size_t kFlowResetReasons = 7;
 /// Number of resets that a relay has sent, by reason.
 using FlowResetCounts = std::array<uint64_t, kFlowResetReasons>;
 const char* FlowResetReasonName(FlowResetReason reason);
@@ -37,8 +39,15 @@
   kBusy = 3,
   /// The upstream returned the packet.
   kBounced = 4,
+  /// The upstream's failure domain is evacuated.
+  kEvacuated = 5,
+  /// No balancer has told the agent yet which failure domains are evacuated, or
+  /// the limit of its cold upstream.
+  kTermsUnknown = 6,
+  /// The upstream is cold and has got its openings of the last second.
+  kColdLimit = 7,
 };
-inline constexpr size_t kRefusalReasons = 5;
+inline constexpr size_t kRefusalReasons = 8;
 const char* RefusalReasonName(RefusalReason reason);
 
 /// Why a packet is dropped without a response to the caller.
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,14 @@
   /// Until this time, missing reports are attributed to this balancer and no
   /// agent is considered failed.
   TimePoint detection_suspended_until;
+  /// The failure domains that must get no new flows. Not known while the
+  /// deployment does not ask for evacuations.
+  EvacuationView evacuations;
+  /// Services whose cold upstreams get a limited number of openings.
+  std::set<ServiceId> services_with_cold_limit;
+  /// Number of balancers that an agent last reported; 0 before the first
+  /// report.
+  uint32_t reported_balancers = 0;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
--- a/packages/coordination/src/packet_path/agent_openings.cc
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "medlarwinch/coordination/packet_path/opening_gate.h"
 #include "medlarwinch/coordination/packet_path/upstream_liveness.h"
 
 namespace medlarwinch {
@@ -21,7 +22,7 @@
 // both deployments have room for 16 requests.
 constexpr double kMaxQueuedRequests = 12;
 
-std::optional<RefusalReason> CheckOpeningAdmission(const AgentRelay& relay,
+std::optional<RefusalReason> CheckOpeningAdmission(AgentRelay& relay,
                                                    const RelayHeader& header,
                                                    TimePoint now) {
   if (!Contains(header.allowed, relay.service)) {
@@ -31,6 +32,8 @@
     return RefusalReason::kNotReady;
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
+  const std::optional<RefusalReason> gated = CheckOpeningGate(relay, now);
+  if (gated.has_value()) return gated;
   const size_t last = kMaxQueueRounds.size() - 1;
   const size_t round =
       header.alternates.empty() ? last : std::min<size_t>(header.hops, last);
@@ -55,7 +58,9 @@
                           RefusalReason reason) {
   // An agent that has just started does not know its upstream yet.
   if (relay.upstream.phase == UpstreamPhase::kUnknown) return true;
-  if (reason == RefusalReason::kBusy || reason == RefusalReason::kBounced) {
+  if (reason == RefusalReason::kTermsUnknown) return true;
+  if (reason == RefusalReason::kBusy || reason == RefusalReason::kBounced ||
+      reason == RefusalReason::kColdLimit) {
     return packet.acknowledged < kMaxOpeningRetransmissions;
   }
   // Another agent may have accepted an earlier copy of the opening.
@@ -117,6 +122,14 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedOpening});
       return;
     }
+    // The upstream has answered an earlier copy, so that the flow may open: the
+    // copy is neither delivered nor refused.
+    if (CheckOpeningGate(relay, now).has_value()) {
+      ++relay.counters.dropped_openings;
+      actions.push_back(
+          DropPackets{flow, PacketDropReason::kLeftToRetransmission});
+      return;
+    }
   } else {
     const std::optional<RefusalReason> refusal =
         CheckOpeningAdmission(relay, header, now);
@@ -129,6 +142,7 @@
       flow, AgentRelay::Opening{header, context, packet.sequence, now});
   if (!relay.unanswered_since.has_value()) relay.unanswered_since = now;
   ++relay.counters.delivered;
+  RecordDeliveredOpening(relay.gate, now);
   actions.push_back(DeliverToUpstream{});
 }
 
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/placement_limits.h"
 
 namespace medlarwinch {
 namespace {
@@ -41,6 +42,9 @@
               const FlowPacket& packet, TimePoint now, RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
   const uint32_t retransmissions = packet.acknowledged;
+  const CachedFlow* cached = relay.cache.Find(flow);
+  const bool is_retransmission = retransmissions > 0;
+  const bool was_tried = is_retransmission && cached != nullptr;
   std::vector<PlacementCandidate> ranked =
       RankUpstreams(relay.directory, route, flow, relay.random(),
                     kMaxRelayAlternates + 1, now);
@@ -50,13 +54,18 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    AddReset(ResetCaller{flow, 0, FlowResetReason::kNoUpstream},
-             relay.counters.resets, actions);
+    const bool is_evacuated = IsEvacuatedEverywhere(relay.directory, route);
+    if (is_evacuated && was_tried) {
+      // An earlier copy may have opened the flow before the evacuation.
+      actions.push_back(
+          DropPackets{flow, PacketDropReason::kLeftToRetransmission});
+      return;
+    }
+    const FlowResetReason reason = is_evacuated ? FlowResetReason::kEvacuated
+                                                : FlowResetReason::kNoUpstream;
+    AddReset(ResetCaller{flow, 0, reason}, relay.counters.resets, actions);
     return;
   }
-  const CachedFlow* cached = relay.cache.Find(flow);
-  const bool is_retransmission = retransmissions > 0;
-  const bool was_tried = is_retransmission && cached != nullptr;
   if (was_tried && ranked.size() > 1) {
     // The upstream that was tried first has not responded; try another.
     const Endpoint tried = cached->agent;
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "medlarwinch/coordination/packet_path/evacuation.h"
+#include "medlarwinch/coordination/packet_path/placement_limits.h"
 #include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
@@ -89,6 +91,7 @@
   for (const auto& [agent, upstream] : directory.upstreams) {
     const ServiceId service = upstream.report.service;
     if (!HasTarget(route, service) || !AcceptsFlows(upstream, now)) continue;
+    if (!MayPlaceFlow(directory, upstream)) continue;
     ServiceLoad& load = loads[service];
     load.mean_outstanding += upstream.report.mean_outstanding;
     load.flows += upstream.report.flows;
@@ -143,6 +146,9 @@
     if (upstream.report.phase == UpstreamPhase::kAbsent) continue;
     if (upstream.report.phase == UpstreamPhase::kDraining) continue;
     if (!HasTarget(route, upstream.report.service)) continue;
+    if (IsEvacuated(directory.evacuations, upstream.entry.failure_domain)) {
+      continue;
+    }
     if (MayOwnFlows(directory, upstream, now)) return true;
   }
   return false;
--- a/packages/coordination/src/packet_path/relay_actions.cc
+++ b/packages/coordination/src/packet_path/relay_actions.cc
@@ -16,6 +16,8 @@
       return "upstream_lost";
     case FlowResetReason::kUpstreamRestarted:
       return "upstream_restarted";
+    case FlowResetReason::kEvacuated:
+      return "evacuated";
   }
   return "invalid";
 }
@@ -32,6 +34,12 @@
       return "busy";
     case RefusalReason::kBounced:
       return "bounced";
+    case RefusalReason::kEvacuated:
+      return "evacuated";
+    case RefusalReason::kTermsUnknown:
+      return "terms_unknown";
+    case RefusalReason::kColdLimit:
+      return "cold_limit";
   }
   return "invalid";
 }
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -31,12 +31,15 @@
   void HandleRelayedBytes(const RelayHeader& header,
                           const std::optional<OpeningContext>& context,
                           ByteView bytes);
-  void RecordPoll(const Endpoint& from, const AgentPoll& poll);
+  /// Returns true at the first poll of a balancer.
+  bool RecordPoll(const Endpoint& from, const AgentPoll& poll);
   void HandlePoll(const Endpoint& from, const AgentPoll& poll);
   void HandleExtendedPoll(const Endpoint& from, const ExtendedPoll& poll);
+  void ApplyPolledTerms(const Endpoint& from, const ExtendedPoll& poll);
   void SendProtocolOffer(const Endpoint& balancer);
   void SendPeriodicNotices(const Endpoint& balancer);
   AgentStatus MakeStatus();
+  AgentLoad MakeLoad() const;
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
   HttpResponse HandleNotice(const HttpRequest& request);
   /// Returns false if the heartbeat must not be acknowledged.
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -43,6 +43,11 @@
   void HandleAgentChange(const ObjectChange& change);
   void WatchConfiguration();
   void WatchAgents();
+  void WatchEvacuations();
+  /// Applies stored_evacuations_, complete as of `revision`.
+  void HandleStoredEvacuations(const StoreRevision& revision);
+  /// `source` is the store or the agent that passed the view on.
+  void UpdateEvacuations(const EvacuationView& view, const std::string& source);
   bool UsesExtendedPolls() const;
   BalancerTerms MakeTerms(const KnownUpstream& upstream) const;
   void PollAgent(const Endpoint& agent, bool is_listed);
@@ -67,6 +72,10 @@
   std::unique_ptr<AsyncUdpSocket> agent_socket_;
   std::unique_ptr<StoreWatch> configuration_watch_;
   std::unique_ptr<StoreWatch> agent_watch_;
+  /// Null unless the settings ask for evacuations.
+  std::unique_ptr<StoreWatch> evacuation_watch_;
+  /// Names of the evacuation objects that this process has read.
+  std::set<std::string> stored_evacuations_;
   /// Connections for calls other than the watches; a connection carries one
   /// call at a time.
   std::unique_ptr<StoreConnection> confirmation_store_;
@@ -84,11 +93,10 @@
   TimePoint stop_requested_at_;
   /// Latest era of the store that a listing was read in.
   uint64_t store_era_ = 0;
-  /// Number of balancers that an agent last reported.
-  uint32_t reported_balancers_ = 0;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
   bool is_flush_scheduled_ = false;
+  bool was_configuration_watch_lost_ = false;
   bool is_confirming_ = false;
   bool is_stopping_ = false;
 };
--- a/packages/node/include/medlarwinch/node/platform_adapter.h
+++ b/packages/node/include/medlarwinch/node/platform_adapter.h
@@ -42,6 +42,8 @@
   /// Kind and name of the store object that holds the configuration.
   std::string configuration_kind;
   std::string configuration_name;
+  /// Kind of the store objects whose names are evacuated failure domains.
+  std::string evacuation_kind;
   std::function<Result<RelayConfiguration>(const std::string& content)>
       decode_configuration;
   /// Reads this node's settings; fails with the same errors as at startup.
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -55,6 +55,8 @@
   relay_.started = MonotonicNow();
   relay_.flow_history.seen_since = relay_.started;
   relay_.heartbeat_interval = settings.heartbeat_interval;
+  relay_.gate.requires_evacuations = settings.features.evacuations;
+  relay_.gate.failure_domain = settings.failure_domain;
   relay_.flow_tracker.integrated_until = relay_.started;
   relay_.flow_tracker.averaged_until = relay_.started;
 }
@@ -146,28 +148,36 @@
   ExecuteActions(actions_, bytes);
 }
 
-void AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
+bool AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
   const TimePoint now = MonotonicNow();
   const bool is_first = last_poll_by_balancer_.count(from) == 0;
   last_poll_by_balancer_.insert_or_assign(from, now);
   configuration_version_ =
       std::max(configuration_version_, poll.configuration_version);
   registration_.RecordPoll(from, poll.is_listed, now);
-  if (is_first) SendProtocolOffer(from);
+  return is_first;
 }
 
 void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
-  RecordPoll(from, poll);
+  const bool is_first = RecordPoll(from, poll);
   SendStatus(from);
   SendPeriodicNotices(from);
+  // A balancer forgets the offer when it learns of a new process, so the offer
+  // follows the status. A plain poll shows that the balancer has not read it.
+  const bool awaits_extended = settings_.features != NodeFeatures{};
+  if (is_first || awaits_extended) SendProtocolOffer(from);
 }
 
 void AgentNode::HandleExtendedPoll(const Endpoint& from,
                                    const ExtendedPoll& poll) {
-  RecordPoll(from, poll.poll);
-  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, {}}, message_buffer_);
+  const bool is_first = RecordPoll(from, poll.poll);
+  ApplyPolledTerms(from, poll);
+  EncodeRelayMessage(
+      ExtendedStatus{MakeStatus(), relay_.gate.evacuations, MakeLoad()},
+      message_buffer_);
   relay_socket_->Send(from, message_buffer_);
   SendPeriodicNotices(from);
+  if (is_first) SendProtocolOffer(from);
 }
 
 void AgentNode::SendProtocolOffer(const Endpoint& balancer) {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -62,6 +62,7 @@
   if (!IsOk(started)) return started;
   WatchConfiguration();
   WatchAgents();
+  WatchEvacuations();
   poll_timer_ = std::make_unique<PeriodicTimer>(loop_, kAgentPollInterval,
                                                 [this] { PollAgents(); });
   poll_timer_->Start();
@@ -93,11 +94,13 @@
 
 // Deployments that ask for no feature with extended polls get the shorter ones.
 bool BalancerNode::UsesExtendedPolls() const {
-  return settings_.features != NodeFeatures{};
+  return settings_.features != NodeFeatures{} ||
+         !relay_.directory.services_with_cold_limit.empty();
 }
 
 BalancerTerms BalancerNode::MakeTerms(const KnownUpstream& upstream) const {
   BalancerTerms terms;
+  terms.evacuations = relay_.directory.evacuations;
   const std::map<ServiceId, ServiceTerms>& services =
       relay_.routes.configuration.services;
   const auto service = services.find(upstream.report.service);
@@ -154,13 +157,18 @@
     if (known != relay_.directory.upstreams.end()) {
       known->second.load = status->load;
     }
+    UpdateEvacuations(status->evacuations, ToString(from));
     return;
   }
   if (std::holds_alternative<ProtocolOffer>(message)) {
     const auto known = relay_.directory.upstreams.find(from);
-    if (known != relay_.directory.upstreams.end()) {
-      known->second.reads_extended =
-          std::get<ProtocolOffer>(message).version >= kExtendedProtocolVersion;
+    if (known == relay_.directory.upstreams.end()) return;
+    const bool was_offered = known->second.reads_extended;
+    known->second.reads_extended =
+        std::get<ProtocolOffer>(message).version >= kExtendedProtocolVersion;
+    // An agent that has just started waits for what the extended poll says.
+    if (!was_offered && UsesExtendedPolls()) {
+      PollAgent(from, known->second.is_listed);
     }
     return;
   }
@@ -172,7 +180,7 @@
     return;
   }
   if (const BalancerCount* count = std::get_if<BalancerCount>(&message)) {
-    reported_balancers_ = count->balancers;
+    relay_.directory.reported_balancers = count->balancers;
     return;
   }
   if (const OwnershipBatchReply* batch =
@@ -346,6 +354,10 @@
   if (!relay_.routes.is_loaded || !relay_.directory.is_complete) {
     return false;
   }
+  if (settings_.features.evacuations &&
+      !relay_.directory.evacuations.is_known) {
+    return false;
+  }
   // A balancer that has lost the store and most agents is itself partitioned.
   const AgentReachability reachability =
       CountReachableAgents(relay_.directory, MonotonicNow());
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -1,6 +1,7 @@
 // The calls of a balancer to the platform's metadata store.
 #include <utility>
 
+#include "medlarwinch/coordination/packet_path/placement_limits.h"
 #include "medlarwinch/coordination/shared/store_watch_policy.h"
 #include "medlarwinch/node/agent_registration.h"
 #include "medlarwinch/node/balancer_node.h"
@@ -30,14 +31,22 @@
   observer.on_change = [this](const ObjectChange& change) {
     if (!change.is_removed) HandleConfiguration(change.object);
   };
-  observer.on_connection_change = [](bool is_connected,
-                                     const std::string& reason) {
+  observer.on_connection_change = [this](bool is_connected,
+                                         const std::string& reason) {
     Log(is_connected ? LogLevel::kInfo : LogLevel::kWarning,
         is_connected ? "store_regained" : "store_lost",
         {{"watch", "configuration"}, {"reason", reason}});
+    // The other connection has probably been lost too, and its long wait would
+    // show it much later.
+    if (is_connected && was_configuration_watch_lost_ &&
+        evacuation_watch_ != nullptr) {
+      evacuation_watch_->Reconnect(platform_.open_store());
+    }
+    was_configuration_watch_lost_ = !is_connected;
   };
   observer.wait = [this] {
-    return ConfigurationWatchWait(reported_balancers_, relay_.random());
+    return ConfigurationWatchWait(relay_.directory.reported_balancers,
+                                  relay_.random());
   };
   observer.coalescing_delay = [] { return kConfigurationCoalescingDelay; };
   configuration_watch_ = std::make_unique<StoreWatch>(
@@ -87,6 +96,7 @@
   store_era_ = era;
   ReconnectOutdatedWatch(configuration_watch_.get());
   ReconnectOutdatedWatch(agent_watch_.get());
+  ReconnectOutdatedWatch(evacuation_watch_.get());
 }
 
 void BalancerNode::ReconnectOutdatedWatch(StoreWatch* watch) {
@@ -119,6 +129,8 @@
          {"in_force", static_cast<int64_t>(active_version)}});
     return;
   }
+  relay_.directory.services_with_cold_limit =
+      ServicesWithColdLimit(relay_.routes.configuration);
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", static_cast<int64_t>(version)},
        {"revision", static_cast<int64_t>(object.revision.number)},
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/node/node_metrics.h"
 
+#include "medlarwinch/coordination/packet_path/evacuation.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
@@ -50,6 +51,13 @@
               static_cast<double>(relay.routes.configuration.version));
   metrics.Set("medlarwinch_balancer_store_era", {},
               static_cast<double>(relay.directory.listed_revision.era));
+  const EvacuationView& evacuations = relay.directory.evacuations;
+  metrics.Set("medlarwinch_balancer_evacuations_known", {},
+              evacuations.is_known ? 1 : 0);
+  metrics.Set("medlarwinch_balancer_failure_domains_evacuated", {},
+              static_cast<double>(evacuations.failure_domains.size()));
+  metrics.Set("medlarwinch_balancer_evacuations_revision", {},
+              static_cast<double>(evacuations.revision.number));
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     const MetricLabels labels = {{"agent", ToString(agent)}};
     metrics.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
@@ -73,11 +81,19 @@
   set_total("openings_dropped", counters.dropped_openings);
   set_total("openings_refused", counters.refused_openings);
   set_total("outdated_openings", counters.outdated_openings);
+  set_total("openings_refused_evacuated", relay.gate.refused_evacuated);
+  set_total("openings_refused_terms_unknown", relay.gate.refused_terms_unknown);
+  set_total("openings_refused_cold", relay.gate.refused_cold);
   set_total("log_lines_dropped", DroppedLogLines());
   SetByReason("medlarwinch_agent_openings_passed_on_total", labels,
               counters.forwarded_openings, RefusalReasonName, metrics);
   SetByReason("medlarwinch_agent_resets_total", labels, counters.resets,
               FlowResetReasonName, metrics);
+  const OpeningGate& gate = relay.gate;
+  metrics.Set("medlarwinch_agent_evacuations_known", labels,
+              gate.evacuations.is_known ? 1 : 0);
+  metrics.Set("medlarwinch_agent_evacuated", labels,
+              IsEvacuated(gate.evacuations, gate.failure_domain) ? 1 : 0);
   metrics.Set("medlarwinch_agent_flows", labels, relay.flow_tracker.open);
   metrics.Set("medlarwinch_agent_requests_outstanding", labels,
               relay.flow_tracker.outstanding);
