Let the soak evacuate failure domains

Openings to an evacuated upstream after 5 s, and more openings to a cold one than the platform allows, are violations. The domains and times are drawn from a random sequence of their own, so that the seeds of the other cases draw the same faults as before.

--- a/standins/platform_side/app/platform_soak.cc
+++ b/standins/platform_side/app/platform_soak.cc
@@ -58,6 +58,8 @@
                  "upstreams of the larger service")
       ->check(CLI::Range(1, 150));
   app.add_option("--users", settings.users)->check(CLI::Range(1, 5'000));
+  app.add_flag("--evacuations", settings.evacuations,
+               "also evacuate failure domains, with cold upstreams");
   app.add_option("--folder", settings.output_folder,
                  "folder for settings files and logs; kept for failed seeds");
   try {
--- a/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
@@ -39,6 +39,9 @@
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& content);
 
+  /// Removes the object if it exists, as an operator does.
+  void Remove(const std::string& kind, const std::string& name);
+
   /// Discards the event history, so that watches from an earlier revision get
   /// 410.
   void Compact();
--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,11 @@
   uint32_t slots = 4;
   Millis request_duration{20};
   Millis heartbeat_interval{500};
+  /// How long the upstream is cold after its start.
+  Millis cold_time{0};
+  /// Openings a second that the upstream takes while it is cold; 0 is
+  /// unlimited.
+  double cold_openings_per_second = 0;
 };
 
 /// Ports of the simulated upstreams and their agents.
@@ -74,6 +80,7 @@
   };
 
   void HandlePacket(std::span<uint8_t> datagram);
+  void CheckColdOpening();
   void Bounce(std::span<uint8_t> datagram);
   void RunRequest(const FlowTuple& flow, const std::string& request);
   void SendToCaller(const FlowTuple& flow, const Flow& state, bool is_syn,
@@ -97,6 +104,9 @@
   bool is_draining_ = false;
   bool is_drain_acknowledged_ = false;
   TimePoint drain_acknowledged_at_;
+  TimePoint started_;
+  /// Times of the openings received while cold.
+  std::deque<TimePoint> cold_openings_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_configuration.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_configuration.h
@@ -16,8 +16,11 @@
 
 /// Returns the desired state that the operator writes. One of its routes leads
 /// to the other service with each version, so that the service at which a flow
-/// is opened shows whether the version is in force.
-nlohmann::json SoakConfiguration(uint64_t version);
+/// is opened shows whether the version is in force. With
+/// `cold_openings_per_second` above 0, cold upstreams get at most so many
+/// openings.
+nlohmann::json SoakConfiguration(uint64_t version,
+                                 double cold_openings_per_second);
 
 /// Returns the addresses to which callers open flows; busier ones more often.
 std::vector<Endpoint> SoakRoutes();
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -25,6 +25,9 @@
   int hub_upstreams = 4;
   int desk_upstreams = 2;
   int users = 40;
+  /// Spreads the daemons over three failure domains and evacuates them, with
+  /// upstreams that are cold after their start and limit their openings.
+  bool evacuations = false;
 };
 
 /// Runs real daemon processes against a simulated metadata store and simulated
@@ -67,8 +70,15 @@
     TimePoint upstream_restart_at;
   };
 
+  /// An evacuation that the store has acknowledged.
+  struct Evacuation {
+    TimePoint acknowledged_at;
+    TimePoint ends_at;
+  };
+
   Result<Ok> AddDaemon(const std::string& name, uint32_t ip, bool is_agent,
-                       const std::string& service);
+                       const std::string& service,
+                       const std::string& failure_domain);
   Result<Ok> StartProcess(Daemon& daemon);
   Result<Ok> StartUpstream(UpstreamVm& vm);
   void RecordDisruption(Daemon& daemon);
@@ -84,6 +94,15 @@
   Endpoint BalancerOf(const FlowTuple& flow) const;
   void CheckReset(const FlowTuple& flow, uint32_t sender);
   void CheckOpening(const std::string& service, const FlowTuple& flow);
+  std::string FailureDomainOf(int index) const;
+  void Evacuate(const std::string& failure_domain, Millis duration);
+  void TickEvacuations(TimePoint now);
+  void RewriteEvacuations();
+  /// Returns true if each service has an upstream outside of the domain that
+  /// is not draining.
+  bool CanServeWithout(const std::string& failure_domain) const;
+  void BeginFinalEvacuation();
+  void CheckEvacuation(const UpstreamVm& vm);
   void LogEvent(const std::string& event);
   void ReportViolation(const std::string& what);
   double ElapsedSeconds() const;
@@ -91,6 +110,7 @@
   boost::asio::io_context& loop_;
   SoakSettings settings_;
   std::mt19937_64 random_;
+  std::mt19937_64 evacuation_random_;
   /// First address of the loopback network that this run uses.
   uint32_t network_;
   MetadataService store_;
@@ -100,6 +120,9 @@
   boost::asio::steady_timer timer_;
   TimePoint started_;
   TimePoint next_fault_;
+  TimePoint next_evacuation_;
+  /// By failure domain.
+  std::map<std::string, Evacuation> evacuations_;
   TimePoint next_readiness_probe_;
   TimePoint store_disrupted_at_;
   TimePoint configuration_changed_at_;
--- a/standins/platform_side/src/metadata_service.cc
+++ b/standins/platform_side/src/metadata_service.cc
@@ -91,6 +91,15 @@
   RecordChange(kind, name, false, content);
 }
 
+void MetadataService::Remove(const std::string& kind, const std::string& name) {
+  const auto objects = objects_by_kind_.find(kind);
+  if (objects == objects_by_kind_.end()) return;
+  const auto object = objects->second.find(name);
+  if (object == objects->second.end()) return;
+  const Json content = object->second.content;
+  RecordChange(kind, name, true, content);
+}
+
 void MetadataService::Compact() {
   events_.clear();
   oldest_event_revision_ = revision_ + 1;
--- a/standins/platform_side/src/simulated_upstream.cc
+++ b/standins/platform_side/src/simulated_upstream.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/platform_side/simulated_upstream.h"
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -17,6 +18,10 @@
 // Number of requests that an upstream queues beyond its slots before it bounces
 // new flows.
 constexpr uint32_t kQueueCapacity = 16;
+// The platform's bound on the openings of a cold upstream within a second, as a
+// multiple of its limit plus a number of openings.
+constexpr double kColdExcessFactor = 1.5;
+constexpr double kColdExcessOpenings = 5;
 constexpr uint8_t kBouncedFlag = 32;
 constexpr size_t kFlagsOffset = 26;
 
@@ -41,6 +46,7 @@
 SimulatedUpstream::~SimulatedUpstream() { *alive_ = false; }
 
 Result<Ok> SimulatedUpstream::Start() {
+  started_ = MonotonicNow();
   const Result<Ok> socket_opened = AsyncUdpSocket::OpenInto(
       socket_, loop_, Endpoint{settings_.ip, kUpstreamPacketPort},
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
@@ -58,6 +64,23 @@
   return found != flows_.end() && found->second.is_open;
 }
 
+void SimulatedUpstream::CheckColdOpening() {
+  const TimePoint now = MonotonicNow();
+  const double limit = settings_.cold_openings_per_second;
+  if (limit <= 0 || now - started_ >= settings_.cold_time) return;
+  cold_openings_.push_back(now);
+  while (now - cold_openings_.front() >= Millis{1'000}) {
+    cold_openings_.pop_front();
+  }
+  if (static_cast<double>(cold_openings_.size()) <=
+      limit * kColdExcessFactor + kColdExcessOpenings) {
+    return;
+  }
+  on_violation_("a cold upstream received " +
+                std::to_string(cold_openings_.size()) +
+                " openings within a second");
+}
+
 void SimulatedUpstream::Bounce(std::span<uint8_t> datagram) {
   datagram[kFlagsOffset] |= kBouncedFlag;
   socket_->Send(Endpoint{settings_.ip, kOutboundPort}, datagram);
@@ -75,6 +98,7 @@
   const FlowTuple flow = FlowFromCaller(*packet);
   const auto found = flows_.find(flow);
   if (packet->is_syn) {
+    CheckColdOpening();
     if (allowed_routes_.count(packet->destination) == 0) {
       on_violation_(
           "a flow was opened at an upstream of a service that its route "
@@ -178,6 +202,8 @@
       });
   if (heartbeat_client_.is_busy()) return;
   const bool reports_draining = is_draining_;
+  const Millis cold_left =
+      std::max(Millis{0}, settings_.cold_time - (MonotonicNow() - started_));
   const nlohmann::json body = {
       {"service", settings_.service},
       {"address", ToString(Endpoint{settings_.ip, kUpstreamPacketPort})},
@@ -185,7 +211,7 @@
       {"version", "v1"},
       {"slots", settings_.slots},
       {"state", reports_draining ? "draining" : "ready"},
-      {"cold_left_ms", 0},
+      {"cold_left_ms", cold_left.value},
       {"sequence", ++heartbeat_sequence_},
       {"born", incarnation_}};
   HttpRequest request;
--- a/standins/platform_side/src/soak_configuration.cc
+++ b/standins/platform_side/src/soak_configuration.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-Json SoakConfiguration(uint64_t version) {
+Json SoakConfiguration(uint64_t version, double cold_openings_per_second) {
   Json hub = RouteJson("hub", kHubRoute);
   hub["service"] = kHubService;
   Json split = RouteJson("split", kSplitRoute);
@@ -35,9 +35,14 @@
   desk["service"] = kDeskService;
   Json alternating = RouteJson("alternating", kAlternatingRoute);
   alternating["service"] = AlternatingService(version);
-  return {{"version", version},
-          {"routes", {hub, split, desk, alternating}},
-          {"limits", {{"idle_timeout_ms", 15'000}}}};
+  Json configuration = {{"version", version},
+                        {"routes", {hub, split, desk, alternating}},
+                        {"limits", {{"idle_timeout_ms", 15'000}}}};
+  if (cold_openings_per_second <= 0) return configuration;
+  configuration["services"] = {
+      {{"name", kHubService}, {"cold_per_s", cold_openings_per_second}},
+      {{"name", kDeskService}, {"cold_per_s", cold_openings_per_second}}};
+  return configuration;
 }
 
 std::vector<Endpoint> SoakRoutes() {
--- a/standins/platform_side/src/soak_faults.cc
+++ b/standins/platform_side/src/soak_faults.cc
@@ -83,6 +83,7 @@
              " ms old");
     store_.Restore(age, MonotonicNow());
     WriteConfiguration();
+    if (settings_.evacuations) RewriteEvacuations();
     return;
   }
   const StoreFault fault = static_cast<StoreFault>(random_() % 5);
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -39,6 +39,11 @@
 constexpr uint32_t kFirstNetwork = 0x7f500000;
 constexpr uint32_t kNetworkSize = 0x10000;
 constexpr uint64_t kNetworkCount = 100;
+constexpr int64_t kEvacuationBoundMs = 5'000;
+// How long upstreams are cold, and how many openings a second they get then,
+// with evacuations.
+constexpr Millis kColdTime{2'000};
+constexpr double kColdOpeningsPerSecond = 3;
 constexpr uint16_t kReadinessPort = 8167;
 constexpr uint16_t kStorePort = 8169;
 constexpr uint16_t kRelayPort = 7'720;
@@ -49,6 +54,7 @@
     : loop_(loop),
       settings_(std::move(settings)),
       random_(settings_.seed),
+      evacuation_random_(~settings_.seed),
       network_(kFirstNetwork +
                static_cast<uint32_t>(settings_.seed % kNetworkCount) *
                    kNetworkSize),
@@ -70,11 +76,13 @@
 Result<Ok> SoakRun::Start() {
   started_ = MonotonicNow();
   next_fault_ = started_ + kFaultFreeStart;
+  next_evacuation_ = next_fault_;
   WriteConfiguration();
   for (int index = 0; index < settings_.balancers; ++index) {
-    const Result<Ok> added = AddDaemon(
-        "front-" + std::to_string(index + 1),
-        network_ + 0x100 + static_cast<uint32_t>(index + 1), false, "");
+    const Result<Ok> added =
+        AddDaemon("front-" + std::to_string(index + 1),
+                  network_ + 0x100 + static_cast<uint32_t>(index + 1), false,
+                  "", FailureDomainOf(index));
     if (!IsOk(added)) return added;
   }
   const int upstream_count = settings_.hub_upstreams + settings_.desk_upstreams;
@@ -82,13 +90,17 @@
     const std::string service =
         index < settings_.hub_upstreams ? kHubService : kDeskService;
     const uint32_t ip = network_ + 0x200 + static_cast<uint32_t>(index + 1);
-    const Result<Ok> added =
-        AddDaemon("side-" + std::to_string(index + 1), ip, true, service);
+    const Result<Ok> added = AddDaemon("side-" + std::to_string(index + 1), ip,
+                                       true, service, FailureDomainOf(index));
     if (!IsOk(added)) return added;
     auto vm = std::make_unique<UpstreamVm>();
     vm->daemon = daemons_.size() - 1;
     vm->upstream_settings.service = service;
-    vm->upstream_settings.failure_domain = "d1";
+    vm->upstream_settings.failure_domain = FailureDomainOf(index);
+    if (settings_.evacuations) {
+      vm->upstream_settings.cold_time = kColdTime;
+      vm->upstream_settings.cold_openings_per_second = kColdOpeningsPerSecond;
+    }
     vm->upstream_settings.ip = ip;
     const Result<Ok> started = StartUpstream(*vm);
     if (!IsOk(started)) return started;
@@ -116,7 +128,8 @@
 }
 
 Result<Ok> SoakRun::AddDaemon(const std::string& name, uint32_t ip,
-                              bool is_agent, const std::string& service) {
+                              bool is_agent, const std::string& service,
+                              const std::string& failure_domain) {
   auto daemon = std::make_unique<Daemon>();
   daemon->name = name;
   daemon->ip = ip;
@@ -132,15 +145,18 @@
     listen["outbound"] = at(kOutboundPort);
     listen["control"] = at(kAgentControlPort);
   }
-  const Json file = {{"node_name", name},
-                     {"zone", "d1"},
-                     {"listen", listen},
-                     {"internal_port_range", {kRelayPort, kRelayPort + 15}},
-                     {"heartbeat_ms", 500},
-                     {"bounds", {{"grace_s", 6}}},
-                     {"app", at(kUpstreamPacketPort)},
-                     {"service", service},
-                     {"platform", {{"address", ToString(store)}}}};
+  Json file = {{"node_name", name},
+               {"zone", failure_domain},
+               {"listen", listen},
+               {"internal_port_range", {kRelayPort, kRelayPort + 15}},
+               {"heartbeat_ms", 500},
+               {"bounds", {{"grace_s", 6}}},
+               {"app", at(kUpstreamPacketPort)},
+               {"service", service},
+               {"platform", {{"address", ToString(store)}}}};
+  if (settings_.evacuations) {
+    file["bounds"]["evacuate_ms"] = kEvacuationBoundMs;
+  }
   std::ofstream(daemon->settings_file) << file.dump();
   Daemon* raw = daemon.get();
   Result<std::unique_ptr<AsyncHttpServer>> server =
@@ -177,8 +193,9 @@
       loop_, vm.upstream_settings, RouteAddresses(vm.upstream_settings.service),
       ++last_incarnation_,
       [this](const std::string& what) { ReportViolation(what); },
-      [this, service = vm.upstream_settings.service](const FlowTuple& flow) {
-        CheckOpening(service, flow);
+      [this, &vm](const FlowTuple& flow) {
+        CheckOpening(vm.upstream_settings.service, flow);
+        CheckEvacuation(vm);
       });
   return vm.upstream->Start();
 }
@@ -281,6 +298,9 @@
     next_readiness_probe_ = now + kReadinessProbeInterval;
     ProbeReadiness();
   }
+  if (settings_.evacuations && now >= started_ + kFaultFreeStart) {
+    TickEvacuations(now);
+  }
   if (now >= end - kFaultFreeEnd) {
     EndFaults();
   } else if (now >= next_fault_) {
@@ -323,7 +343,10 @@
 }
 
 void SoakRun::WriteConfiguration() {
-  store_.Put("config", "main", SoakConfiguration(configuration_version_));
+  const double cold_openings =
+      settings_.evacuations ? kColdOpeningsPerSecond : 0;
+  store_.Put("config", "main",
+             SoakConfiguration(configuration_version_, cold_openings));
 }
 
 void SoakRun::EndFaults() {
@@ -338,6 +361,7 @@
     daemon->process->Signal(SIGCONT);
     daemon->is_paused = false;
   }
+  if (settings_.evacuations) BeginFinalEvacuation();
   ChangeConfiguration();
 }
 
