--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -159,7 +159,16 @@
       {"unresponsive", "the upstream did not answer earlier flow openings"},
       {"busy",
        "the upstream was at capacity: compare `outstanding` with its slots"},
-      {"bounced", "the upstream returned the flow opening"}};
+      {"bounced", "the upstream returned the flow opening"},
+      {"evacuated",
+       "the failure domain of the upstreams is evacuated: see "
+       "`evacuations_in_force`"},
+      {"terms_unknown",
+       "the agent had just started and no balancer had told it which failure "
+       "domains are evacuated"},
+      {"cold_limit",
+       "the upstream had just started and had got the flow openings that its "
+       "service allows in a second"}};
   if (!EndsOrRefusesFlow(record)) return "";
   const auto found = meanings.find(FieldOf(record, "reason"));
   return found == meanings.end() ? "" : found->second;
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -54,15 +54,15 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    const bool is_evacuated = IsEvacuatedEverywhere(relay.directory, route);
-    if (is_evacuated && was_tried) {
+    if (was_tried && IsAgentEvacuated(relay.directory, cached->agent)) {
       // An earlier copy may have opened the flow before the evacuation.
       actions.push_back(
           DropPackets{flow, PacketDropReason::kLeftToRetransmission});
       return;
     }
-    const FlowResetReason reason = is_evacuated ? FlowResetReason::kEvacuated
-                                                : FlowResetReason::kNoUpstream;
+    const FlowResetReason reason = IsEvacuatedEverywhere(relay.directory, route)
+                                       ? FlowResetReason::kEvacuated
+                                       : FlowResetReason::kNoUpstream;
     AddReset(ResetCaller{flow, 0, reason}, relay.counters.resets, actions);
     return;
   }
--- a/packages/coordination/tests/packet_path/placement_limits_test.cc
+++ b/packages/coordination/tests/packet_path/placement_limits_test.cc
@@ -88,6 +88,21 @@
                             PacketDropReason::kLeftToRetransmission));
 }
 
+// As above, when upstreams elsewhere exist but take no flows.
+BOOST_AUTO_TEST_CASE(OtherDomainDrains_CopyOfPlacedOpening_IsDropped) {
+  for (uint32_t index = 2; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kDraining);
+  }
+  BOOST_REQUIRE(ActionsOf<RelayToAgent>(Send(OpeningPacket(1))).size() == 1);
+  Evacuate({"d1"});
+  BOOST_TEST(AreOnlyDropped(Send(OpeningPacket(1, 1)),
+                            PacketDropReason::kLeftToRetransmission));
+  const std::vector<ResetCaller> resets =
+      ActionsOf<ResetCaller>(Send(OpeningPacket(2)));
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_CHECK(resets[0].reason == FlowResetReason::kNoUpstream);
+}
+
 // Guards against an evacuation that moves flows which are open.
 BOOST_AUTO_TEST_CASE(EvacuatedDomain_OpenFlow_StaysAtItsAgent) {
   const Endpoint agent = ActionsOf<RelayToAgent>(Send(OpeningPacket(1)))[0].to;
--- a/packages/node/tests/node_metrics_test.cc
+++ b/packages/node/tests/node_metrics_test.cc
@@ -14,6 +14,7 @@
       2;
   relay.counters.forwarded_openings[static_cast<size_t>(RefusalReason::kBusy)] =
       7;
+  relay.gate.refused_cold = 3;
   Metrics metrics;
   SetAgentMetrics(relay, "probe-hub", metrics);
   const std::string text = metrics.Render();
@@ -23,6 +24,8 @@
         "service=\"probe-hub\"} 2\n",
         "medlarwinch_agent_openings_passed_on_total{reason=\"busy\","
         "service=\"probe-hub\"} 7\n",
+        "medlarwinch_agent_openings_refused_cold_total{"
+        "service=\"probe-hub\"} 3\n",
         "# TYPE medlarwinch_agent_flows gauge"}) {
     BOOST_TEST(text.find(expected) != std::string::npos, expected);
   }
