Check the upstream at once when its agent stops

After a loss of power one agent whose upstream did not return stopped within half a second of its start, before a second check of the upstream was due. Balancers kept its flows for 8 s, and no search had a proof for as long; nor while another agent got the repeated first heartbeat of its upstream, whose first one had found no listener. A stop is a reason for a check of its own, and a repeated first heartbeat counts within half an interval of the start.

The two tests cover both.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -102,6 +102,11 @@
                                           const FlowPacket& packet,
                                           TimePoint now, RelayActions& actions);
 
+/// Records that the agent was requested to stop. Whether the upstream still
+/// runs is checked at once: without an upstream, the agent has nothing to come
+/// back for, and balancers need not keep flows for it.
+void BeginAgentStop(AgentRelay& relay);
+
 /// Processes a heartbeat of the upstream. Resets the flows of the previous
 /// incarnation if the upstream is known to have restarted.
 HeartbeatEffect HandleUpstreamHeartbeat(AgentRelay& relay,
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_history.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_history.h
@@ -44,10 +44,17 @@
 /// second one after this time.
 inline constexpr Millis kHeartbeatAckTimeout{1'000};
 
+/// Number of heartbeats that an upstream sends at most before the second one
+/// after an acknowledgement: it repeats the first at once while its agent does
+/// not accept connections yet.
+inline constexpr uint64_t kMaxRepeatedFirstHeartbeats = 3;
+
 /// Returns true if a heartbeat shows that its incarnation has just started: it
-/// is the first one, and arrives before the upstream can have sent a second one
-/// to an earlier process of this agent. `age` is the time since the start.
-bool HasJustStarted(uint64_t sequence, std::optional<Millis> age);
+/// arrives before the upstream can have sent the next one after an
+/// acknowledgement by an earlier process of this agent. `age` is the time since
+/// the start, `interval` the time between heartbeats.
+bool HasJustStarted(uint64_t sequence, std::optional<Millis> age,
+                    Millis interval);
 
 /// Records the first heartbeat of an incarnation that this process receives.
 /// `is_start_seen` is true if the incarnation started while this agent ran.
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -19,7 +19,8 @@
                           bool was_confirmed, TimePoint now,
                           RelayActions& actions) {
   const bool is_start_seen =
-      was_confirmed || HasJustStarted(heartbeat.sequence, heartbeat.age);
+      was_confirmed || HasJustStarted(heartbeat.sequence, heartbeat.age,
+                                      relay.heartbeat_interval);
   RecordIncarnation(relay.flow_history, heartbeat.sequence, is_start_seen);
   if (is_start_seen && heartbeat.sequence <= kFirstHeartbeatSequence) {
     ResetAllFlows(relay, now, actions);
@@ -104,6 +105,11 @@
   return effect;
 }
 
+void BeginAgentStop(AgentRelay& relay) {
+  relay.is_stopping = true;
+  relay.upstream_checked_at.reset();
+}
+
 HeartbeatEffect HandleUpstreamHeartbeat(AgentRelay& relay,
                                         const UpstreamHeartbeat& heartbeat,
                                         TimePoint now, RelayActions& actions) {
@@ -123,7 +129,8 @@
       // before.
       RecordIncarnation(relay.flow_history, heartbeat.sequence,
                         relay.flow_history.is_complete ||
-                            HasJustStarted(heartbeat.sequence, heartbeat.age));
+                            HasJustStarted(heartbeat.sequence, heartbeat.age,
+                                           relay.heartbeat_interval));
       break;
     case HeartbeatEffect::kNewIncarnation:
       HandleNewIncarnation(relay, heartbeat, was_confirmed || had_exited, now,
--- a/packages/coordination/src/packet_path/flow_history.cc
+++ b/packages/coordination/src/packet_path/flow_history.cc
@@ -18,9 +18,11 @@
   history.awaits_second_heartbeat = false;
 }
 
-bool HasJustStarted(uint64_t sequence, std::optional<Millis> age) {
-  return sequence <= kFirstHeartbeatSequence && age.has_value() &&
-         *age >= Millis{0} && *age < kHeartbeatAckTimeout;
+bool HasJustStarted(uint64_t sequence, std::optional<Millis> age,
+                    Millis interval) {
+  if (!age.has_value() || *age < Millis{0}) return false;
+  if (sequence <= kFirstHeartbeatSequence) return *age < kHeartbeatAckTimeout;
+  return sequence <= kMaxRepeatedFirstHeartbeats && *age * 2 < interval;
 }
 
 void RecordIncarnation(FlowHistory& history, uint64_t sequence,
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -351,6 +351,14 @@
   }
 }
 
+// Guards against the same wait when the first heartbeat found no listener and
+// was repeated at once.
+BOOST_AUTO_TEST_CASE(RepeatedFirstHeartbeat_OfRecentStart_IsProofToo) {
+  BOOST_TEST(HasJustStarted(2, Millis{499}, Millis{1'000}));
+  BOOST_TEST(!HasJustStarted(2, Millis{500}, Millis{1'000}));
+  BOOST_TEST(!HasJustStarted(4, Millis{499}, Millis{1'000}));
+}
+
 // Guards against an upstream that is never used again because the time of day
 // was set back between two of its starts, and against the acknowledgement of a
 // drain that has no effect.
@@ -419,9 +427,11 @@
   restarted.started = now;
   restarted.heartbeat_interval = Millis{1'200};
   BeginUpstreamCheck(restarted, now);
-  restarted.is_stopping = true;
   BOOST_TEST(!NeedsUpstreamCheck(restarted, now));
-  BOOST_TEST(NeedsUpstreamCheck(restarted, now + kMinUpstreamCheckInterval));
+  BeginAgentStop(restarted);
+  BOOST_REQUIRE(NeedsUpstreamCheck(restarted, now));
+  BeginUpstreamCheck(restarted, now);
+  BOOST_TEST(!NeedsUpstreamCheck(restarted, now));
   RelayActions actions;
   BOOST_TEST(HandleConnectionRefused(restarted, now, actions));
   BOOST_CHECK(ReportedPhase(restarted, now) == UpstreamPhase::kAbsent);
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -373,7 +373,7 @@
 
 void AgentNode::BeginStop() {
   if (relay_.is_stopping) return;
-  relay_.is_stopping = true;
+  BeginAgentStop(relay_);
   stop_requested_at_ = MonotonicNow();
   AnnouncePhase("stopping");
   CheckUpstream();
