Decide the pace of uploads over narrow links

The 16 packets of an upload's window arrive within 2 ms and need 17 ms on a balancer's link of 10 Mbit/s. Two uploads at once overrun its short queue, and each lost packet costs the caller 200 ms and more.

A balancer with a link below 50 Mbit/s relays the openings of uploads one after the other, spaced by the time in which 0.63 of its link carries one upload. An agent spaces the bare acknowledgements of an upload by its flow's part of the link. Routes of other kinds and wide links are handled as before.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <unordered_map>
 
+#include "medlarwinch/coordination/packet_path/ack_pacing.h"
 #include "medlarwinch/coordination/packet_path/flow_history.h"
 #include "medlarwinch/coordination/packet_path/flow_tracker.h"
 #include "medlarwinch/coordination/packet_path/local_upstream.h"
@@ -57,6 +58,7 @@
   std::unordered_map<FlowTuple, Opening, FlowTupleHash> openings;
   std::unordered_map<FlowTuple, Probe, FlowTupleHash> probes;
   FlowHistory flow_history;
+  AckPacing ack_pacing;
   /// True once the agent was requested to stop.
   bool is_stopping = false;
   /// Time of the last packet or heartbeat from the upstream; empty before the
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -8,6 +8,7 @@
 #include "medlarwinch/coordination/packet_path/owner_search.h"
 #include "medlarwinch/coordination/packet_path/relay_actions.h"
 #include "medlarwinch/coordination/packet_path/relay_routes.h"
+#include "medlarwinch/coordination/packet_path/upload_flows.h"
 #include "medlarwinch/coordination/packet_path/upstream_directory.h"
 #include "medlarwinch/coordination/shared/random.h"
 
@@ -56,6 +57,7 @@
   UpstreamDirectory directory;
   FlowCache cache{kMaxCachedFlows};
   OwnerSearches searches;
+  UploadFlows uploads;
   Random random;
   /// Request time of the newest list of agents that was applied to the
   /// directory. Lists that may be stale do not count.
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -90,6 +90,17 @@
   Endpoint caller;
 };
 
+/// Send the current packet to the caller at `due`.
+struct HoldPacket {
+  FlowTuple flow;
+  TimePoint due;
+};
+
+/// Discard the held packets of a flow.
+struct DiscardHeld {
+  FlowTuple flow;
+};
+
 /// Query the agent at `to` whether its upstream owns the flow.
 struct SendOwnershipQuery {
   Endpoint to;
@@ -144,7 +155,7 @@
                  DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
                  ScheduleQueryFlush, SendOwnershipReply,
                  SendOwnershipBatchReply, SendOpeningRefused, RefreshDirectory,
-                 DropPackets, ResetCaller>;
+                 DropPackets, ResetCaller, HoldPacket, DiscardHeld>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -15,6 +15,10 @@
   relay.unanswered_since.reset();
 }
 
+bool IsUpload(const std::optional<OpeningContext>& context) {
+  return context.has_value() && context->terms.kind == RequestKind::kUpload;
+}
+
 void HandleNewIncarnation(AgentRelay& relay, const UpstreamHeartbeat& heartbeat,
                           bool was_confirmed, TimePoint now,
                           RelayActions& actions) {
@@ -44,6 +48,7 @@
     RemoveFlow(relay.flow_tracker, tuple, now);
   relay.openings.clear();
   relay.probes.clear();
+  relay.ack_pacing.flows.clear();
 }
 
 void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
@@ -53,6 +58,7 @@
   if (packet.is_syn) {
     HandleOpening(relay, header, context, packet, now, actions);
   } else {
+    RecordUploadPath(relay.ack_pacing, packet, header.balancer, now, actions);
     HandleFlowPacket(relay, header, packet, now, actions);
   }
 }
@@ -83,7 +89,7 @@
     return {};
   }
   ++relay.counters.to_callers;
-  actions.push_back(DeliverToCaller{flow.caller});
+  AddDelivery(relay.ack_pacing, packet, relay.is_stopping, now, actions);
   const UpstreamPacketEffect effect =
       RecordUpstreamPacket(relay.flow_tracker, packet, now);
   const auto opening = relay.openings.find(flow);
@@ -97,6 +103,9 @@
       actions.push_back(
           SendOwnershipReply{header.balancer, flow, FlowOwnership::kOwned});
     }
+    if (IsUpload(opening->second.context)) {
+      RecordUploadOpened(relay.ack_pacing, flow, header.balancer, packet, now);
+    }
     relay.openings.erase(opening);
   }
   ConfirmProbe(relay, flow, actions);
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -134,6 +134,26 @@
              1U);
 }
 
+// Guards against pacing of flows that are not uploads.
+BOOST_AUTO_TEST_CASE(NarrowBalancer_Acknowledgements_AreHeldOfUploadsOnly) {
+  RecordBalancerLink(relay.ack_pacing, kBalancerAddress, 10'000, 4, now);
+  for (const RequestKind kind :
+       {RequestKind::kUpload, RequestKind::kDownload}) {
+    context = OpeningContext{now, 0, RouteTerms{kind}};
+    const uint16_t port = static_cast<uint16_t>(kind);
+    OpenWithRequest(port);
+    FlowPacket answer;
+    answer.source = kServiceAddress;
+    answer.destination = CallerPacket(port, 0).source;
+    answer.is_ack = true;
+    answer.acknowledged = 3'400;
+    FromUpstream(answer);
+    answer.acknowledged = 5'800;
+    const bool is_held = !ActionsOf<HoldPacket>(FromUpstream(answer)).empty();
+    BOOST_TEST(is_held == (kind == RequestKind::kUpload));
+  }
+}
+
 // Guards against new flows at an upstream whose drain was acknowledged.
 BOOST_AUTO_TEST_CASE(DrainingUpstream_Opening_IsForwardedNeverDelivered) {
   header.alternates = {AgentAddress(3)};
