Hold openings and acknowledgements of uploads at the nodes

An opening that was held carries the time of its arrival, so that a refusal's age includes the hold.

A regular poll is up to 250 ms old, as long as two uploads. The balancer therefore also polls the agent of an upload with its first data packet, and the agents of uploads under way when their number changes.

--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -8,6 +8,7 @@
 
 #include "medlarwinch/coordination/packet_path/agent_relay.h"
 #include "medlarwinch/node/agent_registration.h"
+#include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
 #include "medlarwinch/protocol/relay_messages.h"
@@ -42,6 +43,11 @@
   /// Returns false if the heartbeat must not be acknowledged.
   bool HandleHeartbeatNotice(const UpstreamHeartbeat& heartbeat);
   void ExecuteActions(const RelayActions& actions, ByteView packet);
+  /// Returns false if the action does not concern held packets.
+  bool ExecutePacingAction(const RelayAction& action, ByteView packet);
+  void RecordLink(const Endpoint& balancer, const BalancerTerms& terms);
+  void RefreshPacing(TimePoint now);
+  void SendToCaller(const Endpoint& caller, ByteView packet);
   void SendReset(const ResetCaller& reset);
   void SendStatus(const Endpoint& balancer);
   void AnnouncePhase(const char* cause);
@@ -71,6 +77,8 @@
   std::unique_ptr<AsyncUdpSocket> upstream_socket_;
   std::unique_ptr<AsyncHttpServer> notice_server_;
   boost::asio::steady_timer upstream_check_timer_;
+  /// Acknowledgements of upload flows that are sent later.
+  HeldPacketQueue held_packets_;
   NodeRuntime runtime_;
   TimePoint last_tick_at_;
   TimePoint stop_requested_at_;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -4,10 +4,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
+#include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
 #include "medlarwinch/node/store_watch.h"
@@ -30,9 +32,21 @@
 
  private:
   void HandleDatagram(std::span<const uint8_t> datagram);
+  bool PacesUploads() const;
+  /// Records a caller's packet. Holds or drops an opening whose upload has no
+  /// room on the link yet; the caller of this function relays other packets.
+  UploadPacketEffect RecordUpload(const FlowPacket& packet, ByteView datagram,
+                                  TimePoint now);
+  void LogHeldOpening(const FlowTuple& flow, Millis hold);
+  void RelayHeldOpening(const HeldPacket& held);
+  /// Polls the presumed owner of an upload flow.
+  void PollUploadAgent(const FlowTuple& flow);
   void HandleMessage(const Endpoint& from, ByteView datagram);
   void HandleStatus(const Endpoint& from, const AgentStatus& status);
-  void ExecuteActions(RelayActions& actions, ByteView packet);
+  /// `received_at` is set for an opening that was held, on the clock that also
+  /// counts suspension.
+  void ExecuteActions(RelayActions& actions, ByteView packet,
+                      std::optional<TimePoint> received_at = std::nullopt);
   void SchedulePendingQueries();
   void SendReset(const ResetCaller& reset);
   void ObserveStoreEra(uint64_t era);
@@ -75,6 +89,8 @@
   std::unique_ptr<PeriodicTimer> lost_agent_timer_;
   /// Sends the collected ownership queries.
   boost::asio::steady_timer flush_timer_;
+  /// Openings of upload flows that are relayed later.
+  HeldPacketQueue held_openings_;
   NodeRuntime runtime_;
   TimePoint first_listing_at_;
   TimePoint last_packet_at_;
@@ -88,6 +104,8 @@
   uint32_t reported_balancers_ = 0;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
+  /// The active configuration has a route of kind upload.
+  bool has_upload_route_ = false;
   bool is_flush_scheduled_ = false;
   bool is_confirming_ = false;
   bool is_stopping_ = false;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -50,6 +50,10 @@
                     EncodeAgentEntry(MakeOwnEntry(settings), settings.service),
                     seed),
       upstream_check_timer_(loop),
+      held_packets_(loop,
+                    [this](const HeldPacket& held) {
+                      SendToCaller(held.flow.caller, held.bytes);
+                    }),
       runtime_(loop, settings_, platform_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
@@ -165,6 +169,7 @@
 void AgentNode::HandleExtendedPoll(const Endpoint& from,
                                    const ExtendedPoll& poll) {
   RecordPoll(from, poll.poll);
+  RecordLink(from, poll.terms);
   EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, {}}, message_buffer_);
   relay_socket_->Send(from, message_buffer_);
   SendPeriodicNotices(from);
@@ -211,9 +216,10 @@
     }
     if (const DeliverToCaller* deliver =
             std::get_if<DeliverToCaller>(&action)) {
-      relay_socket_->Send(platform_.caller_gateway(deliver->caller), packet);
+      SendToCaller(deliver->caller, packet);
       continue;
     }
+    if (ExecutePacingAction(action, packet)) continue;
     if (const RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
       relay_socket_->Send(
           relayed->to,
@@ -267,6 +273,7 @@
 }
 
 void AgentNode::SendReset(const ResetCaller& reset) {
+  held_packets_.Discard(reset.flow);
   SendResetPacket(*relay_socket_, platform_, reset);
   if (!AllowResetLogLine(log_limiter_, MonotonicNow())) return;
   Log(LogLevel::kWarning, "flow_reset",
@@ -328,6 +335,7 @@
   last_tick_at_ = now;
   actions_.clear();
   HandleAgentTick(relay_, tick_delay, now, actions_);
+  RefreshPacing(now);
   ExecuteActions(actions_, {});
   std::erase_if(last_poll_by_balancer_, [&](const auto& entry) {
     return now - entry.second > kBalancerExpiry;
@@ -365,12 +373,16 @@
   if (relay_.is_stopping) return;
   relay_.is_stopping = true;
   stop_requested_at_ = MonotonicNow();
+  held_packets_.ReleaseAll();
   AnnouncePhase("stopping");
   CheckUpstream();
 }
 
 std::string AgentNode::RenderMetrics() {
   SetAgentMetrics(relay_, settings_.service, metrics_);
+  metrics_.Set("medlarwinch_agent_packets_held",
+               {{"service", settings_.service}},
+               static_cast<double>(held_packets_.size()));
   const MetricLabels labels = {{"service", settings_.service}};
   metrics_.SetTotal("medlarwinch_agent_packets_malformed_total", labels,
                     static_cast<double>(malformed_packets_));
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -37,6 +37,8 @@
       settings_(settings),
       platform_(std::move(platform)),
       flush_timer_(loop),
+      held_openings_(
+          loop, [this](const HeldPacket& held) { RelayHeldOpening(held); }),
       runtime_(loop, settings_, platform_) {
   relay_.self = settings.relay_address;
   relay_.random.seed(seed);
@@ -93,7 +95,7 @@
 
 // Deployments that ask for no feature with extended polls get the shorter ones.
 bool BalancerNode::UsesExtendedPolls() const {
-  return settings_.features != NodeFeatures{};
+  return settings_.features != NodeFeatures{} || PacesUploads();
 }
 
 BalancerTerms BalancerNode::MakeTerms(const KnownUpstream& upstream) const {
@@ -103,10 +105,12 @@
   const auto service = services.find(upstream.report.service);
   if (service != services.end()) terms.service = service->second;
   terms.link_kbps = settings_.link_kbps;
+  terms.upload_flows = CountUploads(relay_.uploads, MonotonicNow());
   return terms;
 }
 
 void BalancerNode::PollAgents() {
+  RefreshUploadFlows(relay_.uploads, MonotonicNow());
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     PollAgent(agent, upstream.is_listed);
   }
@@ -131,9 +135,12 @@
   }
   const TimePoint now = MonotonicNow();
   last_packet_at_ = now;
+  const UploadPacketEffect upload = RecordUpload(*packet, datagram, now);
+  if (upload.action != UploadPacketAction::kRelay) return;
   actions_.clear();
   HandleCallerPacket(relay_, *packet, datagram, now, actions_);
   ExecuteActions(actions_, datagram);
+  if (upload.starts_upload) PollUploadAgent(FlowFromCaller(*packet));
 }
 
 void BalancerNode::HandleMessage(const Endpoint& from, ByteView datagram) {
@@ -226,7 +233,8 @@
   configuration_watch_->Reconnect(platform_.open_store());
 }
 
-void BalancerNode::ExecuteActions(RelayActions& actions, ByteView packet) {
+void BalancerNode::ExecuteActions(RelayActions& actions, ByteView packet,
+                                  std::optional<TimePoint> received_at) {
   for (RelayAction& action : actions) {
     if (RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
       if (relayed->header.purpose == RelayPurpose::kOpen &&
@@ -248,7 +256,7 @@
               static_cast<int64_t>(relay_.routes.revision.number)}});
       }
       if (relayed->context.has_value()) {
-        relayed->context->relayed_at = BootTimeNow();
+        relayed->context->relayed_at = received_at.value_or(BootTimeNow());
       }
       agent_socket_->Send(relayed->to,
                           packet_encoder_.Encode(std::move(relayed->header),
@@ -363,6 +371,7 @@
   if (is_stopping_) return;
   is_stopping_ = true;
   stop_requested_at_ = MonotonicNow();
+  held_openings_.ReleaseAll();
   Log(LogLevel::kInfo, "stopping",
       {{"role", "balancer"},
        {"flows", static_cast<int64_t>(relay_.cache.size())}});
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -119,11 +119,13 @@
          {"in_force", static_cast<int64_t>(active_version)}});
     return;
   }
+  has_upload_route_ = HasUploadRoute(relay_.routes.configuration);
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", static_cast<int64_t>(version)},
        {"revision", static_cast<int64_t>(object.revision.number)},
        {"era", static_cast<int64_t>(object.revision.era)},
-       {"routes", static_cast<int64_t>(routes)}});
+       {"routes", static_cast<int64_t>(routes)},
+       {"paces_uploads", PacesUploads() ? "true" : "false"}});
 }
 
 void BalancerNode::HandleAgentListing(const ObjectListing& listing) {
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -34,6 +34,8 @@
   set_total("searches_unresolved", counters.searches_unresolved);
   set_total("searches_refused", counters.searches_refused);
   set_total("outdated_refusals", counters.outdated_refusals);
+  set_total("upload_openings_held", relay.uploads.held_openings);
+  set_total("upload_openings_dropped", relay.uploads.dropped_openings);
   set_total("openings_dropped_waiting", counters.waiting_for_upstream);
   set_total("packets_dropped_no_route", counters.dropped_no_route);
   set_total("packets_malformed", malformed_packets);
@@ -44,6 +46,8 @@
               FlowResetReasonName, metrics);
   metrics.Set("medlarwinch_balancer_flows_cached", {},
               static_cast<double>(relay.cache.size()));
+  metrics.Set("medlarwinch_balancer_upload_flows", {},
+              static_cast<double>(relay.uploads.flows.size()));
   metrics.Set("medlarwinch_balancer_configuration_revision", {},
               static_cast<double>(relay.routes.revision.number));
   metrics.Set("medlarwinch_balancer_configuration_version", {},
@@ -73,6 +77,8 @@
   set_total("openings_dropped", counters.dropped_openings);
   set_total("openings_refused", counters.refused_openings);
   set_total("outdated_openings", counters.outdated_openings);
+  set_total("acknowledgements_held", relay.ack_pacing.held_acknowledgements);
+  set_total("held_superseded", relay.ack_pacing.superseded);
   set_total("log_lines_dropped", DroppedLogLines());
   SetByReason("medlarwinch_agent_openings_passed_on_total", labels,
               counters.forwarded_openings, RefusalReasonName, metrics);
