--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -50,6 +50,10 @@
                     EncodeAgentEntry(MakeOwnEntry(settings), settings.service),
                     seed),
       upstream_check_timer_(loop),
+      held_packets_(loop,
+                    [this](const HeldPacket& held) {
+                      SendToCaller(held.flow.caller, held.bytes);
+                    }),
       runtime_(loop, settings_, platform_) {
   relay_.service = MakeServiceId(settings.service);
   relay_.started = MonotonicNow();
@@ -172,6 +176,7 @@
                                    const ExtendedPoll& poll) {
   const bool is_first = RecordPoll(from, poll.poll);
   ApplyPolledTerms(from, poll);
+  RecordLink(from, poll.terms);
   EncodeRelayMessage(
       ExtendedStatus{MakeStatus(), relay_.gate.evacuations, MakeLoad()},
       message_buffer_);
@@ -221,9 +226,10 @@
     }
     if (const DeliverToCaller* deliver =
             std::get_if<DeliverToCaller>(&action)) {
-      relay_socket_->Send(platform_.caller_gateway(deliver->caller), packet);
+      SendToCaller(deliver->caller, packet);
       continue;
     }
+    if (ExecutePacingAction(action, packet)) continue;
     if (const RelayToAgent* relayed = std::get_if<RelayToAgent>(&action)) {
       relay_socket_->Send(
           relayed->to,
@@ -277,6 +283,7 @@
 }
 
 void AgentNode::SendReset(const ResetCaller& reset) {
+  held_packets_.Discard(reset.flow);
   SendResetPacket(*relay_socket_, platform_, reset);
   if (!AllowResetLogLine(log_limiter_, MonotonicNow())) return;
   Log(LogLevel::kWarning, "flow_reset",
@@ -338,6 +345,7 @@
   last_tick_at_ = now;
   actions_.clear();
   HandleAgentTick(relay_, tick_delay, now, actions_);
+  RefreshPacing(now);
   ExecuteActions(actions_, {});
   std::erase_if(last_poll_by_balancer_, [&](const auto& entry) {
     return now - entry.second > kBalancerExpiry;
@@ -375,12 +383,16 @@
   if (relay_.is_stopping) return;
   BeginAgentStop(relay_);
   stop_requested_at_ = MonotonicNow();
+  held_packets_.ReleaseAll();
   AnnouncePhase("stopping");
   CheckUpstream();
 }
 
 std::string AgentNode::RenderMetrics() {
   SetAgentMetrics(relay_, settings_.service, metrics_);
+  metrics_.Set("medlarwinch_agent_packets_held",
+               {{"service", settings_.service}},
+               static_cast<double>(held_packets_.size()));
   const MetricLabels labels = {{"service", settings_.service}};
   metrics_.SetTotal("medlarwinch_agent_packets_malformed_total", labels,
                     static_cast<double>(malformed_packets_));
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -131,11 +131,13 @@
   }
   relay_.directory.services_with_cold_limit =
       ServicesWithColdLimit(relay_.routes.configuration);
+  has_upload_route_ = HasUploadRoute(relay_.routes.configuration);
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", static_cast<int64_t>(version)},
        {"revision", static_cast<int64_t>(object.revision.number)},
        {"era", static_cast<int64_t>(object.revision.era)},
-       {"routes", static_cast<int64_t>(routes)}});
+       {"routes", static_cast<int64_t>(routes)},
+       {"paces_uploads", PacesUploads() ? "true" : "false"}});
 }
 
 void BalancerNode::HandleAgentListing(const ObjectListing& listing) {
