Withdraw new flows from upstreams that look like outliers

An upstream that fails its requests while its health check passes keeps its share of new flows, or attracts more because it looks idle. Agents now judge each request by its packets against a baseline of the route, and balancers withdraw upstreams with many suspected failures or a slow median, within bounds.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "medlarwinch/coordination/packet_path/relay_types.h"
+#include "medlarwinch/coordination/packet_path/response_statistics.h"
 
 namespace medlarwinch {
 
@@ -54,6 +55,8 @@
   bool had_request = false;
   TimePoint outstanding_since;
   TimePoint last_used;
+  /// Only used with FlowTracker::responses.
+  RequestProgress request;
 };
 
 /// Tracks the flows of one upstream and the requests on them from the packets
@@ -72,6 +75,8 @@
   TimePoint averaged_until;
   /// Recently opened flows that may not have had a request yet, oldest first.
   std::deque<std::pair<TimePoint, FlowTuple>> recently_opened;
+  /// Outcomes of the requests; empty unless outliers are detected.
+  std::optional<ResponseStatistics> responses;
 };
 
 /// Returns the number of outstanding requests, plus the requests expected on
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -37,6 +37,21 @@
                          const DirectoryEntry&) = default;
 };
 
+/// What part of its usual new flows an upstream gets from this balancer. Only
+/// changed while outliers are detected.
+struct FlowShare {
+  /// 0 to 1.
+  double share = 1;
+  /// The upstream's responses look like failures.
+  bool is_suspected = false;
+  /// Time of the last change of `share`.
+  TimePoint changed_at;
+  /// Number of flows placed, decaying within about two seconds.
+  double recent_placements = 0;
+
+  friend bool operator==(const FlowShare&, const FlowShare&) = default;
+};
+
 /// What a balancer knows of an agent and its upstream.
 struct KnownUpstream {
   DirectoryEntry entry;
@@ -54,6 +69,8 @@
   bool reads_extended = false;
   /// The last reported load; empty for an agent without extended messages.
   AgentLoad load;
+  /// Time at which `load.routes` was reported.
+  TimePoint routes_reported_at;
   /// Time of the last report, or of the first listing before any report.
   TimePoint last_contact;
   /// Time at which a new revision of the entry was last seen.
@@ -61,6 +78,7 @@
   /// Number of flows that this balancer placed at the agent since its last
   /// report.
   uint32_t placed_since_report = 0;
+  FlowShare flow_share;
 
   friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
 };
@@ -83,6 +101,8 @@
   /// Until this time, missing reports are attributed to this balancer and no
   /// agent is considered failed.
   TimePoint detection_suspended_until;
+  /// New flows are withdrawn from upstreams that look like outliers.
+  bool detects_outliers = false;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -15,9 +15,25 @@
   relay.unanswered_since.reset();
 }
 
+// Counts a returned opening as a failure only if the agent knows that the
+// upstream was not full.
+void RecordBouncedOpening(AgentRelay& relay, const FlowPacket& packet,
+                          TimePoint now) {
+  FlowTracker& tracker = relay.flow_tracker;
+  if (!tracker.responses.has_value()) return;
+  if (relay.openings.count(FlowFromCaller(packet)) == 0) return;
+  if (relay.upstream.phase != UpstreamPhase::kReady) return;
+  if (!KnowsAllFlows(relay.flow_history, now)) return;
+  RecordRefusedOpening(*tracker.responses, CommittedRequests(tracker, now),
+                       now);
+}
+
 void HandleNewIncarnation(AgentRelay& relay, const UpstreamHeartbeat& heartbeat,
                           bool was_confirmed, TimePoint now,
                           RelayActions& actions) {
+  if (relay.flow_tracker.responses.has_value()) {
+    ForgetOutcomes(*relay.flow_tracker.responses);
+  }
   const bool has_just_started = heartbeat.sequence <= kFirstHeartbeatSequence;
   RecordIncarnation(relay.flow_history, heartbeat.sequence, was_confirmed);
   if (was_confirmed && has_just_started) {
@@ -64,6 +80,7 @@
   RecordContact(relay, now);
   if (packet.is_bounced) {
     if (packet.is_syn) {
+      RecordBouncedOpening(relay, packet, now);
       HandleBouncedOpening(relay, packet, actions);
     } else {
       HandleBouncedFlowPacket(relay, packet, now, actions);
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/outlier_weights.h"
 
 namespace medlarwinch {
 namespace {
@@ -72,7 +73,7 @@
     header.alternates.push_back(ranked[index].agent);
   }
   const Endpoint first = ranked.front().agent;
-  relay.directory.upstreams.at(first).placed_since_report += 1;
+  RecordPlacement(relay.directory, relay.directory.upstreams.at(first));
   relay.cache.Put(flow, first, !is_retransmission, now);
   ++(is_retransmission ? relay.counters.open_retransmissions
                        : relay.counters.opened);
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
@@ -62,9 +63,11 @@
   PlacementCandidate candidate;
   double cost = 0;
   uint64_t score = 0;
+  PlacementClass placement = PlacementClass::kUsual;
 };
 
 bool IsBetter(const RankedCandidate& a, const RankedCandidate& b) {
+  if (a.placement != b.placement) return a.placement < b.placement;
   if (a.cost != b.cost) return a.cost < b.cost;
   return a.score > b.score;
 }
@@ -85,6 +88,7 @@
   std::vector<PlacementCandidate> chosen;
   if (route.targets.empty()) return chosen;
   std::map<ServiceId, ServiceLoad> loads;
+  RecentPlacements recent;
   std::vector<const KnownUpstream*> accepting;
   for (const auto& [agent, upstream] : directory.upstreams) {
     const ServiceId service = upstream.report.service;
@@ -92,6 +96,7 @@
     ServiceLoad& load = loads[service];
     load.mean_outstanding += upstream.report.mean_outstanding;
     load.flows += upstream.report.flows;
+    if (directory.detects_outliers) AddPlacements(recent, upstream);
     accepting.push_back(&upstream);
   }
   std::map<ServiceId, std::vector<RankedCandidate>> ranked;
@@ -100,9 +105,10 @@
     const Endpoint& agent = upstream->entry.agent;
     const double load = ExpectedLoad(*upstream, LoadPerFlow(loads[service]));
     const double cost = load + (upstream->is_local ? 0 : kRemoteLoadPenalty);
-    ranked[service].push_back(
-        RankedCandidate{PlacementCandidate{agent, service, load}, cost,
-                        PlacementScore(flow, agent)});
+    const uint64_t score = PlacementScore(flow, agent);
+    ranked[service].push_back(RankedCandidate{
+        PlacementCandidate{agent, service, load}, cost, score,
+        ClassifyPlacement(directory, recent, *upstream, score)});
   }
   for (auto& [service, list] : ranked) {
     const size_t choices = std::min(kPlacementChoices, list.size());
--- a/packages/coordination/src/packet_path/flow_tracker.cc
+++ b/packages/coordination/src/packet_path/flow_tracker.cc
@@ -79,6 +79,7 @@
 void DistrustFlows(FlowTracker& tracker) {
   for (auto& [tuple, flow] : tracker.flows) {
     flow.is_opening_seen = false;
+    flow.request = RequestProgress{};
     // An empty range matches no acknowledgement but one, so that the next
     // packet goes to the upstream as a probe.
     flow.upstream_first_sequence = flow.upstream_end_sequence;
@@ -105,9 +106,16 @@
     flow.has_caller_end_sequence = true;
     if (packet.data_bytes > 0) {
       flow.had_request = true;
+      if (tracker.responses.has_value()) {
+        RecordRequestData(*tracker.responses, packet.destination, flow.request,
+                          packet, tracker.outstanding, now);
+      }
       SetOutstanding(tracker, flow, true, now);
     }
   }
+  if (tracker.responses.has_value() && (packet.is_fin || packet.is_reset)) {
+    RecordCallerEnd(*tracker.responses, packet.destination, flow.request, now);
+  }
   if (HasEnded(flow)) RemoveFromCounts(tracker, flow, now);
 }
 
@@ -142,6 +150,10 @@
     effect.response_time = now - flow.outstanding_since;
     SetOutstanding(tracker, flow, false, now);
   }
+  if (tracker.responses.has_value()) {
+    RecordResponsePacket(*tracker.responses, packet.source, flow.request,
+                         packet, flow.is_opening_seen, now);
+  }
   if (packet.is_reset) flow.caller_finished = true;
   if (packet.is_fin || packet.is_reset) flow.upstream_finished = true;
   if (HasEnded(flow)) RemoveFromCounts(tracker, flow, now);
@@ -181,7 +193,11 @@
     tracker.recently_opened.pop_front();
   }
   std::vector<FlowTuple> expired;
-  for (const auto& [tuple, flow] : tracker.flows) {
+  for (auto& [tuple, flow] : tracker.flows) {
+    if (tracker.responses.has_value()) {
+      AdvanceRequest(*tracker.responses, tuple.service_address, flow.request,
+                     now);
+    }
     const Millis unused = now - flow.last_used;
     const bool is_half_open = !flow.is_open && !HasEnded(flow);
     const bool is_over = (HasEnded(flow) && unused >= kEndedFlowRetention) ||
--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -104,6 +104,7 @@
   if (effect.is_new_process) {
     upstream.reads_extended = false;
     upstream.load = AgentLoad{};
+    upstream.routes_reported_at = TimePoint{};
   }
   effect.phase_before = upstream.report.phase;
   upstream.report = report;
--- a/packages/coordination/src/packet_path/upstream_liveness.cc
+++ b/packages/coordination/src/packet_path/upstream_liveness.cc
@@ -116,6 +116,11 @@
 void HandleAgentTick(AgentRelay& relay, Millis tick_delay, TimePoint now,
                      RelayActions& actions) {
   if (tick_delay >= kMaxAgentTickDelay) relay.late_until = now;
+  if (relay.flow_tracker.responses.has_value()) {
+    relay.flow_tracker.responses->condition =
+        UpstreamCondition{relay.upstream.slots, now < relay.upstream.cold_until,
+                          relay.late_until};
+  }
   RefreshFlows(relay.flow_tracker, kMaxFlowLifetime, now);
   std::erase_if(relay.openings, [&](const auto& entry) {
     return now - entry.second.delivered_at >= kPendingTimeout;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
 #include "medlarwinch/node/store_watch.h"
@@ -48,6 +49,9 @@
   void PollAgent(const Endpoint& agent, bool is_listed);
   void PollAgents();
   void PollStartingAgents();
+  bool SendsBaselines() const;
+  void RefreshBaselines(TimePoint now);
+  void UpdateOutliers(TimePoint now);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
@@ -86,6 +90,10 @@
   uint64_t store_era_ = 0;
   /// Number of balancers that an agent last reported.
   uint32_t reported_balancers_ = 0;
+  /// Number of times that all agents were polled.
+  uint64_t poll_round_ = 0;
+  /// As of the last poll that sent them.
+  ServiceBaselines baselines_;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
   bool is_flush_scheduled_ = false;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -165,7 +165,17 @@
 void AgentNode::HandleExtendedPoll(const Endpoint& from,
                                    const ExtendedPoll& poll) {
   RecordPoll(from, poll.poll);
-  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, {}}, message_buffer_);
+  const TimePoint now = MonotonicNow();
+  AgentLoad load;
+  std::optional<ResponseStatistics>& responses = relay_.flow_tracker.responses;
+  const bool detects_outliers = settings_.features.outlier_detection ||
+                                !poll.terms.baselines.empty();
+  if (detects_outliers && !responses.has_value()) responses.emplace();
+  if (responses.has_value()) {
+    ApplyBaselines(*responses, poll.terms.baselines, now);
+    ReportOutcomes(*responses, now, load);
+  }
+  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, load}, message_buffer_);
   relay_socket_->Send(from, message_buffer_);
   SendPeriodicNotices(from);
 }
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -103,10 +103,16 @@
   const auto service = services.find(upstream.report.service);
   if (service != services.end()) terms.service = service->second;
   terms.link_kbps = settings_.link_kbps;
+  const auto baselines = baselines_.find(upstream.report.service);
+  if (SendsBaselines() && baselines != baselines_.end()) {
+    terms.baselines = baselines->second;
+  }
   return terms;
 }
 
 void BalancerNode::PollAgents() {
+  ++poll_round_;
+  RefreshBaselines(MonotonicNow());
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     PollAgent(agent, upstream.is_listed);
   }
@@ -152,7 +158,7 @@
     HandleStatus(from, status->status);
     const auto known = relay_.directory.upstreams.find(from);
     if (known != relay_.directory.upstreams.end()) {
-      known->second.load = status->load;
+      ApplyAgentLoad(known->second, status->load, now);
     }
     return;
   }
@@ -326,6 +332,7 @@
   HandleBalancerTick(relay_, tick_delay, now, actions_);
   ExecuteActions(actions_, {});
   RemoveUnlistedAgents(relay_.directory, now);
+  UpdateOutliers(now);
   PollStartingAgents();
   LogSuppressedLines(log_limiter_);
   if (!is_stopping_) return;
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -55,6 +55,11 @@
     metrics.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
     metrics.Set("medlarwinch_upstream_busy", labels,
                 upstream.report.mean_outstanding);
+    if (!relay.directory.detects_outliers) continue;
+    metrics.Set("medlarwinch_upstream_share", labels,
+                upstream.flow_share.share);
+    metrics.Set("medlarwinch_upstream_suspected_failures", labels,
+                upstream.load.suspected_failures);
   }
 }
 
@@ -78,6 +83,11 @@
               counters.forwarded_openings, RefusalReasonName, metrics);
   SetByReason("medlarwinch_agent_resets_total", labels, counters.resets,
               FlowResetReasonName, metrics);
+  if (relay.flow_tracker.responses.has_value()) {
+    SetByReason("medlarwinch_agent_requests_ended_total", labels,
+                relay.flow_tracker.responses->totals, RequestOutcomeName,
+                metrics);
+  }
   metrics.Set("medlarwinch_agent_flows", labels, relay.flow_tracker.open);
   metrics.Set("medlarwinch_agent_requests_outstanding", labels,
               relay.flow_tracker.outstanding);
