--- a/packages/coordination/include/medlarwinch/coordination/packet_path/response_statistics.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/response_statistics.h
@@ -16,7 +16,7 @@
 /// than the first retransmission timeout of both ends, 200 ms.
 inline constexpr Millis kResponsePause{250};
 /// Samples older than this do not count in the medians of a route.
-inline constexpr Millis kResponseSampleAge{10'000};
+inline constexpr Millis kResponseSampleAge{6'000};
 /// Baselines are used for this long after a balancer sent them.
 inline constexpr Millis kBaselineAge{2'000};
 /// Routes and baselines are exchanged about once in this time and not in each
@@ -158,7 +158,8 @@
                           TimePoint now);
 
 /// Share of the recent requests whose outcome looks like a failure, 0 to 1; 0
-/// if there are too few outcomes or failures to tell.
+/// if there are too few outcomes to tell, and below the share from which an
+/// upstream is suspected if there are too few failures.
 double SuspectedFailures(const ResponseStatistics& statistics, TimePoint now);
 
 /// Medians of the recent responses of each route, without the time that
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -103,6 +103,8 @@
   TimePoint detection_suspended_until;
   /// New flows are withdrawn from upstreams that look like outliers.
   bool detects_outliers = false;
+  /// Time at which most upstreams of a service last looked like outliers.
+  std::map<ServiceId, TimePoint> services_changed_at;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
--- a/packages/coordination/src/packet_path/outlier_weights.cc
+++ b/packages/coordination/src/packet_path/outlier_weights.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstddef>
 
+#include "medlarwinch/coordination/packet_path/response_statistics.h"
+
 namespace medlarwinch {
 namespace {
 
@@ -14,7 +16,7 @@
 constexpr Millis kRouteReportAge{2'000};
 
 // Share of suspected failures from which an upstream is suspected, and below
-// which it no longer is.
+// which it no longer is; the latter counts until it has its whole share again.
 constexpr double kSuspectFailures = 0.2;
 constexpr double kClearFailures = 0.05;
 // The same for the median response time divided by the baseline. Upstreams
@@ -27,7 +29,11 @@
 constexpr uint32_t kMinSlowResponses = 10;
 // Of two upstreams that look about equally bad, the one that is withdrawn
 // stays withdrawn.
-constexpr double kWithdrawnBadness = 0.1;
+constexpr double kWithdrawnBadness = 0.2;
+// When most upstreams of a service were suspected, nobody is withdrawn for this
+// long. The baselines follow the new responses within kResponseSampleAge, and
+// until then some upstreams look better than others.
+constexpr Millis kServiceChangeTime{10'000};
 // At most this fraction of a service's slots is withdrawn.
 constexpr double kMaxWithdrawnFraction = 1.0 / 3;
 // A recovering upstream's share doubles in this time.
@@ -64,7 +70,7 @@
   return now - upstream.routes_reported_at <= kRouteReportAge;
 }
 
-// Returns the slowness of the route with the most responses.
+// Returns the geometric mean over the routes, weighted by responses.
 Slowness MeasureSlowness(const KnownUpstream& upstream,
                          const ServiceBaselines& baselines, TimePoint now) {
   Slowness slowness;
@@ -72,22 +78,32 @@
   if (known == baselines.end() || !HasRecentRoutes(upstream, now)) {
     return slowness;
   }
+  double sum = 0;
   for (const RouteResponses& route : upstream.load.routes) {
-    if (route.responses <= slowness.responses) continue;
+    const uint32_t responses =
+        std::min<uint32_t>(route.responses, kResponseSamples);
     for (const RouteBaseline& baseline : known->second) {
       if (baseline.service_address != route.service_address) continue;
       // Times are whole milliseconds: a median of 0 counts as 1.
-      slowness.factor = static_cast<double>(route.median_ms) /
-                        std::max<uint32_t>(baseline.median_ms, 1);
-      slowness.responses = route.responses;
+      const double median = std::max<uint32_t>(route.median_ms, 1);
+      sum += responses * std::log(median / baseline.median_ms);
+      slowness.responses += responses;
     }
   }
+  if (slowness.responses == 0) return slowness;
+  slowness.factor = std::exp(sum / slowness.responses);
   return slowness;
 }
 
+// Returns true if the upstream has yet to show that it works. An upstream that
+// fails a third of its requests may serve its first few trial flows well.
+bool IsOnTrial(const FlowShare& flow_share) {
+  return flow_share.is_suspected || flow_share.share < 1;
+}
+
 bool IsSlow(const KnownUpstream& upstream, const Slowness& slowness) {
   if (upstream.report.is_cold) return false;
-  if (upstream.flow_share.is_suspected) {
+  if (IsOnTrial(upstream.flow_share)) {
     return slowness.responses >= kMinBaselineResponses &&
            slowness.factor > kClearSlowness;
   }
@@ -106,7 +122,7 @@
   suspicion.slowness = slowness.factor;
   suspicion.is_slow = IsSlow(upstream, slowness);
   const double threshold =
-      upstream.flow_share.is_suspected ? kClearFailures : kSuspectFailures;
+      IsOnTrial(upstream.flow_share) ? kClearFailures : kSuspectFailures;
   const bool is_failing = failures >= threshold;
   upstream.flow_share.is_suspected = is_failing || suspicion.is_slow;
   if (is_failing) suspicion.badness = failures;
@@ -114,7 +130,7 @@
     suspicion.badness =
         std::max(suspicion.badness, 1 - 1 / suspicion.slowness);
   }
-  if (upstream.flow_share.share < 1) suspicion.badness += kWithdrawnBadness;
+  if (upstream.flow_share.share <= kTrialShare) suspicion.badness += kWithdrawnBadness;
   return suspicion;
 }
 
@@ -143,20 +159,19 @@
   current.changed_at = now;
 }
 
-void Recover(const Suspicion& suspicion, FlowShareReason reason,
-             const ServiceSuspicions& service, TimePoint now,
+void Recover(const Suspicion& suspicion, const ServiceSuspicions& service, TimePoint now,
              std::vector<FlowShareChange>& changes) {
   const FlowShare& current = suspicion.upstream->flow_share;
   if (current.share >= 1 || now - current.changed_at < kDoublingTime) return;
-  SetShare(suspicion, std::min(1.0, current.share * 2), reason, service, now,
-           changes);
+  SetShare(suspicion, std::min(1.0, current.share * 2),
+           FlowShareReason::kRecovering, service, now, changes);
 }
 
 // The worst upstreams are withdrawn, as far as the bound allows. Upstreams that
 // recover count by the part of their flows that they do not get yet.
-void DecideShares(ServiceSuspicions& service, TimePoint now,
+void DecideShares(ServiceSuspicions& service, bool has_changed, TimePoint now,
                   std::vector<FlowShareChange>& changes) {
-  if (service.suspected * 2 > service.members.size()) {
+  if (has_changed) {
     for (const Suspicion& member : service.members) {
       SetShare(member, 1, FlowShareReason::kMostSuspected, service, now,
                changes);
@@ -171,12 +186,12 @@
   }
   for (const Suspicion& member : service.members) {
     if (!member.upstream->flow_share.is_suspected) {
-      Recover(member, FlowShareReason::kRecovering, service, now, changes);
+      Recover(member, service, now, changes);
       continue;
     }
     const uint32_t slots = member.upstream->report.slots;
     if (slots > budget) {
-      Recover(member, FlowShareReason::kOthersWorse, service, now, changes);
+      SetShare(member, 1, FlowShareReason::kOthersWorse, service, now, changes);
       continue;
     }
     budget -= slots;
@@ -276,7 +291,13 @@
   }
   for (auto& [id, service] : services) {
     std::sort(service.members.begin(), service.members.end(), IsWorse);
-    DecideShares(service, now, changes);
+    if (service.suspected * 2 > service.members.size()) {
+      directory.services_changed_at.insert_or_assign(id, now);
+    }
+    const auto changed = directory.services_changed_at.find(id);
+    const bool has_changed = changed != directory.services_changed_at.end() &&
+                             now - changed->second < kServiceChangeTime;
+    DecideShares(service, has_changed, now, changes);
   }
   return changes;
 }
--- a/packages/coordination/src/packet_path/response_statistics.cc
+++ b/packages/coordination/src/packet_path/response_statistics.cc
@@ -40,9 +40,15 @@
 constexpr Millis kOutcomeWindow{3'000};
 constexpr Millis kMaxOutcomeAge{20'000};
 constexpr uint32_t kMinWindowOutcomes = 8;
-// Fewer outcomes or failures show nothing.
+// Fewer outcomes show nothing. Fewer failures do not show that the upstream
+// fails, but that it does not work well enough yet to be trusted again.
 constexpr uint32_t kMinOutcomes = 5;
 constexpr uint32_t kMinFailures = 3;
+constexpr double kInconclusiveShare = 0.15;
+// An upstream that fails half of its last requests has just begun to fail, and
+// is not judged by its earlier ones.
+constexpr uint32_t kLastOutcomes = 10;
+constexpr uint32_t kLastFailures = 5;
 
 // Part of each kRouteReportInterval in which reports have routes. Every balancer
 // polls in it, also if its polls are late.
@@ -317,9 +323,11 @@
     if (age > kOutcomeWindow && counted >= kMinWindowOutcomes) break;
     ++counted;
     if (outcome.is_failure) ++failures;
+    if (counted == kLastOutcomes && failures >= kLastFailures) break;
   }
-  if (counted < kMinOutcomes || failures < kMinFailures) return 0;
-  return static_cast<double>(failures) / counted;
+  if (counted < kMinOutcomes) return 0;
+  const double share = static_cast<double>(failures) / counted;
+  return failures < kMinFailures ? std::min(share, kInconclusiveShare) : share;
 }
 
 std::vector<RouteResponses> SummarizeRoutes(
