Require more evidence before an upstream counts as slow

Routes with fewer than five responses no longer count, an upstream with a queue is not judged, and the margin for few responses is wider.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -46,6 +46,8 @@
   bool is_suspected = false;
   /// Time of the last change of `share`.
   TimePoint changed_at;
+  /// Time at which many requests were last queued.
+  TimePoint crowded_at;
   /// Number of flows placed, decaying within about two seconds.
   double recent_placements = 0;
 
--- a/packages/coordination/src/packet_path/outlier_weights.cc
+++ b/packages/coordination/src/packet_path/outlier_weights.cc
@@ -25,8 +25,11 @@
 // spread 0.5 has a standard error of about 0.63 / sqrt(n).
 constexpr double kSuspectSlowness = 3;
 constexpr double kClearSlowness = 2.6;
-constexpr double kSlownessMargin = 1.5;
+constexpr double kSlownessMargin = 2;
 constexpr uint32_t kMinSlowResponses = 10;
+// With more requests for each slot the response times depend on the requests
+// before, also of other routes, and say little about the upstream.
+constexpr double kCrowdedPerSlot = 1.5;
 // Of two upstreams that look about equally bad, the one that is withdrawn
 // stays withdrawn.
 constexpr double kWithdrawnBadness = 0.2;
@@ -80,6 +83,7 @@
   }
   double sum = 0;
   for (const RouteResponses& route : upstream.load.routes) {
+    if (route.responses < kMinBaselineResponses) continue;
     const uint32_t responses =
         std::min<uint32_t>(route.responses, kResponseSamples);
     for (const RouteBaseline& baseline : known->second) {
@@ -101,8 +105,10 @@
   return flow_share.is_suspected || flow_share.share < 1;
 }
 
-bool IsSlow(const KnownUpstream& upstream, const Slowness& slowness) {
+bool IsSlow(const KnownUpstream& upstream, const Slowness& slowness,
+            TimePoint now) {
   if (upstream.report.is_cold) return false;
+  if (now - upstream.flow_share.crowded_at <= kResponseSampleAge) return false;
   if (IsOnTrial(upstream.flow_share)) {
     return slowness.responses >= kMinBaselineResponses &&
            slowness.factor > kClearSlowness;
@@ -120,17 +126,21 @@
   Suspicion suspicion;
   suspicion.upstream = &upstream;
   suspicion.slowness = slowness.factor;
-  suspicion.is_slow = IsSlow(upstream, slowness);
+  const AgentReport& report = upstream.report;
+  if (report.mean_outstanding > report.slots * kCrowdedPerSlot) {
+    upstream.flow_share.crowded_at = now;
+  }
+  suspicion.is_slow = IsSlow(upstream, slowness, now);
   const double threshold =
       IsOnTrial(upstream.flow_share) ? kClearFailures : kSuspectFailures;
   const bool is_failing = failures >= threshold;
   upstream.flow_share.is_suspected = is_failing || suspicion.is_slow;
   if (is_failing) suspicion.badness = failures;
   if (suspicion.is_slow) {
-    suspicion.badness =
-        std::max(suspicion.badness, 1 - 1 / suspicion.slowness);
+    suspicion.badness = std::max(suspicion.badness, 1 - 1 / suspicion.slowness);
   }
-  if (upstream.flow_share.share <= kTrialShare) suspicion.badness += kWithdrawnBadness;
+  if (upstream.flow_share.share <= kTrialShare)
+    suspicion.badness += kWithdrawnBadness;
   return suspicion;
 }
 
@@ -159,8 +169,8 @@
   current.changed_at = now;
 }
 
-void Recover(const Suspicion& suspicion, const ServiceSuspicions& service, TimePoint now,
-             std::vector<FlowShareChange>& changes) {
+void Recover(const Suspicion& suspicion, const ServiceSuspicions& service,
+             TimePoint now, std::vector<FlowShareChange>& changes) {
   const FlowShare& current = suspicion.upstream->flow_share;
   if (current.share >= 1 || now - current.changed_at < kDoublingTime) return;
   SetShare(suspicion, std::min(1.0, current.share * 2),
@@ -337,8 +347,8 @@
   if (group == recent.groups.end() || group->second.slots <= 0) {
     return PlacementClass::kUsual;
   }
-  const double fair = group->second.placements * upstream.report.slots /
-                      group->second.slots;
+  const double fair =
+      group->second.placements * upstream.report.slots / group->second.slots;
   return flow_share.recent_placements > fair * kMaxFairShares
              ? PlacementClass::kSaturated
              : PlacementClass::kUsual;
--- a/packages/coordination/src/packet_path/response_statistics.cc
+++ b/packages/coordination/src/packet_path/response_statistics.cc
@@ -50,8 +50,8 @@
 constexpr uint32_t kLastOutcomes = 10;
 constexpr uint32_t kLastFailures = 5;
 
-// Part of each kRouteReportInterval in which reports have routes. Every balancer
-// polls in it, also if its polls are late.
+// Part of each kRouteReportInterval in which reports have routes. Every
+// balancer polls in it, also if its polls are late.
 constexpr Millis kRouteReportWindow{300};
 
 bool IsBefore(uint32_t a, uint32_t b) {
@@ -121,18 +121,17 @@
       baseline != nullptr && IsEarlyAndShort(request, *baseline);
   // An upstream whose queue is full refuses with a short response.
   if (is_suspected && request.was_crowded) return;
-  RecordOutcome(statistics,
-                is_suspected ? RequestOutcome::kEarlyAndShort
-                             : RequestOutcome::kAnswered,
-                now);
+  RecordOutcome(
+      statistics,
+      is_suspected ? RequestOutcome::kEarlyAndShort : RequestOutcome::kAnswered,
+      now);
   if (request.was_cold) return;
   RouteSamples& route = SamplesOf(statistics, service_address);
   route.last_used = now;
   const double time =
       static_cast<double>(request.response_time.value) / request.queue_factor;
-  route.samples[route.recorded++ % kResponseSamples] =
-      ResponseSample{now, static_cast<uint32_t>(std::lround(time)),
-                     request.response_bytes};
+  route.samples[route.recorded++ % kResponseSamples] = ResponseSample{
+      now, static_cast<uint32_t>(std::lround(time)), request.response_bytes};
 }
 
 void RecordFailure(ResponseStatistics& statistics, RequestProgress& request,
@@ -149,8 +148,8 @@
                   const Endpoint& service_address,
                   const RequestProgress& request, Millis minimum,
                   TimePoint now) {
-  const TimePoint since = std::max(request.last_data,
-                                   statistics.condition.agent_late_until);
+  const TimePoint since =
+      std::max(request.last_data, statistics.condition.agent_late_until);
   const Millis waited = now - since;
   if (waited < minimum) return false;
   const RouteBaseline* baseline =
@@ -173,7 +172,8 @@
 }
 
 uint32_t MedianOf(std::vector<uint32_t>& values) {
-  const auto middle = values.begin() + static_cast<ptrdiff_t>(values.size()) / 2;
+  const auto middle =
+      values.begin() + static_cast<ptrdiff_t>(values.size()) / 2;
   std::nth_element(values.begin(), middle, values.end());
   return *middle;
 }
@@ -316,8 +316,8 @@
   uint32_t failures = 0;
   for (uint32_t back = 1; back <= kept; ++back) {
     const ResponseStatistics::Outcome& outcome =
-        statistics.outcomes[(statistics.recorded_outcomes - back) %
-                            kRequestOutcomes];
+        statistics
+            .outcomes[(statistics.recorded_outcomes - back) % kRequestOutcomes];
     const Millis age = now - outcome.at;
     if (age > kMaxOutcomeAge) break;
     if (age > kOutcomeWindow && counted >= kMinWindowOutcomes) break;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -168,8 +168,8 @@
   const TimePoint now = MonotonicNow();
   AgentLoad load;
   std::optional<ResponseStatistics>& responses = relay_.flow_tracker.responses;
-  const bool detects_outliers = settings_.features.outlier_detection ||
-                                !poll.terms.baselines.empty();
+  const bool detects_outliers =
+      settings_.features.outlier_detection || !poll.terms.baselines.empty();
   if (detects_outliers && !responses.has_value()) responses.emplace();
   if (responses.has_value()) {
     ApplyBaselines(*responses, poll.terms.baselines, now);
