--- a/packages/coordination/src/packet_path/outlier_weights.cc
+++ b/packages/coordination/src/packet_path/outlier_weights.cc
@@ -30,6 +30,7 @@
 // With more requests for each slot the response times depend on the requests
 // before, also of other routes, and say little about the upstream.
 constexpr double kCrowdedPerSlot = 1.5;
+constexpr double kCrowdedMargin = 1.7;
 // Of two upstreams that look about equally bad, the one that is withdrawn
 // stays withdrawn.
 constexpr double kWithdrawnBadness = 0.2;
@@ -108,14 +109,16 @@
 bool IsSlow(const KnownUpstream& upstream, const Slowness& slowness,
             TimePoint now) {
   if (upstream.report.is_cold) return false;
-  if (now - upstream.flow_share.crowded_at <= kResponseSampleAge) return false;
   if (IsOnTrial(upstream.flow_share)) {
     return slowness.responses >= kMinBaselineResponses &&
            slowness.factor > kClearSlowness;
   }
   if (slowness.responses < kMinSlowResponses) return false;
+  const bool was_crowded =
+      now - upstream.flow_share.crowded_at <= kResponseSampleAge;
   const double margin =
-      std::exp(kSlownessMargin / std::sqrt(slowness.responses));
+      std::exp(kSlownessMargin / std::sqrt(slowness.responses)) *
+      (was_crowded ? kCrowdedMargin : 1);
   return slowness.factor > kSuspectSlowness * margin;
 }
 
--- a/packages/node/tests/node_metrics_test.cc
+++ b/packages/node/tests/node_metrics_test.cc
@@ -28,6 +28,22 @@
   }
 }
 
+// Guards against a withdrawal that the metrics do not show.
+BOOST_AUTO_TEST_CASE(UpstreamShares_FeatureOn_AreRendered) {
+  BalancerRelay relay;
+  KnownUpstream& upstream =
+      relay.directory.upstreams[Endpoint{0x0a020001, 8'000}];
+  upstream.flow_share.share = 0.25;
+  Metrics metrics;
+  SetBalancerMetrics(relay, 0, 0, metrics);
+  BOOST_TEST(metrics.Render().find("upstream_share") == std::string::npos);
+  relay.directory.detects_outliers = true;
+  SetBalancerMetrics(relay, 0, 0, metrics);
+  BOOST_TEST(metrics.Render().find(
+                 "medlarwinch_upstream_share{agent=\"10.2.0.1:8000\"} 0.25") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(BalancerCounters_Rendered_AreCounters) {
   BalancerRelay relay;
   relay.counters.searches_unresolved = 4;
