--- a/packages/coordination/src/packet_path/outlier_weights.cc
+++ b/packages/coordination/src/packet_path/outlier_weights.cc
@@ -50,6 +50,9 @@
 // makes about this many recent placements.
 constexpr double kMaxTrialPlacements = 2;
 constexpr double kMaxFairShares = 2;
+// Lower bound of the limit, for balancers that place few flows: an upstream
+// gets the next one when about a quarter is left of the one before.
+constexpr double kMinPlacementLimit = 1.25;
 
 struct Suspicion {
   KnownUpstream* upstream = nullptr;
@@ -352,9 +355,9 @@
   }
   const double fair =
       group->second.placements * upstream.report.slots / group->second.slots;
-  return flow_share.recent_placements > fair * kMaxFairShares
-             ? PlacementClass::kSaturated
-             : PlacementClass::kUsual;
+  const double limit = std::max(fair * kMaxFairShares, kMinPlacementLimit);
+  return flow_share.recent_placements + 1 > limit ? PlacementClass::kSaturated
+                                                  : PlacementClass::kUsual;
 }
 
 }  // namespace medlarwinch
