--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -38,6 +38,23 @@
                          const DirectoryEntry&) = default;
 };
 
+/// What part of its usual new flows an upstream gets from this balancer. Only
+/// changed while outliers are detected.
+struct FlowShare {
+  /// 0 to 1.
+  double share = 1;
+  /// The upstream's responses look like failures.
+  bool is_suspected = false;
+  /// Time of the last change of `share`.
+  TimePoint changed_at;
+  /// Time at which many requests were last queued.
+  TimePoint crowded_at;
+  /// Number of flows placed, decaying within about two seconds.
+  double recent_placements = 0;
+
+  friend bool operator==(const FlowShare&, const FlowShare&) = default;
+};
+
 /// What a balancer knows of an agent and its upstream.
 struct KnownUpstream {
   DirectoryEntry entry;
@@ -55,6 +72,8 @@
   bool reads_extended = false;
   /// The last reported load; empty for an agent without extended messages.
   AgentLoad load;
+  /// Time at which `load.routes` was reported.
+  TimePoint routes_reported_at;
   /// Time of the last report, or of the first listing before any report.
   TimePoint last_contact;
   /// Time at which a new revision of the entry was last seen.
@@ -62,6 +81,7 @@
   /// Number of flows that this balancer placed at the agent since its last
   /// report.
   uint32_t placed_since_report = 0;
+  FlowShare flow_share;
 
   friend bool operator==(const KnownUpstream&, const KnownUpstream&) = default;
 };
@@ -92,6 +112,10 @@
   /// Number of balancers that an agent last reported; 0 before the first
   /// report.
   uint32_t reported_balancers = 0;
+  /// New flows are withdrawn from upstreams that look like outliers.
+  bool detects_outliers = false;
+  /// Time at which most upstreams of a service last looked like outliers.
+  std::map<ServiceId, TimePoint> services_changed_at;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -40,7 +40,8 @@
   void SendProtocolOffer(const Endpoint& balancer);
   void SendPeriodicNotices(const Endpoint& balancer);
   AgentStatus MakeStatus();
-  AgentLoad MakeLoad() const;
+  void ApplyPolledBaselines(const BalancerTerms& terms);
+  AgentLoad MakeLoad();
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
   HttpResponse HandleNotice(const HttpRequest& request);
   /// Returns false if the heartbeat must not be acknowledged.
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
@@ -67,6 +68,9 @@
   void PollAgent(const Endpoint& agent, bool is_listed);
   void PollAgents();
   void PollStartingAgents();
+  bool SendsBaselines() const;
+  void RefreshBaselines(TimePoint now);
+  void UpdateOutliers(TimePoint now);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
@@ -109,6 +113,10 @@
   TimePoint stop_requested_at_;
   /// Latest era of the store that a listing was read in.
   uint64_t store_era_ = 0;
+  /// Number of times that all agents were polled.
+  uint64_t poll_round_ = 0;
+  /// As of the last poll that sent them.
+  ServiceBaselines baselines_;
   uint64_t malformed_packets_ = 0;
   uint64_t malformed_messages_ = 0;
   /// The active configuration has a route of kind upload.
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -176,6 +176,7 @@
                                    const ExtendedPoll& poll) {
   const bool is_first = RecordPoll(from, poll.poll);
   ApplyPolledTerms(from, poll);
+  ApplyPolledBaselines(poll.terms);
   RecordLink(from, poll.terms);
   EncodeRelayMessage(
       ExtendedStatus{MakeStatus(), relay_.gate.evacuations, MakeLoad()},
--- a/packages/node/src/agent_node_terms.cc
+++ b/packages/node/src/agent_node_terms.cc
@@ -24,9 +24,22 @@
        {"source", ToString(from)}});
 }
 
-AgentLoad AgentNode::MakeLoad() const {
+void AgentNode::ApplyPolledBaselines(const BalancerTerms& terms) {
+  std::optional<ResponseStatistics>& responses = relay_.flow_tracker.responses;
+  const bool detects_outliers =
+      settings_.features.outlier_detection || !terms.baselines.empty();
+  if (detects_outliers && !responses.has_value()) responses.emplace();
+  if (!responses.has_value()) return;
+  ApplyBaselines(*responses, terms.baselines, MonotonicNow());
+}
+
+AgentLoad AgentNode::MakeLoad() {
+  const TimePoint now = MonotonicNow();
   AgentLoad load;
-  load.cold_openings_left = ColdOpeningsLeft(relay_, MonotonicNow());
+  load.cold_openings_left = ColdOpeningsLeft(relay_, now);
+  if (relay_.flow_tracker.responses.has_value()) {
+    ReportOutcomes(*relay_.flow_tracker.responses, now, load);
+  }
   return load;
 }
 
