Decide on openings by class, expected wait and latency objective

Agents admitted openings by slots and queue rounds alone: they knew neither the work per request nor the route's objective, kept no room for requests that can't be repeated, and left all others to the caller's later copies, so that in an overload all classes were late.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_openings.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_openings.h
@@ -19,6 +19,6 @@
 
 /// Processes an opening that the upstream returned.
 void HandleBouncedOpening(AgentRelay& relay, const FlowPacket& packet,
-                          RelayActions& actions);
+                          TimePoint now, RelayActions& actions);
 
 }  // namespace medlarwinch
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -57,6 +57,11 @@
   std::unordered_map<FlowTuple, Opening, FlowTupleHash> openings;
   std::unordered_map<FlowTuple, Probe, FlowTupleHash> probes;
   FlowHistory flow_history;
+  /// True if openings whose route has a latency objective are admitted by their
+  /// class.
+  bool admits_by_class = false;
+  WorkTime work_time;
+  AdmissionHistory admission;
   /// True once the agent was requested to stop.
   bool is_stopping = false;
   /// Time of the last packet or heartbeat from the upstream; empty before the
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_tracker.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 
 namespace medlarwinch {
@@ -52,7 +53,13 @@
   bool is_outstanding = false;
   /// The caller has sent at least one request.
   bool had_request = false;
+  /// Kind of the requests of the flow's route, if the opening named it.
+  RequestKind kind = RequestKind::kUnspecified;
+  /// Number of outstanding requests when the last request began, with itself.
+  uint32_t requests_at_start = 0;
   TimePoint outstanding_since;
+  /// Time of the caller's last packet with new data.
+  TimePoint last_caller_data;
   TimePoint last_used;
 };
 
@@ -105,6 +112,10 @@
 struct UpstreamPacketEffect {
   bool starts_response = false;
   Millis response_time{0};
+  /// Part of the response time after the caller's last packet.
+  Millis time_since_request{0};
+  uint32_t requests_at_start = 0;
+  RequestKind kind = RequestKind::kUnspecified;
 };
 
 /// Records a packet sent by the upstream.
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/opening_admission.h"
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 
@@ -128,6 +129,12 @@
   OpeningContext context;
 };
 
+/// Log the decision on an opening by its class.
+struct ReportOpeningDecision {
+  FlowTuple flow;
+  OpeningDecision decision;
+};
+
 /// Send a reset to the caller.
 struct ResetCaller {
   FlowTuple flow;
@@ -144,7 +151,7 @@
                  DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
                  ScheduleQueryFlush, SendOwnershipReply,
                  SendOwnershipBatchReply, SendOpeningRefused, RefreshDirectory,
-                 DropPackets, ResetCaller>;
+                 DropPackets, ReportOpeningDecision, ResetCaller>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/src/packet_path/agent_openings.cc
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "medlarwinch/coordination/packet_path/class_admission.h"
 #include "medlarwinch/coordination/packet_path/upstream_liveness.h"
 
 namespace medlarwinch {
@@ -21,9 +22,10 @@
 // both deployments have room for 16 requests.
 constexpr double kMaxQueuedRequests = 12;
 
-std::optional<RefusalReason> CheckOpeningAdmission(const AgentRelay& relay,
-                                                   const RelayHeader& header,
-                                                   TimePoint now) {
+// Returns why the upstream can take no opening at all.
+std::optional<RefusalReason> CheckUpstream(const AgentRelay& relay,
+                                           const RelayHeader& header,
+                                           TimePoint now) {
   if (!Contains(header.allowed, relay.service)) {
     return RefusalReason::kOtherService;
   }
@@ -31,15 +33,18 @@
     return RefusalReason::kNotReady;
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
+  return std::nullopt;
+}
+
+bool HasRoom(const AgentRelay& relay, const RelayHeader& header,
+             TimePoint now) {
   const size_t last = kMaxQueueRounds.size() - 1;
   const size_t round =
       header.alternates.empty() ? last : std::min<size_t>(header.hops, last);
   const double queue = std::min(relay.upstream.slots * kMaxQueueRounds[round],
                                 kMaxQueuedRequests);
   const double limit = relay.upstream.slots + queue;
-  if (CommittedRequests(relay.flow_tracker, now) >= limit)
-    return RefusalReason::kBusy;
-  return std::nullopt;
+  return CommittedRequests(relay.flow_tracker, now) < limit;
 }
 
 // Number of times that callers retransmit an opening: 200 ms and 600 ms after
@@ -62,9 +67,25 @@
   return packet.acknowledged > 0;
 }
 
+void LeaveToNextCopy(AgentRelay& relay, const FlowPacket& packet,
+                     RelayActions& actions) {
+  ++relay.counters.dropped_openings;
+  actions.push_back(DropPackets{FlowFromCaller(packet),
+                                PacketDropReason::kLeftToRetransmission});
+}
+
+// Only the balancer knows whether the refusal is recent enough for a reset,
+// since an agent does not see for how long the opening was on its way.
+void RefuseOpening(AgentRelay& relay, const RelayHeader& header,
+                   const OpeningContext& context, const FlowPacket& packet,
+                   RelayActions& actions) {
+  ++relay.counters.refused_openings;
+  actions.push_back(
+      SendOpeningRefused{header.balancer, FlowFromCaller(packet), context});
+}
+
 // Forwards an opening to the next agent. Without another agent it is dropped or
-// refused. Only the balancer knows whether the refusal is recent enough for a
-// reset, since an agent does not see for how long the opening was on its way.
+// refused.
 void ForwardOpening(AgentRelay& relay, RelayHeader header,
                     const std::optional<OpeningContext>& context,
                     const FlowPacket& packet, RefusalReason reason,
@@ -78,15 +99,11 @@
     return;
   }
   if (AwaitsRetransmission(relay, packet, reason)) {
-    ++relay.counters.dropped_openings;
-    actions.push_back(DropPackets{FlowFromCaller(packet),
-                                  PacketDropReason::kLeftToRetransmission});
+    LeaveToNextCopy(relay, packet, actions);
     return;
   }
   if (context.has_value()) {
-    ++relay.counters.refused_openings;
-    actions.push_back(
-        SendOpeningRefused{header.balancer, FlowFromCaller(packet), *context});
+    RefuseOpening(relay, header, *context, packet, actions);
     return;
   }
   AddReset(ResetCaller{FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream},
@@ -103,6 +120,56 @@
          known->second.opening_sequence == packet.sequence;
 }
 
+// Carries out a decision by class. Returns true if the opening is taken.
+bool ApplyDecision(AgentRelay& relay, const RelayHeader& header,
+                   const OpeningContext& context, const FlowPacket& packet,
+                   const OpeningDecision& decision, RefusalReason refusal,
+                   RelayActions& actions) {
+  RecordDecision(relay.admission, decision);
+  if (IsNotable(decision)) {
+    actions.push_back(ReportOpeningDecision{FlowFromCaller(packet), decision});
+  }
+  switch (decision.verdict) {
+    case OpeningVerdict::kTake:
+      return true;
+    case OpeningVerdict::kPassOn:
+      ForwardOpening(relay, header, context, packet, refusal, actions);
+      return false;
+    case OpeningVerdict::kAwaitCopy:
+      LeaveToNextCopy(relay, packet, actions);
+      return false;
+    case OpeningVerdict::kRefuse:
+      RefuseOpening(relay, header, context, packet, actions);
+      return false;
+  }
+  return false;
+}
+
+// Returns true if the upstream takes the opening; else the opening was passed
+// on, left to the next copy or refused.
+bool AdmitOpening(AgentRelay& relay, const RelayHeader& header,
+                  const std::optional<OpeningContext>& context,
+                  const FlowPacket& packet, TimePoint now,
+                  RelayActions& actions) {
+  const std::optional<RefusalReason> refusal =
+      CheckUpstream(relay, header, now);
+  if (refusal.has_value()) {
+    ForwardOpening(relay, header, context, packet, *refusal, actions);
+    return false;
+  }
+  if (IsDecidedByClass(relay, context)) {
+    // The upstream may have accepted an earlier copy that it has not answered.
+    if (relay.openings.count(FlowFromCaller(packet)) != 0) return true;
+    const OpeningDecision decision =
+        DecideByClass(relay, header, *context, false, now);
+    return ApplyDecision(relay, header, *context, packet, decision,
+                         RefusalReason::kBusy, actions);
+  }
+  if (HasRoom(relay, header, now)) return true;
+  ForwardOpening(relay, header, context, packet, RefusalReason::kBusy, actions);
+  return false;
+}
+
 }  // namespace
 
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
@@ -117,13 +184,8 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedOpening});
       return;
     }
-  } else {
-    const std::optional<RefusalReason> refusal =
-        CheckOpeningAdmission(relay, header, now);
-    if (refusal.has_value()) {
-      ForwardOpening(relay, header, context, packet, *refusal, actions);
-      return;
-    }
+  } else if (!AdmitOpening(relay, header, context, packet, now, actions)) {
+    return;
   }
   relay.openings.insert_or_assign(
       flow, AgentRelay::Opening{header, context, packet.sequence, now});
@@ -133,11 +195,18 @@
 }
 
 void HandleBouncedOpening(AgentRelay& relay, const FlowPacket& packet,
-                          RelayActions& actions) {
+                          TimePoint now, RelayActions& actions) {
   const auto opening = relay.openings.find(FlowFromCaller(packet));
   if (opening == relay.openings.end()) return;
   AgentRelay::Opening bounced = std::move(opening->second);
   relay.openings.erase(opening);
+  if (IsDecidedByClass(relay, bounced.context)) {
+    const OpeningDecision decision =
+        DecideByClass(relay, bounced.header, *bounced.context, true, now);
+    ApplyDecision(relay, bounced.header, *bounced.context, packet, decision,
+                  RefusalReason::kBounced, actions);
+    return;
+  }
   ForwardOpening(relay, std::move(bounced.header), bounced.context, packet,
                  RefusalReason::kBounced, actions);
 }
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/coordination/packet_path/agent_relay.h"
 
 #include "medlarwinch/coordination/packet_path/agent_openings.h"
+#include "medlarwinch/coordination/packet_path/class_admission.h"
 #include "medlarwinch/coordination/packet_path/flow_ownership.h"
 
 namespace medlarwinch {
@@ -64,7 +65,7 @@
   RecordContact(relay, now);
   if (packet.is_bounced) {
     if (packet.is_syn) {
-      HandleBouncedOpening(relay, packet, actions);
+      HandleBouncedOpening(relay, packet, now, actions);
     } else {
       HandleBouncedFlowPacket(relay, packet, now, actions);
     }
@@ -86,12 +87,16 @@
   actions.push_back(DeliverToCaller{flow.caller});
   const UpstreamPacketEffect effect =
       RecordUpstreamPacket(relay.flow_tracker, packet, now);
+  RecordResponse(relay, effect, now);
   const auto opening = relay.openings.find(flow);
   if (opening != relay.openings.end()) {
     const RelayHeader& header = opening->second.header;
     ++relay.counters.opened;
-    relay.flow_tracker.flows.at(flow).opening_sequence =
-        opening->second.sequence;
+    TrackedFlow& opened = relay.flow_tracker.flows.at(flow);
+    opened.opening_sequence = opening->second.sequence;
+    if (opening->second.context.has_value()) {
+      opened.kind = opening->second.context->terms.kind;
+    }
     // The balancer chose another agent first and must be notified of the owner.
     if (header.hops > 0) {
       actions.push_back(
--- a/packages/coordination/src/packet_path/flow_tracker.cc
+++ b/packages/coordination/src/packet_path/flow_tracker.cc
@@ -23,6 +23,7 @@
   flow.is_outstanding = is_outstanding;
   if (is_outstanding) {
     ++tracker.outstanding;
+    flow.requests_at_start = tracker.outstanding;
     flow.outstanding_since = now;
   } else {
     --tracker.outstanding;
@@ -105,6 +106,7 @@
     flow.has_caller_end_sequence = true;
     if (packet.data_bytes > 0) {
       flow.had_request = true;
+      flow.last_caller_data = now;
       SetOutstanding(tracker, flow, true, now);
     }
   }
@@ -140,6 +142,9 @@
   if (packet.data_bytes > 0 && flow.is_outstanding) {
     effect.starts_response = true;
     effect.response_time = now - flow.outstanding_since;
+    effect.time_since_request = now - flow.last_caller_data;
+    effect.requests_at_start = flow.requests_at_start;
+    effect.kind = flow.kind;
     SetOutstanding(tracker, flow, false, now);
   }
   if (packet.is_reset) flow.caller_finished = true;
--- /dev/null
+++ b/packages/coordination/src/packet_path/opening_admission.cc
@@ -0,0 +1,369 @@
+#include "medlarwinch/coordination/packet_path/opening_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarwinch {
+namespace {
+
+// Time since the caller's first copy, and until its next one, by copy.
+constexpr std::array<double, 3> kSpentMs = {0, 200, 600};
+constexpr std::array<double, 2> kUntilNextCopyMs = {200, 400};
+// The opening's round trip and the way of the request and the response.
+constexpr double kWayMs = 20;
+// Callers' latency objectives are this many times the work of a request on all
+// deployments. Replaces the service time until it is measured.
+constexpr double kObjectiveInWorks = 5;
+// A request is given this many times the average work. Service times vary, and
+// a queue that fills the objective exactly makes half of the responses late.
+constexpr double kOwnWorkAllowance = 1.5;
+// Limit on the queue in rounds of work per slot while other agents are left to
+// ask, by the number of agents that have passed the opening on: the first one
+// must have an idle slot.
+constexpr std::array<double, 4> kMaxRoundsWithAlternate = {0, 0.5, 1, 2};
+// Upstreams queue 16 requests and refuse the ones beyond. Room for 4 to 8 is
+// kept for the next requests of open flows, which no agent can hold back.
+constexpr double kUpstreamQueue = 16;
+constexpr double kMinKeptForFlows = 4;
+constexpr double kMaxKeptForFlows = 8;
+// Share of the longest allowed wait, by the number of more urgent classes that
+// have asked recently.
+constexpr std::array<double, 4> kShareOfWait = {1, 0.7, 0.5, 0.4};
+// A class that has asked within this time has room kept for it.
+constexpr Millis kDemandMemory{10'000};
+// A class that has got less than this share of the openings taken competes as
+// if it were the most urgent one.
+constexpr double kGuaranteedShare = 0.1;
+// Time constant of the count of openings taken.
+constexpr double kTakenMemoryMs = 2'000;
+// Share of the allowed wait for openings that will be late, unless the overload
+// is short. In a lasting overload the queue is always longer, so late work
+// takes no slot from work that can be in time.
+constexpr double kLateShare = 0.5;
+// An overload lasts when the average queue of the last second was longer than
+// this share of the allowed wait.
+constexpr double kLastingShare = 0.5;
+constexpr double kMinLastingRounds = 0.25;
+
+bool MayRepeat(RequestKind kind) {
+  return kind != RequestKind::kUnsafe && kind != RequestKind::kUpload;
+}
+
+bool IsLong(RequestKind kind) {
+  return kind == RequestKind::kDownload || kind == RequestKind::kUpload;
+}
+
+// Flows of these kinds carry one request; the others carry later ones too.
+bool HasLaterRequests(RequestKind kind) { return !IsLong(kind); }
+
+// Milliseconds of work per request and the queue of one upstream.
+struct Pace {
+  double slots = 1;
+  double slowdown = 1;
+  /// Of the average request, on the upstream as it is now.
+  double work_ms = 0;
+
+  double WaitMs(double committed) const {
+    return committed < slots ? 0 : (committed - slots + 1) / slots * work_ms;
+  }
+};
+
+double OwnWorkMs(const WorkTime& work, const Pace& pace, RequestKind kind,
+                 Millis objective) {
+  const double known = KnownWorkMs(work, kind);
+  const double warm = known > 0 ? known
+                                : static_cast<double>(objective.value) /
+                                      kObjectiveInWorks;
+  return warm * pace.slowdown;
+}
+
+// The longest wait with which a first copy is still answered in time.
+double MaxWaitMs(double own_work_ms, Millis objective) {
+  return std::max(0.0, static_cast<double>(objective.value) - kWayMs -
+                           own_work_ms * kOwnWorkAllowance);
+}
+
+bool HasAskedRecently(const ClassDemand& demand, TimePoint now) {
+  return demand.last_offered.has_value() &&
+         now - *demand.last_offered < kDemandMemory;
+}
+
+bool IsBelowGuarantee(const AdmissionHistory& history, size_t index) {
+  double total = 0;
+  for (const ClassDemand& demand : history.classes) total += demand.taken;
+  return history.classes[index].taken < total * kGuaranteedShare;
+}
+
+// The longest wait allowed to the class: its share of the shortest of the
+// longest waits of itself and of the more urgent classes that ask.
+double AllowedWaitMs(const AdmissionClass& own, double own_max_wait_ms,
+                     const WorkTime& work, const Pace& pace,
+                     const AdmissionHistory& history, TimePoint now) {
+  size_t more_urgent = 0;
+  double max_wait = own_max_wait_ms;
+  for (size_t index = 0; index < kAdmissionClasses; ++index) {
+    const ClassDemand& demand = history.classes[index];
+    const AdmissionClass other = ClassAt(index);
+    if (!HasAskedRecently(demand, now) || !IsMoreUrgent(other, own)) continue;
+    ++more_urgent;
+    const double other_work =
+        OwnWorkMs(work, pace, other.kind, demand.latency_objective);
+    max_wait =
+        std::min(max_wait, MaxWaitMs(other_work, demand.latency_objective));
+  }
+  return max_wait *
+         kShareOfWait[std::min(more_urgent, kShareOfWait.size() - 1)];
+}
+
+struct Assessment {
+  Pace pace;
+  double spent_ms = 0;
+  double own_max_wait_ms = 0;
+  /// Longest wait by the share of the class.
+  double shared_max_wait_ms = 0;
+  bool is_queue_full = false;
+  /// The upstream has queued so much over the last second that waiting for the
+  /// next copy frees no room.
+  bool is_overload_lasting = false;
+  /// Wait as a first choice: with the later requests of the open flows.
+  double wait_with_flows_ms = 0;
+};
+
+OpeningDecision As(OpeningDecision decision, OpeningVerdict verdict,
+                   AdmissionReason reason) {
+  decision.verdict = verdict;
+  decision.reason = reason;
+  return decision;
+}
+
+bool IsAnsweredBeforeTimeout(const OfferedOpening& opening,
+                             const OpeningDecision& figures, double spent_ms,
+                             double wait_ms) {
+  const int64_t timeout = opening.terms.request_timeout.value;
+  return timeout <= 0 || spent_ms + wait_ms + figures.work_ms + kWayMs <=
+                             static_cast<double>(timeout);
+}
+
+double LateWaitMs(const Assessment& state, const OpeningDecision& figures) {
+  return figures.max_wait_ms * (state.is_overload_lasting ? kLateShare : 1);
+}
+
+// While other agents are left to ask: takes the opening only with a short
+// queue.
+OpeningDecision DecideWithAlternate(const OfferedOpening& opening,
+                                    const Assessment& state,
+                                    const OpeningDecision& figures) {
+  const size_t round =
+      std::min<size_t>(opening.hops, kMaxRoundsWithAlternate.size() - 1);
+  const double max_wait =
+      std::min(figures.max_wait_ms,
+               kMaxRoundsWithAlternate[round] * state.pace.work_ms);
+  const bool has_room =
+      !state.is_queue_full && state.wait_with_flows_ms <= max_wait;
+  const bool is_in_time = figures.wait_ms + figures.work_ms <= figures.left_ms;
+  if (has_room && is_in_time) {
+    return As(figures, OpeningVerdict::kTake, AdmissionReason::kInTime);
+  }
+  // A free slot here is sure; one at the next agent is not.
+  if (has_room && figures.wait_ms == 0) {
+    return As(figures, OpeningVerdict::kTake, AdmissionReason::kLateWithRoom);
+  }
+  return As(figures, OpeningVerdict::kPassOn,
+            AdmissionReason::kShorterQueueElsewhere);
+}
+
+std::optional<OpeningDecision> TakeIfRoom(const OfferedOpening& opening,
+                                          const Assessment& state,
+                                          const OpeningDecision& figures) {
+  if (state.is_queue_full) return std::nullopt;
+  const bool is_in_time = figures.wait_ms + figures.work_ms <= figures.left_ms;
+  if (is_in_time && figures.wait_ms <= figures.max_wait_ms) {
+    const bool is_in_share = figures.wait_ms <= state.shared_max_wait_ms;
+    return As(figures, OpeningVerdict::kTake,
+              is_in_share ? AdmissionReason::kInTime
+                          : AdmissionReason::kGuaranteedShare);
+  }
+  if (!is_in_time && figures.wait_ms <= LateWaitMs(state, figures) &&
+      IsAnsweredBeforeTimeout(opening, figures, state.spent_ms,
+                              figures.wait_ms)) {
+    return As(figures, OpeningVerdict::kTake, AdmissionReason::kLateWithRoom);
+  }
+  return std::nullopt;
+}
+
+std::optional<OpeningDecision> AwaitIfRoomLater(
+    const OfferedOpening& opening, const Assessment& state,
+    const OpeningDecision& figures) {
+  if (opening.copy >= kUntilNextCopyMs.size()) return std::nullopt;
+  if (state.is_overload_lasting) return std::nullopt;
+  const double delay = kUntilNextCopyMs[opening.copy];
+  const double wait = std::max(0.0, figures.wait_ms - delay);
+  const bool has_room = wait <= figures.max_wait_ms;
+  if (has_room && wait + figures.work_ms <= figures.left_ms - delay) {
+    return As(figures, OpeningVerdict::kAwaitCopy,
+              AdmissionReason::kRoomAtNextCopy);
+  }
+  if (has_room && IsAnsweredBeforeTimeout(opening, figures,
+                                          state.spent_ms + delay, wait)) {
+    return As(figures, OpeningVerdict::kAwaitCopy,
+              AdmissionReason::kBurstPasses);
+  }
+  return std::nullopt;
+}
+
+AdmissionReason RefusalReasonOf(const OfferedOpening& opening,
+                                const Assessment& state,
+                                const OpeningDecision& figures) {
+  if (opening.was_returned) return AdmissionReason::kReturned;
+  if (!IsAnsweredBeforeTimeout(opening, figures, state.spent_ms,
+                               figures.wait_ms)) {
+    return AdmissionReason::kPastTimeout;
+  }
+  const bool is_kept = !state.is_queue_full &&
+                       figures.wait_ms <= state.own_max_wait_ms &&
+                       figures.max_wait_ms < state.own_max_wait_ms;
+  return is_kept ? AdmissionReason::kKeptForUrgent
+                 : AdmissionReason::kOverloaded;
+}
+
+}  // namespace
+
+OpeningDecision DecideOpening(const OfferedOpening& opening,
+                              const UpstreamRoom& room, const WorkTime& work,
+                              const AdmissionHistory& history, TimePoint now) {
+  const Millis objective = opening.terms.latency_objective;
+  Assessment state;
+  OpeningDecision figures;
+  figures.admission_class = ClassOf(opening.terms);
+  state.pace.slots = std::max<uint32_t>(room.slots, 1);
+  state.pace.slowdown = room.is_cold ? kColdSlowdown : 1;
+  figures.work_ms =
+      OwnWorkMs(work, state.pace, opening.terms.kind, objective);
+  const double mean_work = KnownWorkMs(work) * state.pace.slowdown;
+  state.pace.work_ms = mean_work > 0 ? mean_work : figures.work_ms;
+  state.spent_ms =
+      kSpentMs[std::min<size_t>(opening.copy, kSpentMs.size() - 1)];
+  figures.left_ms =
+      static_cast<double>(objective.value) - state.spent_ms - kWayMs;
+  figures.wait_ms = state.pace.WaitMs(room.committed);
+  state.wait_with_flows_ms =
+      HasLaterRequests(opening.terms.kind)
+          ? state.pace.WaitMs(
+                std::max<double>(room.committed, room.mean_outstanding))
+          : figures.wait_ms;
+  state.own_max_wait_ms = MaxWaitMs(figures.work_ms, objective);
+  state.shared_max_wait_ms =
+      AllowedWaitMs(figures.admission_class, state.own_max_wait_ms, work,
+                    state.pace, history, now);
+  const bool is_guaranteed =
+      IsBelowGuarantee(history, ClassIndex(figures.admission_class));
+  figures.max_wait_ms =
+      is_guaranteed ? state.own_max_wait_ms : state.shared_max_wait_ms;
+  const double kept = std::clamp(room.mean_outstanding, kMinKeptForFlows,
+                                 kMaxKeptForFlows);
+  state.is_queue_full =
+      opening.was_returned ||
+      room.committed >= state.pace.slots + kUpstreamQueue - kept;
+  const double lasting_rounds =
+      std::max(kMinLastingRounds,
+               figures.max_wait_ms / state.pace.work_ms * kLastingShare);
+  state.is_overload_lasting =
+      room.mean_outstanding >= state.pace.slots * (1 + lasting_rounds);
+  if (opening.has_alternate) {
+    return DecideWithAlternate(opening, state, figures);
+  }
+  const std::optional<OpeningDecision> taken =
+      TakeIfRoom(opening, state, figures);
+  if (taken.has_value()) return *taken;
+  const std::optional<OpeningDecision> awaited =
+      AwaitIfRoomLater(opening, state, figures);
+  if (awaited.has_value()) return *awaited;
+  return As(figures, OpeningVerdict::kRefuse,
+            RefusalReasonOf(opening, state, figures));
+}
+
+void RecordOffered(AdmissionHistory& history, const RouteTerms& terms,
+                   TimePoint now) {
+  const double elapsed =
+      static_cast<double>((now - history.decayed_until).value);
+  if (elapsed > 0) {
+    const double kept = std::exp(-elapsed / kTakenMemoryMs);
+    for (ClassDemand& demand : history.classes) demand.taken *= kept;
+    history.decayed_until = now;
+  }
+  ClassDemand& demand = history.classes[ClassIndex(ClassOf(terms))];
+  demand.last_offered = now;
+  demand.latency_objective = terms.latency_objective;
+}
+
+void RecordDecision(AdmissionHistory& history,
+                    const OpeningDecision& decision) {
+  const size_t index = ClassIndex(decision.admission_class);
+  ++history.decisions[index][static_cast<size_t>(decision.reason)];
+  if (decision.verdict == OpeningVerdict::kTake) {
+    history.classes[index].taken += 1;
+  }
+}
+
+AdmissionClass ClassOf(const RouteTerms& terms) {
+  const uint8_t last = kAdmissionPriorities - 1;
+  return AdmissionClass{terms.kind, std::min(terms.priority, last)};
+}
+
+size_t ClassIndex(const AdmissionClass& admission_class) {
+  return static_cast<size_t>(admission_class.kind) * kAdmissionPriorities +
+         admission_class.priority;
+}
+
+AdmissionClass ClassAt(size_t index) {
+  return AdmissionClass{static_cast<RequestKind>(index / kAdmissionPriorities),
+                        static_cast<uint8_t>(index % kAdmissionPriorities)};
+}
+
+bool IsMoreUrgent(const AdmissionClass& a, const AdmissionClass& b) {
+  if (a.priority != b.priority) return a.priority < b.priority;
+  if (MayRepeat(a.kind) != MayRepeat(b.kind)) return !MayRepeat(a.kind);
+  return !IsLong(a.kind) && IsLong(b.kind);
+}
+
+const char* OpeningVerdictName(OpeningVerdict verdict) {
+  switch (verdict) {
+    case OpeningVerdict::kTake:
+      return "take";
+    case OpeningVerdict::kPassOn:
+      return "pass_on";
+    case OpeningVerdict::kAwaitCopy:
+      return "await_copy";
+    case OpeningVerdict::kRefuse:
+      return "refuse";
+  }
+  return "invalid";
+}
+
+const char* AdmissionReasonName(AdmissionReason reason) {
+  switch (reason) {
+    case AdmissionReason::kInTime:
+      return "in_time";
+    case AdmissionReason::kGuaranteedShare:
+      return "guaranteed_share";
+    case AdmissionReason::kLateWithRoom:
+      return "late_with_room";
+    case AdmissionReason::kShorterQueueElsewhere:
+      return "shorter_queue_elsewhere";
+    case AdmissionReason::kRoomAtNextCopy:
+      return "room_at_next_copy";
+    case AdmissionReason::kBurstPasses:
+      return "burst_passes";
+    case AdmissionReason::kKeptForUrgent:
+      return "kept_for_urgent";
+    case AdmissionReason::kOverloaded:
+      return "overloaded";
+    case AdmissionReason::kPastTimeout:
+      return "past_timeout";
+    case AdmissionReason::kReturned:
+      return "returned";
+  }
+  return "invalid";
+}
+
+}  // namespace medlarwinch
