Place by expected wait, and report decisions on openings

Balancers ranked upstreams by busy slots alone, so that an upstream that is 1.7 times as slow got the same load as a fast one and made its callers wait longer. With admission by class on, the load is weighted by the reported service time, between half and twice the average of the service, and flows of one request are placed by requests instead of flows.

Agents report their service time, log each opening that waits, is refused or is taken by an exception, and count all decisions by class and reason.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_placement.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_placement.h
@@ -22,7 +22,9 @@
 struct PlacementCandidate {
   Endpoint agent;
   ServiceId service;
-  /// Expected fraction of busy slots after the flow was added.
+  /// Expected fraction of busy slots after the flow was added; with
+  /// UpstreamDirectory::places_by_wait, weighted by the upstream's service time
+  /// relative to its service.
   double load = 0;
 
   friend bool operator==(const PlacementCandidate&,
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -72,6 +72,9 @@
 /// The agents that a balancer knows, by relay address.
 struct UpstreamDirectory {
   std::string own_failure_domain;
+  /// True if new flows are placed by expected wait, with the service times that
+  /// agents report, and by the kind of their route.
+  bool places_by_wait = false;
   std::map<Endpoint, KnownUpstream> upstreams;
   /// True once the complete list was read from the store.
   bool is_complete = false;
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -20,30 +20,71 @@
 // before any flow was seen.
 constexpr double kMinFlowLoad = 0.02;
 constexpr double kMaxFlowLoad = 0.5;
+// Bounds of an upstream's service time relative to its service. An upstream
+// that fails its requests at once must not attract more than twice its share.
+constexpr double kMinRelativeWork = 0.5;
+constexpr double kMaxRelativeWork = 2;
+// Longest service time that is believed, in milliseconds.
+constexpr double kMaxReportedWorkMs = 60'000;
 // Load difference that justifies a hop to another failure domain.
 constexpr double kRemoteLoadPenalty = 0.03;
 
 struct ServiceLoad {
   double mean_outstanding = 0;
   double flows = 0;
+  /// Sum of the service times of the upstreams that report one, and their
+  /// number.
+  double work_ms = 0;
+  double measured = 0;
 };
 
+bool ReportsWork(const AgentLoad& load) {
+  return load.work_ms > 0 && load.work_ms <= kMaxReportedWorkMs;
+}
+
 double LoadPerFlow(const ServiceLoad& load) {
   if (load.flows <= 0) return kMinFlowLoad;
   return std::clamp(load.mean_outstanding / load.flows, kMinFlowLoad,
                     kMaxFlowLoad);
 }
 
+double EffectiveSlots(const AgentReport& report) {
+  const double slots = std::max<uint32_t>(report.slots, 1);
+  return report.is_cold ? slots * kColdCapacityFactor : slots;
+}
+
+double RequestLoad(const KnownUpstream& upstream, double load_per_flow) {
+  const AgentReport& report = upstream.report;
+  return std::max<double>(report.mean_outstanding, report.outstanding) +
+         (upstream.placed_since_report + 1) * load_per_flow;
+}
+
 double ExpectedLoad(const KnownUpstream& upstream, double load_per_flow) {
   const AgentReport& report = upstream.report;
   const double load_by_flows =
       (report.flows + upstream.placed_since_report + 1) * load_per_flow;
-  const double load_by_requests =
-      std::max<double>(report.mean_outstanding, report.outstanding) +
-      (upstream.placed_since_report + 1) * load_per_flow;
-  double slots = std::max<uint32_t>(report.slots, 1);
-  if (report.is_cold) slots *= kColdCapacityFactor;
-  return (load_by_flows + load_by_requests) / 2 / slots;
+  return (load_by_flows + RequestLoad(upstream, load_per_flow)) / 2 /
+         EffectiveSlots(report);
+}
+
+double RelativeWork(const AgentLoad& load, const ServiceLoad& service) {
+  if (!ReportsWork(load) || service.measured == 0) return 1;
+  return std::clamp(load.work_ms * service.measured / service.work_ms,
+                    kMinRelativeWork, kMaxRelativeWork);
+}
+
+// Expected wait in units of the average service time of the service, so that
+// it compares with loads. A flow of one request only needs room now; other
+// flows stay, and are placed for the load that they will bring.
+double ExpectedWait(const KnownUpstream& upstream, RequestKind kind,
+                    const ServiceLoad& service) {
+  const bool is_one_request =
+      kind == RequestKind::kDownload || kind == RequestKind::kUpload;
+  const double load = is_one_request
+                          ? RequestLoad(upstream, kMaxFlowLoad) /
+                                EffectiveSlots(upstream.report)
+                          : ExpectedLoad(upstream, LoadPerFlow(service));
+  return load * RelativeWork(upstream.load, service);
 }
 
 ServiceId PickService(const RelayRoute& route, uint64_t random_value) {
@@ -92,13 +133,21 @@
     ServiceLoad& load = loads[service];
     load.mean_outstanding += upstream.report.mean_outstanding;
     load.flows += upstream.report.flows;
+    if (ReportsWork(upstream.load)) {
+      load.work_ms += upstream.load.work_ms;
+      load.measured += 1;
+    }
     accepting.push_back(&upstream);
   }
   std::map<ServiceId, std::vector<RankedCandidate>> ranked;
   for (const KnownUpstream* upstream : accepting) {
     const ServiceId service = upstream->report.service;
     const Endpoint& agent = upstream->entry.agent;
-    const double load = ExpectedLoad(*upstream, LoadPerFlow(loads[service]));
+    const ServiceLoad& service_load = loads[service];
+    const double load =
+        directory.places_by_wait
+            ? ExpectedWait(*upstream, route.terms.kind, service_load)
+            : ExpectedLoad(*upstream, LoadPerFlow(service_load));
     const double cost = load + (upstream->is_local ? 0 : kRemoteLoadPenalty);
     ranked[service].push_back(
         RankedCandidate{PlacementCandidate{agent, service, load}, cost,
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/flow_ownership.h"
 #include "medlarwinch/coordination/packet_path/upstream_liveness.h"
+#include "medlarwinch/node/admission_report.h"
 #include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
@@ -55,6 +56,7 @@
   relay_.started = MonotonicNow();
   relay_.flow_history.seen_since = relay_.started;
   relay_.heartbeat_interval = settings.heartbeat_interval;
+  relay_.admits_by_class = settings.features.admission_by_class;
   relay_.flow_tracker.integrated_until = relay_.started;
   relay_.flow_tracker.averaged_until = relay_.started;
 }
@@ -165,7 +167,9 @@
 void AgentNode::HandleExtendedPoll(const Endpoint& from,
                                    const ExtendedPoll& poll) {
   RecordPoll(from, poll.poll);
-  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, {}}, message_buffer_);
+  AgentLoad load;
+  load.work_ms = KnownWorkMs(relay_.work_time);
+  EncodeRelayMessage(ExtendedStatus{MakeStatus(), {}, load}, message_buffer_);
   relay_socket_->Send(from, message_buffer_);
   SendPeriodicNotices(from);
 }
@@ -260,6 +264,11 @@
       LogDroppedPackets(log_limiter_, *drop, MonotonicNow());
       continue;
     }
+    if (const ReportOpeningDecision* report =
+            std::get_if<ReportOpeningDecision>(&action)) {
+      LogOpeningDecision(log_limiter_, *report, MonotonicNow());
+      continue;
+    }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
       SendReset(*reset);
     }
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -41,6 +41,7 @@
   relay_.self = settings.relay_address;
   relay_.random.seed(seed);
   relay_.directory.own_failure_domain = settings.failure_domain;
+  relay_.directory.places_by_wait = settings.features.admission_by_class;
 }
 
 Result<Ok> BalancerNode::Start() {
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/node/node_metrics.h"
 
+#include "medlarwinch/node/admission_report.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
@@ -78,6 +79,7 @@
               counters.forwarded_openings, RefusalReasonName, metrics);
   SetByReason("medlarwinch_agent_resets_total", labels, counters.resets,
               FlowResetReasonName, metrics);
+  SetAdmissionMetrics(relay, labels, metrics);
   metrics.Set("medlarwinch_agent_flows", labels, relay.flow_tracker.open);
   metrics.Set("medlarwinch_agent_requests_outstanding", labels,
               relay.flow_tracker.outstanding);
