Test admission at the agent and placement by expected wait

The tests guard against refusals of openings that were delivered, bursts that are taken whole before the first answer, service times that contain an upload's transfer, and service times from the wire that are no numbers. The model of the load test takes the decision as a function.

--- /dev/null
+++ b/packages/coordination/tests/packet_path/class_admission_test.cc
@@ -0,0 +1,153 @@
+#include "medlarwinch/coordination/packet_path/class_admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay_fixture.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr uint32_t kUpstreamSequence = 5'000;
+
+struct AgentWithFeature {
+  AgentWithFeature() {
+    relay.admits_by_class = true;
+    relay.service = MakeServiceId("probe-hub");
+    relay.upstream.phase = UpstreamPhase::kReady;
+    relay.upstream.slots = 4;
+    relay.flow_tracker.integrated_until = now;
+    relay.flow_tracker.averaged_until = now;
+    header.balancer = kBalancerAddress;
+    header.allowed = {relay.service};
+    context.terms = {RequestKind::kSafe, 2, Millis{300}, Millis{2'500}};
+  }
+
+  RelayActions Open(uint16_t port, uint32_t copy = 0) {
+    context.copy = copy;
+    RelayActions actions;
+    HandleRelayedPacket(relay, header, context, OpeningPacket(port, copy), now,
+                        actions);
+    return actions;
+  }
+
+  RelayActions Return(uint16_t port, uint32_t copy = 0) {
+    FlowPacket bounced = OpeningPacket(port, copy);
+    bounced.is_bounced = true;
+    RelayActions actions;
+    HandleUpstreamPacket(relay, bounced, now, actions);
+    return actions;
+  }
+
+  FlowPacket FromUpstream(uint16_t port) {
+    FlowPacket packet;
+    packet.source = kServiceAddress;
+    packet.destination = OpeningPacket(port).source;
+    packet.sequence = kUpstreamSequence;
+    return packet;
+  }
+
+  void AnswerOpening(uint16_t port) {
+    FlowPacket answer = FromUpstream(port);
+    answer.is_syn = true;
+    RelayActions actions;
+    HandleUpstreamPacket(relay, answer, now, actions);
+  }
+
+  void Request(uint16_t port, uint32_t sequence) {
+    FlowPacket request = CallerPacket(port, kUpstreamSequence + 1);
+    request.sequence = sequence;
+    request.data_bytes = 100;
+    RelayActions actions;
+    HandleRelayedPacket(relay, header, std::nullopt, request, now, actions);
+  }
+
+  // Makes a lasting overload: requests run, queue, and did so on average.
+  void Overload() {
+    for (uint16_t port = 101; port <= 116; ++port) {
+      Open(port);
+      AnswerOpening(port);
+      Request(port, 1'001);
+    }
+    relay.flow_tracker.mean_outstanding = 16;
+  }
+
+  TimePoint now{1'000};
+  RelayHeader header;
+  OpeningContext context;
+  AgentRelay relay;
+};
+
+BOOST_FIXTURE_TEST_SUITE(ClassAdmissionTest, AgentWithFeature)
+
+// Guards against a refusal of an opening that the upstream may have accepted:
+// the caller would be told that nothing ran.
+BOOST_AUTO_TEST_CASE(DeliveredOpening_LaterCopyUnderOverload_IsNotRefused) {
+  Open(1);
+  Overload();
+  for (const uint32_t copy : {1U, 2U}) {
+    BOOST_TEST(ActionsOf<SendOpeningRefused>(Open(1, copy)).empty());
+  }
+  // Once the upstream has returned it, nothing was delivered.
+  const RelayActions returned = Return(1, 2);
+  BOOST_TEST(ActionsOf<SendOpeningRefused>(returned).size() == 1U);
+}
+
+// Guards against refusals that no log line explains.
+BOOST_AUTO_TEST_CASE(Overload_NewOpening_IsRefusedAtOnceWithReason) {
+  Overload();
+  const RelayActions actions = Open(1);
+  BOOST_TEST(ActionsOf<SendOpeningRefused>(actions).size() == 1U);
+  const auto reports = ActionsOf<ReportOpeningDecision>(actions);
+  BOOST_REQUIRE(reports.size() == 1);
+  BOOST_CHECK(reports[0].decision.reason == AdmissionReason::kOverloaded);
+  const size_t index = ClassIndex({RequestKind::kSafe, 2});
+  const size_t reason = static_cast<size_t>(AdmissionReason::kOverloaded);
+  BOOST_TEST(relay.admission.decisions[index][reason] >= 1U);
+}
+
+// Guards against a changed decision in deployments that don't ask for it.
+BOOST_AUTO_TEST_CASE(FeatureOffOrNoObjective_FullQueue_IsLeftToNextCopy) {
+  Overload();
+  relay.admits_by_class = false;
+  BOOST_TEST(AreOnlyDropped(Open(1), PacketDropReason::kLeftToRetransmission));
+  relay.admits_by_class = true;
+  context.terms.latency_objective = Millis{0};
+  BOOST_TEST(AreOnlyDropped(Open(1), PacketDropReason::kLeftToRetransmission));
+}
+
+// Guards against a burst of openings that is taken whole because none of them
+// was answered yet.
+BOOST_AUTO_TEST_CASE(UnansweredOpenings_InBurst_CountAsRequests) {
+  uint16_t port = 1;
+  while (!ActionsOf<DeliverToUpstream>(Open(port)).empty()) {
+    ++port;
+    BOOST_REQUIRE(port < 100);
+  }
+  BOOST_TEST(port - 1 <= 16);
+}
+
+// Guards against a service time that contains the transfer of an upload.
+BOOST_AUTO_TEST_CASE(Request_OfSeveralPackets_IsMeasuredFromItsLast) {
+  Open(1);
+  AnswerOpening(1);
+  uint32_t sequence = 1'001;
+  for (int request = 0; request < 4; ++request) {
+    for (int packet = 0; packet < 3; ++packet) {
+      now = now + Millis{200};
+      Request(1, sequence);
+      sequence += 100;
+    }
+    now = now + Millis{50};
+    FlowPacket answer = FromUpstream(1);
+    answer.sequence += 1 + 10 * static_cast<uint32_t>(request);
+    answer.data_bytes = 10;
+    RelayActions actions;
+    HandleUpstreamPacket(relay, answer, now, actions);
+  }
+  BOOST_TEST(KnownWorkMs(relay.work_time, RequestKind::kSafe) == 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
--- a/packages/coordination/tests/packet_path/flow_placement_test.cc
+++ b/packages/coordination/tests/packet_path/flow_placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 
 #include "relay_fixture.h"
@@ -109,6 +110,71 @@
   BOOST_TEST(has_other);
 }
 
+// Guards against callers that wait at slow upstreams while fast ones are idle.
+BOOST_AUTO_TEST_CASE(SlowUpstreams_EqualLoad_FastOneIsFirstIfPlacedByWait) {
+  for (auto& [agent, upstream] : relay.directory.upstreams) {
+    Report(agent, UpstreamPhase::kReady, 20, 2);
+    upstream.load.work_ms = agent == AgentAddress(2) ? 40 : 100;
+  }
+  const auto rank_of_fast = [&](uint16_t port) {
+    const auto ranked =
+        RankUpstreams(relay.directory, RouteOf(*this),
+                      FlowFromCaller(CallerPacket(port, 0)), 0, 5, now);
+    return std::find_if(ranked.begin(), ranked.end(),
+                        [](const auto& choice) {
+                          return choice.agent == AgentAddress(2);
+                        }) -
+           ranked.begin();
+  };
+  bool is_always_first = true;
+  for (uint16_t port = 1; port < 100; ++port) {
+    is_always_first = is_always_first && rank_of_fast(port) % 4 == 0;
+  }
+  BOOST_TEST(!is_always_first);
+  relay.directory.places_by_wait = true;
+  for (uint16_t port = 1; port < 100; ++port) {
+    BOOST_TEST(rank_of_fast(port) % 4 == 0);
+  }
+}
+
+// Guards against an upstream that fails its requests at once, and against
+// service times from the wire that are no numbers.
+BOOST_AUTO_TEST_CASE(ImplausibleWork_PlacedByWait_ShiftsLoadAtMostTwofold) {
+  relay.directory.places_by_wait = true;
+  const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
+  for (const double work_ms : {0.001, 1e300, -5.0, std::nan("")}) {
+    for (auto& [agent, upstream] : relay.directory.upstreams) {
+      Report(agent, UpstreamPhase::kReady, 20, 2);
+      upstream.load.work_ms = agent == AgentAddress(2) ? work_ms : 100;
+    }
+    const std::vector<PlacementCandidate> ranked =
+        RankUpstreams(relay.directory, RouteOf(*this), flow, 0, 5, now);
+    BOOST_TEST(ranked.front().load >= ranked.back().load / 2.5);
+  }
+}
+
+// Guards against single requests that queue behind others because their
+// upstream has few flows.
+BOOST_AUTO_TEST_CASE(OneRequestKinds_PlacedByWait_GoWhereRequestsAreFew) {
+  relay.directory.places_by_wait = true;
+  RelayRoute route = RouteOf(*this);
+  for (const auto& [agent, upstream] : relay.directory.upstreams) {
+    Report(agent, UpstreamPhase::kReady, 0, 3);
+  }
+  const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
+  const Endpoint idle =
+      RankUpstreams(relay.directory, route, flow, 0, 5, now).back().agent;
+  Report(idle, UpstreamPhase::kReady, 100, 1);
+  for (const RequestKind kind :
+       {RequestKind::kDownload, RequestKind::kUnsafe}) {
+    route.terms.kind = kind;
+    const bool is_idle_first =
+        RankUpstreams(relay.directory, route, flow, 0, 5, now).front().agent ==
+        idle;
+    BOOST_TEST(is_idle_first == (kind == RequestKind::kDownload));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DrainingUpstream_NewFlow_IsNeverRanked) {
   Report(AgentAddress(3), UpstreamPhase::kDraining);
   for (uint16_t port = 1; port < 200; ++port) {
--- a/packages/coordination/tests/packet_path/opening_admission_load_test.cc
+++ b/packages/coordination/tests/packet_path/opening_admission_load_test.cc
@@ -14,10 +14,30 @@
 constexpr double kShortWorkMs = 60;
 constexpr double kLongWorkMs = 160;
 
+// The rules of an agent without the feature: slots and queue rounds alone.
+OpeningDecision DecideByQueue(const OpeningModel::Host& host,
+                              const OfferedOpening& opening, TimePoint) {
+  constexpr std::array<uint32_t, 5> kMaxCommitted = {4, 6, 8, 12, 12};
+  const size_t round = opening.has_alternate ? opening.hops : 4;
+  OpeningDecision decision;
+  if (host.room.committed < kMaxCommitted[round]) return decision;
+  decision.verdict =
+      opening.copy < 2 ? OpeningVerdict::kAwaitCopy : OpeningVerdict::kRefuse;
+  if (opening.has_alternate) decision.verdict = OpeningVerdict::kPassOn;
+  return decision;
+}
+
+OpeningDecision DecideInClass(OpeningModel::Host& host,
+                              const OfferedOpening& opening, TimePoint now) {
+  RecordOffered(host.history, opening.terms, now);
+  return DecideOpening(opening, host.room, host.work, host.history, now);
+}
+
 // Load in shares of the slots, with `factor` times the unsafe requests from
 // 1 s to 5 s.
-OpeningModel PlayBurst(bool by_class, double load, double factor) {
-  OpeningModel model(12, by_class);
+OpeningModel PlayBurst(const OpeningModel::Decision& decide, double load,
+                       double factor) {
+  OpeningModel model(12, decide);
   const double work_per_ms = load * 4 * static_cast<double>(model.hosts.size());
   std::array<double, 3> due{};
   while (model.now < 12'000) {
@@ -34,8 +54,8 @@
   return model;
 }
 
-OpeningModel PlayColdStart(bool by_class) {
-  OpeningModel model(38, by_class);
+OpeningModel PlayColdStart(const OpeningModel::Decision& decide) {
+  OpeningModel model(38, decide);
   for (OpeningModel::Host& host : model.hosts) host.room.is_cold = true;
   for (int call = 0; call < 1'500; ++call) {
     if (call % 5 < 2) model.Add(kUnsafe, kShortWorkMs);
@@ -64,8 +84,8 @@
 
 // Guards against an overload that makes the responses of all classes late.
 BOOST_AUTO_TEST_CASE(UnsafeBurst_AtHighLoad_MoreOfEachClassIsInTime) {
-  OpeningModel before = PlayBurst(false, 0.9, 1.8);
-  OpeningModel after = PlayBurst(true, 0.9, 1.8);
+  OpeningModel before = PlayBurst(DecideByQueue, 0.9, 1.8);
+  OpeningModel after = PlayBurst(DecideInClass, 0.9, 1.8);
   Report("before", before);
   Report("after", after);
   BOOST_TEST(after.outcome[RequestKind::kUnsafe].InTime() >= 0.8);
@@ -79,8 +99,8 @@
 
 // Guards against refusals while there is room.
 BOOST_AUTO_TEST_CASE(ModerateLoad_NoBurst_NobodyIsRefused) {
-  OpeningModel before = PlayBurst(false, 0.7, 1);
-  OpeningModel after = PlayBurst(true, 0.7, 1);
+  OpeningModel before = PlayBurst(DecideByQueue, 0.7, 1);
+  OpeningModel after = PlayBurst(DecideInClass, 0.7, 1);
   Report("after", after);
   for (const auto& [kind, got] : after.outcome) {
     BOOST_TEST(got.refusals == 0);
@@ -91,7 +111,7 @@
 // Guards against classes that get nothing while more urgent ones alone exceed
 // the capacity.
 BOOST_AUTO_TEST_CASE(UrgentClassExceedsCapacity_OtherClasses_DoNotStarve) {
-  OpeningModel after = PlayBurst(true, 0.9, 4);
+  OpeningModel after = PlayBurst(DecideInClass, 0.9, 4);
   Report("after", after);
   for (const auto& [kind, got] : after.outcome) {
     BOOST_TEST(got.InTime() >= 0.3);
@@ -101,8 +121,8 @@
 // Guards against a return after a loss of power in which callers use up their
 // attempts at full queues.
 BOOST_AUTO_TEST_CASE(ColdStart_AllCallersAtOnce_AreAnsweredUrgentFirst) {
-  OpeningModel before = PlayColdStart(false);
-  OpeningModel after = PlayColdStart(true);
+  OpeningModel before = PlayColdStart(DecideByQueue);
+  OpeningModel after = PlayColdStart(DecideInClass);
   Report("before", before);
   Report("after", after);
   for (const auto& [kind, got] : after.outcome) {
--- a/packages/coordination/tests/packet_path/opening_model.h
+++ b/packages/coordination/tests/packet_path/opening_model.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -38,30 +39,17 @@
     uint32_t reported = 0;
   };
 
-  OpeningModel(size_t count, bool by_class)
-      : is_by_class(by_class), hosts(count) {}
+  using Decision =
+      std::function<OpeningDecision(Host&, const OfferedOpening&, TimePoint)>;
+
+  OpeningModel(size_t count, Decision decision)
+      : decide(std::move(decision)), hosts(count) {}
 
   void Add(const RouteTerms& terms, double mean_work_ms) {
     const double uniform = (static_cast<double>(random() % 100'000) + 1) / 1e5;
     ++outcome[terms.kind].calls;
     Offer(Call{terms, now, -std::log(uniform) * mean_work_ms});
   }
-  OpeningDecision Decide(Host& host, const OfferedOpening& opening) const {
-    if (is_by_class) {
-      RecordOffered(host.history, opening.terms, TimePoint{now});
-      return DecideOpening(opening, host.room, host.work, host.history,
-                           TimePoint{now});
-    }
-    // The rules by slots and queue rounds, of an agent without the feature.
-    constexpr std::array<uint32_t, 5> kMaxCommitted = {4, 6, 8, 12, 12};
-    const size_t round = opening.has_alternate ? opening.hops : 4;
-    OpeningDecision decision;
-    if (host.room.committed < kMaxCommitted[round]) return decision;
-    decision.verdict =
-        opening.copy < 2 ? OpeningVerdict::kAwaitCopy : OpeningVerdict::kRefuse;
-    if (opening.has_alternate) decision.verdict = OpeningVerdict::kPassOn;
-    return decision;
-  }
   void Offer(Call call) {
     std::array<Host*, 4> asked{};
     for (Host*& host : asked) host = &hosts[random() % hosts.size()];
@@ -71,7 +59,7 @@
     for (uint8_t hops = 0; hops < 4; ++hops) {
       Host& host = *asked[hops];
       const OpeningDecision decision =
-          Decide(host, {call.terms, call.copy, hops, hops < 3, false});
+          decide(host, {call.terms, call.copy, hops, hops < 3, false}, {now});
       RecordDecision(host.history, decision);
       if (decision.verdict == OpeningVerdict::kTake) return Serve(host, call);
       if (decision.verdict == OpeningVerdict::kPassOn) continue;
@@ -111,7 +99,7 @@
     }
   }
 
-  bool is_by_class = false;
+  Decision decide;
   int64_t now = 1;
   Random random{20'261'206};
   std::vector<Host> hosts;
