--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -131,7 +131,7 @@
 
 bool EndsOrRefusesFlow(const LogRecord& record) {
   return record.event == "flow_reset" || record.event == "packet_dropped" ||
-         record.event == "flow_passed_on";
+         record.event == "flow_passed_on" || record.event == "opening_decided";
 }
 
 std::string DescribeReason(const LogRecord& record) {
@@ -159,7 +159,29 @@
       {"unresponsive", "the upstream did not answer earlier flow openings"},
       {"busy",
        "the upstream was at capacity: compare `outstanding` with its slots"},
-      {"bounced", "the upstream returned the flow opening"}};
+      {"bounced", "the upstream returned the flow opening"},
+      {"returned",
+       "the upstream returned the flow opening and no other agent was left to "
+       "ask"},
+      {"guaranteed_share",
+       "taken before more urgent openings: its class had got less than its "
+       "share"},
+      {"late_with_room",
+       "taken although its response will be late: it delays no other that can "
+       "be in time"},
+      {"room_at_next_copy",
+       "the queue is expected to have room, in time, when the caller "
+       "retransmits the opening"},
+      {"burst_passes",
+       "the overload is short: the queue is expected to have room, late, when "
+       "the caller retransmits the opening"},
+      {"kept_for_urgent",
+       "the room that is left is kept for more urgent openings: compare "
+       "`wait_ms` with `max_wait_ms`"},
+      {"overloaded",
+       "the queue is longer than the latency objective allows: compare "
+       "`wait_ms` with `max_wait_ms`"},
+      {"past_timeout", "the caller would have given up before the response"}};
   if (!EndsOrRefusesFlow(record)) return "";
   const auto found = meanings.find(FieldOf(record, "reason"));
   return found == meanings.end() ? "" : found->second;
--- a/packages/node/tests/node_metrics_test.cc
+++ b/packages/node/tests/node_metrics_test.cc
@@ -28,6 +28,22 @@
   }
 }
 
+// Guards against refusals of which an operator can't see whom they hit.
+BOOST_AUTO_TEST_CASE(OpeningDecisions_Rendered_HaveClassAndReason) {
+  AgentRelay relay;
+  OpeningDecision decision;
+  decision.verdict = OpeningVerdict::kRefuse;
+  decision.reason = AdmissionReason::kKeptForUrgent;
+  decision.admission_class = {RequestKind::kDownload, 2};
+  RecordDecision(relay.admission, decision);
+  Metrics metrics;
+  SetAgentMetrics(relay, "probe-hub", metrics);
+  const std::string expected =
+      "medlarwinch_agent_openings_decided_total{kind=\"download\","
+      "priority=\"2\",reason=\"kept_for_urgent\",service=\"probe-hub\"} 1\n";
+  BOOST_TEST(metrics.Render().find(expected) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(BalancerCounters_Rendered_AreCounters) {
   BalancerRelay relay;
   relay.counters.searches_unresolved = 4;
