Guarantee each class a share of the slots

The guarantee was a share of the openings taken, so a class of long requests always was below it, and it bounded the wait by the more urgent classes, so the requests of open flows could starve it. It is 5 % of the slots now, and the class may queue as long as its own objective allows. It does not apply while the upstream is cold, where the most urgent go first.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/opening_admission.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/opening_admission.h
@@ -5,34 +5,12 @@
 #include <cstdint>
 #include <optional>
 
+#include "medlarwinch/coordination/packet_path/admission_class.h"
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/work_time.h"
 
 namespace medlarwinch {
 
-/// Number of priorities that are told apart; higher numbers count as the last.
-inline constexpr uint8_t kAdmissionPriorities = 4;
-inline constexpr size_t kAdmissionClasses =
-    kRequestKinds * kAdmissionPriorities;
-
-/// The openings of routes with the same kind and priority.
-struct AdmissionClass {
-  RequestKind kind = RequestKind::kUnspecified;
-  uint8_t priority = 0;
-
-  friend bool operator==(const AdmissionClass&,
-                         const AdmissionClass&) = default;
-};
-
-AdmissionClass ClassOf(const RouteTerms& terms);
-size_t ClassIndex(const AdmissionClass& admission_class);
-/// Inverse of ClassIndex().
-AdmissionClass ClassAt(size_t index);
-
-/// Orders classes by priority, then requests that must not be repeated before
-/// those that may, then short responses before long ones.
-bool IsMoreUrgent(const AdmissionClass& a, const AdmissionClass& b);
-
 enum class OpeningVerdict : uint8_t {
   /// Deliver the opening to the upstream.
   kTake = 0,
@@ -49,7 +27,7 @@
 enum class AdmissionReason : uint8_t {
   /// Taken: its response is expected within the latency objective.
   kInTime = 0,
-  /// Taken: its class had less than its guaranteed share of the work.
+  /// Taken: its class had less than its guaranteed share of the slots.
   kGuaranteedShare = 1,
   /// Taken: its response will be late, but delays no response that could be in
   /// time.
@@ -130,11 +108,15 @@
   OpeningVerdict verdict = OpeningVerdict::kTake;
   AdmissionReason reason = AdmissionReason::kInTime;
   AdmissionClass admission_class;
+  /// True if the class has had less than its guaranteed share of the slots.
+  bool is_guaranteed = false;
   /// Expected time in the queue and of the work itself.
   double wait_ms = 0;
   double work_ms = 0;
   /// Longest queueing that is allowed to the class at present.
   double max_wait_ms = 0;
+  /// As `max_wait_ms`, without the guaranteed share.
+  double shared_max_wait_ms = 0;
   /// What is left of the latency objective; negative when it is over.
   double left_ms = 0;
 
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "medlarwinch/coordination/packet_path/admission_class.h"
 #include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
@@ -78,9 +79,7 @@
 // flows stay, and are placed for the load that they will bring.
 double ExpectedWait(const KnownUpstream& upstream, RequestKind kind,
                     const ServiceLoad& service) {
-  const bool is_one_request =
-      kind == RequestKind::kDownload || kind == RequestKind::kUpload;
-  const double load = is_one_request
+  const double load = IsLongRequest(kind)
                           ? RequestLoad(upstream, kMaxFlowLoad) /
                                 EffectiveSlots(upstream.report)
                           : ExpectedLoad(upstream, LoadPerFlow(service));
--- a/packages/coordination/src/packet_path/opening_admission.cc
+++ b/packages/coordination/src/packet_path/opening_admission.cc
@@ -31,9 +31,10 @@
 constexpr std::array<double, 4> kShareOfWait = {1, 0.7, 0.5, 0.4};
 // A class that has asked within this time has room kept for it.
 constexpr Millis kDemandMemory{10'000};
-// A class that has got less than this share of the work taken competes as if it
-// were the most urgent one.
-constexpr double kGuaranteedShare = 0.1;
+// A class that has got less than this share of the slots may queue as long as
+// its own objective allows, so that more urgent classes and the requests of
+// open flows can't starve it.
+constexpr double kGuaranteedShare = 0.05;
 // Time constant of the sum of the work taken.
 constexpr double kTakenMemoryMs = 2'000;
 // Share of the allowed wait for openings that will be late, unless the overload
@@ -45,17 +46,10 @@
 constexpr double kLastingShare = 0.25;
 constexpr double kMinLastingRounds = 0.25;
 
-bool MayRepeat(RequestKind kind) {
-  return kind != RequestKind::kUnsafe && kind != RequestKind::kUpload;
+double SpentMs(uint32_t copy) {
+  return kSpentMs[std::min<size_t>(copy, kSpentMs.size() - 1)];
 }
 
-bool IsLong(RequestKind kind) {
-  return kind == RequestKind::kDownload || kind == RequestKind::kUpload;
-}
-
-// Flows of these kinds carry one request; the others carry later ones too.
-bool HasLaterRequests(RequestKind kind) { return !IsLong(kind); }
-
 // Milliseconds of work per request and the queue of one upstream.
 struct Pace {
   double slots = 1;
@@ -89,23 +83,15 @@
          now - *demand.last_offered < kDemandMemory;
 }
 
-bool IsBelowGuarantee(const AdmissionHistory& history, size_t index) {
-  double total = 0;
-  for (const ClassDemand& demand : history.classes) total += demand.taken;
-  return history.classes[index].taken < total * kGuaranteedShare;
+bool IsBelowGuarantee(const ClassDemand& demand, double slots) {
+  return demand.taken < slots * kTakenMemoryMs * kGuaranteedShare;
 }
 
-struct AllowedWait {
-  /// The shortest of the longest waits of the class itself and of the more
-  /// urgent classes that ask.
-  double full_ms = 0;
-  /// The part of it that the class may use.
-  double shared_ms = 0;
-};
-
-AllowedWait AllowedWaitOf(const AdmissionClass& own, double own_max_wait_ms,
-                          const WorkTime& work, const Pace& pace,
-                          const AdmissionHistory& history, TimePoint now) {
+// The longest wait allowed to the class: its share of the shortest of the
+// longest waits of itself and of the more urgent classes that ask.
+double SharedMaxWaitMs(const AdmissionClass& own, double own_max_wait_ms,
+                       const WorkTime& work, const Pace& pace,
+                       const AdmissionHistory& history, TimePoint now) {
   size_t more_urgent = 0;
   double max_wait = own_max_wait_ms;
   for (size_t index = 0; index < kAdmissionClasses; ++index) {
@@ -119,15 +105,13 @@
                         MaxWaitMs(other_work, pace, demand.latency_objective));
   }
   const size_t rank = std::min(more_urgent, kShareOfWait.size() - 1);
-  return AllowedWait{max_wait, max_wait * kShareOfWait[rank]};
+  return max_wait * kShareOfWait[rank];
 }
 
 struct Assessment {
   Pace pace;
   double spent_ms = 0;
   double own_max_wait_ms = 0;
-  /// Longest wait by the share of the class.
-  double shared_max_wait_ms = 0;
   bool is_queue_full = false;
   /// The upstream has queued so much over the last second that waiting for the
   /// next copy frees no room.
@@ -184,10 +168,10 @@
   if (state.is_queue_full) return std::nullopt;
   const bool is_in_time = figures.wait_ms + figures.work_ms <= figures.left_ms;
   if (is_in_time && figures.wait_ms <= figures.max_wait_ms) {
-    const bool is_in_share = figures.wait_ms <= state.shared_max_wait_ms;
     return As(figures, OpeningVerdict::kTake,
-              is_in_share ? AdmissionReason::kInTime
-                          : AdmissionReason::kGuaranteedShare);
+              figures.wait_ms <= figures.shared_max_wait_ms
+                  ? AdmissionReason::kInTime
+                  : AdmissionReason::kGuaranteedShare);
   }
   if (!is_in_time && figures.wait_ms <= LateWaitMs(state, figures) &&
       IsAnsweredBeforeTimeout(opening, figures, state.spent_ms,
@@ -232,48 +216,75 @@
                  : AdmissionReason::kOverloaded;
 }
 
-}  // namespace
+Pace PaceOf(const UpstreamRoom& room, const WorkTime& work,
+            const RouteTerms& terms) {
+  Pace pace;
+  pace.slots = std::max<uint32_t>(room.slots, 1);
+  pace.slowdown = room.is_cold ? kColdSlowdown : 1;
+  const double known = KnownWorkMs(work) * pace.slowdown;
+  pace.work_ms =
+      known > 0 ? known
+                : OwnWorkMs(work, pace, terms.kind, terms.latency_objective);
+  return pace;
+}
 
-OpeningDecision DecideOpening(const OfferedOpening& opening,
-                              const UpstreamRoom& room, const WorkTime& work,
-                              const AdmissionHistory& history, TimePoint now) {
+OpeningDecision ComputeFigures(const OfferedOpening& opening,
+                               const UpstreamRoom& room, const WorkTime& work,
+                               const Pace& pace,
+                               const AdmissionHistory& history, TimePoint now) {
   const Millis objective = opening.terms.latency_objective;
-  Assessment state;
   OpeningDecision figures;
   figures.admission_class = ClassOf(opening.terms);
-  state.pace.slots = std::max<uint32_t>(room.slots, 1);
-  state.pace.slowdown = room.is_cold ? kColdSlowdown : 1;
-  figures.work_ms = OwnWorkMs(work, state.pace, opening.terms.kind, objective);
-  const double mean_work = KnownWorkMs(work) * state.pace.slowdown;
-  state.pace.work_ms = mean_work > 0 ? mean_work : figures.work_ms;
-  state.spent_ms =
-      kSpentMs[std::min<size_t>(opening.copy, kSpentMs.size() - 1)];
+  figures.work_ms = OwnWorkMs(work, pace, opening.terms.kind, objective);
   figures.left_ms =
-      static_cast<double>(objective.value) - state.spent_ms - kWayMs;
-  figures.wait_ms = state.pace.WaitMs(room.committed);
-  state.wait_with_flows_ms = HasLaterRequests(opening.terms.kind)
-                                 ? state.pace.WaitMs(std::max<double>(
-                                       room.committed, room.mean_outstanding))
-                                 : figures.wait_ms;
-  state.own_max_wait_ms = MaxWaitMs(figures.work_ms, state.pace, objective);
-  const AllowedWait allowed =
-      AllowedWaitOf(figures.admission_class, state.own_max_wait_ms, work,
-                    state.pace, history, now);
-  state.shared_max_wait_ms = allowed.shared_ms;
-  const bool is_guaranteed =
-      IsBelowGuarantee(history, ClassIndex(figures.admission_class));
-  figures.max_wait_ms = is_guaranteed ? allowed.full_ms : allowed.shared_ms;
-  const double kept =
-      std::clamp(room.mean_outstanding, kMinKeptForFlows, kMaxKeptForFlows);
-  state.is_queue_full =
-      opening.was_returned ||
-      room.committed >= state.pace.slots + kUpstreamQueue - kept;
-  const double lasting_rounds =
-      std::max(kMinLastingRounds,
-               figures.max_wait_ms / state.pace.work_ms * kLastingShare);
+      static_cast<double>(objective.value) - SpentMs(opening.copy) - kWayMs;
+  figures.wait_ms = pace.WaitMs(room.committed);
+  figures.max_wait_ms = MaxWaitMs(figures.work_ms, pace, objective);
+  const ClassDemand& demand =
+      history.classes[ClassIndex(figures.admission_class)];
+  // After a loss of power the most urgent go first; nothing starves within the
+  // time in which an upstream is cold.
+  figures.is_guaranteed = !room.is_cold && IsBelowGuarantee(demand, pace.slots);
+  figures.shared_max_wait_ms = SharedMaxWaitMs(
+      figures.admission_class, figures.max_wait_ms, work, pace, history, now);
+  if (!figures.is_guaranteed) figures.max_wait_ms = figures.shared_max_wait_ms;
+  return figures;
+}
+
+Assessment Assess(const OfferedOpening& opening, const UpstreamRoom& room,
+                  const Pace& pace, const OpeningDecision& figures) {
+  Assessment state;
+  state.pace = pace;
+  state.spent_ms = SpentMs(opening.copy);
+  state.own_max_wait_ms =
+      MaxWaitMs(figures.work_ms, pace, opening.terms.latency_objective);
+  state.wait_with_flows_ms = IsLongRequest(opening.terms.kind)
+                                 ? figures.wait_ms
+                                 : pace.WaitMs(std::max<double>(
+                                       room.committed, room.mean_outstanding));
+  const double kept = figures.is_guaranteed
+                          ? kMinKeptForFlows
+                          : std::clamp(room.mean_outstanding, kMinKeptForFlows,
+                                       kMaxKeptForFlows);
+  state.is_queue_full = opening.was_returned ||
+                        room.committed >= pace.slots + kUpstreamQueue - kept;
+  const double lasting_rounds = std::max(
+      kMinLastingRounds, figures.max_wait_ms / pace.work_ms * kLastingShare);
   state.is_overload_lasting =
       !room.is_cold &&
-      room.mean_outstanding >= state.pace.slots * (1 + lasting_rounds);
+      room.mean_outstanding >= pace.slots * (1 + lasting_rounds);
+  return state;
+}
+
+}  // namespace
+
+OpeningDecision DecideOpening(const OfferedOpening& opening,
+                              const UpstreamRoom& room, const WorkTime& work,
+                              const AdmissionHistory& history, TimePoint now) {
+  const Pace pace = PaceOf(room, work, opening.terms);
+  const OpeningDecision figures =
+      ComputeFigures(opening, room, work, pace, history, now);
+  const Assessment state = Assess(opening, room, pace, figures);
   if (opening.has_alternate) {
     return DecideWithAlternate(opening, state, figures);
   }
@@ -310,27 +321,6 @@
   }
 }
 
-AdmissionClass ClassOf(const RouteTerms& terms) {
-  const uint8_t last = kAdmissionPriorities - 1;
-  return AdmissionClass{terms.kind, std::min(terms.priority, last)};
-}
-
-size_t ClassIndex(const AdmissionClass& admission_class) {
-  return static_cast<size_t>(admission_class.kind) * kAdmissionPriorities +
-         admission_class.priority;
-}
-
-AdmissionClass ClassAt(size_t index) {
-  return AdmissionClass{static_cast<RequestKind>(index / kAdmissionPriorities),
-                        static_cast<uint8_t>(index % kAdmissionPriorities)};
-}
-
-bool IsMoreUrgent(const AdmissionClass& a, const AdmissionClass& b) {
-  if (a.priority != b.priority) return a.priority < b.priority;
-  if (MayRepeat(a.kind) != MayRepeat(b.kind)) return !MayRepeat(a.kind);
-  return !IsLong(a.kind) && IsLong(b.kind);
-}
-
 const char* OpeningVerdictName(OpeningVerdict verdict) {
   switch (verdict) {
     case OpeningVerdict::kTake:
