--- a/packages/coordination/tests/packet_path/opening_admission_test.cc
+++ b/packages/coordination/tests/packet_path/opening_admission_test.cc
@@ -105,6 +105,11 @@
   BOOST_CHECK(Gets(OpeningVerdict::kTake, AdmissionReason::kGuaranteedShare));
   history.classes[ClassIndex({RequestKind::kSafe, 2})].taken = 500;
   BOOST_CHECK(Decide().verdict == OpeningVerdict::kRefuse);
+  // Requests of open flows fill the queue.
+  SetRequests(14, 14);
+  opening.terms.kind = RequestKind::kDownload;
+  opening.terms.latency_objective = Millis{800};
+  BOOST_CHECK(Gets(OpeningVerdict::kTake, AdmissionReason::kGuaranteedShare));
 }
 
 // Guards against waiting for a copy that finds the same queue, and against the
