Keep places in the queue by open flows, and a shorter queue in a lasting overload

In a soak with 900 users and work of 20 ms, openings were refused as overloaded with 65 ms of queue and 250 ms allowed: places were kept by the average number of requests, whatever caused them. They are kept by the number of open flows without a request now, such refusals are named queue_full, and the queue's places bound what counts as a lasting overload.

--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -181,6 +181,9 @@
       {"overloaded",
        "the queue is longer than the latency objective allows: compare "
        "`wait_ms` with `max_wait_ms`"},
+      {"queue_full",
+       "the places left in the upstream's queue are kept for the next requests "
+       "of its open flows"},
       {"past_timeout", "the caller would have given up before the response"}};
   if (!EndsOrRefusesFlow(record)) return "";
   const auto found = meanings.find(FieldOf(record, "reason"));
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/opening_admission.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/opening_admission.h
@@ -46,8 +46,11 @@
   kPastTimeout = 8,
   /// Refused: the upstream itself returned the opening.
   kReturned = 9,
+  /// Refused: the upstream's queue has no place that is not kept for the
+  /// requests of open flows.
+  kQueueFull = 10,
 };
-inline constexpr size_t kAdmissionReasons = 10;
+inline constexpr size_t kAdmissionReasons = 11;
 const char* AdmissionReasonName(AdmissionReason reason);
 
 /// What an agent has seen of one class.
@@ -98,6 +101,8 @@
   uint32_t committed = 0;
   /// Number of requests queued or running, averaged over about one second.
   double mean_outstanding = 0;
+  /// Number of open flows without a request; each may send one at any time.
+  uint32_t idle_flows = 0;
   bool is_cold = false;
 
   friend bool operator==(const UpstreamRoom&, const UpstreamRoom&) = default;
--- a/packages/coordination/src/packet_path/class_admission.cc
+++ b/packages/coordination/src/packet_path/class_admission.cc
@@ -1,5 +1,7 @@
 #include "medlarwinch/coordination/packet_path/class_admission.h"
 
+#include <algorithm>
+
 #include "medlarwinch/coordination/packet_path/agent_openings.h"
 
 namespace medlarwinch {
@@ -40,6 +42,9 @@
   room.committed = CommittedRequests(relay.flow_tracker, now) +
                    UnansweredOpenings(relay, now);
   room.mean_outstanding = relay.flow_tracker.mean_outstanding;
+  // A flow whose opening is not completed may have an outstanding request.
+  const FlowTracker& tracker = relay.flow_tracker;
+  room.idle_flows = tracker.open - std::min(tracker.open, tracker.outstanding);
   room.is_cold = now < relay.upstream.cold_until;
   RecordOffered(relay.admission, context.terms, now);
   return DecideOpening(opening, room, relay.work_time, relay.admission, now);
--- a/packages/coordination/src/packet_path/opening_admission.cc
+++ b/packages/coordination/src/packet_path/opening_admission.cc
@@ -24,6 +24,7 @@
 // Upstreams queue 16 requests and refuse the ones beyond. Room for 4 to 8 is
 // kept for the next requests of open flows, which no agent can hold back.
 constexpr double kUpstreamQueue = 16;
+constexpr double kKeptForIdleFlow = 0.25;
 constexpr double kMinKeptForFlows = 4;
 constexpr double kMaxKeptForFlows = 8;
 // Share of the longest allowed wait, by the number of more urgent classes that
@@ -45,6 +46,9 @@
 // this share of the allowed wait.
 constexpr double kLastingShare = 0.25;
 constexpr double kMinLastingRounds = 0.25;
+// Share of the allowed wait while the overload lasts: the slots are always busy
+// then, so a shorter queue answers as many requests, and more of them in time.
+constexpr double kLastingWait = 0.7;
 
 double SpentMs(uint32_t copy) {
   return kSpentMs[std::min<size_t>(copy, kSpentMs.size() - 1)];
@@ -209,8 +213,10 @@
                                figures.wait_ms)) {
     return AdmissionReason::kPastTimeout;
   }
-  const bool is_kept = !state.is_queue_full &&
-                       figures.wait_ms <= state.own_max_wait_ms &&
+  if (state.is_queue_full && figures.wait_ms <= figures.max_wait_ms) {
+    return AdmissionReason::kQueueFull;
+  }
+  const bool is_kept = figures.wait_ms <= state.own_max_wait_ms &&
                        figures.max_wait_ms < state.own_max_wait_ms;
   return is_kept ? AdmissionReason::kKeptForUrgent
                  : AdmissionReason::kOverloaded;
@@ -264,12 +270,15 @@
                                        room.committed, room.mean_outstanding));
   const double kept = figures.is_guaranteed
                           ? kMinKeptForFlows
-                          : std::clamp(room.mean_outstanding, kMinKeptForFlows,
-                                       kMaxKeptForFlows);
-  state.is_queue_full = opening.was_returned ||
-                        room.committed >= pace.slots + kUpstreamQueue - kept;
-  const double lasting_rounds = std::max(
-      kMinLastingRounds, figures.max_wait_ms / pace.work_ms * kLastingShare);
+                          : std::clamp(room.idle_flows * kKeptForIdleFlow,
+                                       kMinKeptForFlows, kMaxKeptForFlows);
+  const double places = kUpstreamQueue - kept;
+  state.is_queue_full =
+      opening.was_returned || room.committed >= pace.slots + places;
+  const double allowed_rounds =
+      std::min(figures.max_wait_ms / pace.work_ms, places / pace.slots);
+  const double lasting_rounds =
+      std::max(kMinLastingRounds, allowed_rounds * kLastingShare);
   state.is_overload_lasting =
       !room.is_cold &&
       room.mean_outstanding >= pace.slots * (1 + lasting_rounds);
@@ -282,9 +291,13 @@
                               const UpstreamRoom& room, const WorkTime& work,
                               const AdmissionHistory& history, TimePoint now) {
   const Pace pace = PaceOf(room, work, opening.terms);
-  const OpeningDecision figures =
+  OpeningDecision figures =
       ComputeFigures(opening, room, work, pace, history, now);
   const Assessment state = Assess(opening, room, pace, figures);
+  if (state.is_overload_lasting) {
+    figures.shared_max_wait_ms *= kLastingWait;
+    if (!figures.is_guaranteed) figures.max_wait_ms *= kLastingWait;
+  }
   if (opening.has_alternate) {
     return DecideWithAlternate(opening, state, figures);
   }
@@ -357,6 +370,8 @@
       return "past_timeout";
     case AdmissionReason::kReturned:
       return "returned";
+    case AdmissionReason::kQueueFull:
+      return "queue_full";
   }
   return "invalid";
 }
