Measure ten requests before the service time counts

With four, the estimate after a cold start varied by half, and the unsafe class was admitted no earlier than the others.

--- a/packages/coordination/src/packet_path/work_time.cc
+++ b/packages/coordination/src/packet_path/work_time.cc
@@ -7,9 +7,10 @@
 
 // The average follows a change of an upstream's speed within this number of
 // requests.
-constexpr uint32_t kAveragedRequests = 20;
-// Fewer requests give no average: service times vary by their mean.
-constexpr uint32_t kMinRequests = 4;
+constexpr uint32_t kAveragedRequests = 40;
+// Fewer requests give no average. Service times vary by as much as their mean,
+// and with 4 requests the order of classes after a cold start was lost.
+constexpr uint32_t kMinRequests = 10;
 // Bounds of one measurement in milliseconds. Clocks count whole milliseconds,
 // and a request that hangs must not dominate the average.
 constexpr double kMinWorkMs = 0.5;
