--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -61,6 +61,11 @@
   FlowHistory flow_history;
   OpeningGate gate;
   AckPacing ack_pacing;
+  /// True if openings whose route has a latency objective are admitted by their
+  /// class.
+  bool admits_by_class = false;
+  WorkTime work_time;
+  AdmissionHistory admission;
   /// True once the agent was requested to stop.
   bool is_stopping = false;
   /// Time of the last packet or heartbeat from the upstream; empty before the
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/opening_admission.h"
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 
@@ -148,6 +149,12 @@
   OpeningContext context;
 };
 
+/// Log the decision on an opening by its class.
+struct ReportOpeningDecision {
+  FlowTuple flow;
+  OpeningDecision decision;
+};
+
 /// Send a reset to the caller.
 struct ResetCaller {
   FlowTuple flow;
@@ -164,7 +171,8 @@
                  DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
                  ScheduleQueryFlush, SendOwnershipReply,
                  SendOwnershipBatchReply, SendOpeningRefused, RefreshDirectory,
-                 DropPackets, ResetCaller, HoldPacket, DiscardHeld>;
+                 DropPackets, ReportOpeningDecision, ResetCaller, HoldPacket,
+                 DiscardHeld>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/src/packet_path/flow_tracker.cc
+++ b/packages/coordination/src/packet_path/flow_tracker.cc
@@ -23,6 +23,7 @@
   flow.is_outstanding = is_outstanding;
   if (is_outstanding) {
     ++tracker.outstanding;
+    flow.requests_at_start = tracker.outstanding;
     flow.outstanding_since = now;
   } else {
     --tracker.outstanding;
@@ -110,6 +111,7 @@
         RecordRequestData(*tracker.responses, packet.destination, flow.request,
                           packet, tracker.outstanding, now);
       }
+      flow.last_caller_data = now;
       SetOutstanding(tracker, flow, true, now);
     }
   }
@@ -148,6 +150,9 @@
   if (packet.data_bytes > 0 && flow.is_outstanding) {
     effect.starts_response = true;
     effect.response_time = now - flow.outstanding_since;
+    effect.time_since_request = now - flow.last_caller_data;
+    effect.requests_at_start = flow.requests_at_start;
+    effect.kind = flow.kind;
     SetOutstanding(tracker, flow, false, now);
   }
   if (tracker.responses.has_value()) {
--- a/packages/coordination/tests/packet_path/flow_placement_test.cc
+++ b/packages/coordination/tests/packet_path/flow_placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 
 #include "relay_fixture.h"
@@ -109,6 +110,61 @@
   BOOST_TEST(has_other);
 }
 
+// Guards against callers that wait at slow upstreams while fast ones are idle.
+BOOST_AUTO_TEST_CASE(SlowUpstream_EqualLoad_IsNotFirstIfPlacedByWait) {
+  for (auto& [agent, upstream] : relay.directory.upstreams) {
+    Report(agent, UpstreamPhase::kReady, 20, 2);
+  }
+  const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
+  const auto first = [&] {
+    return RankUpstreams(relay.directory, RouteOf(*this), flow, 0, 5, now)[0]
+        .agent;
+  };
+  const Endpoint first_by_load = first();
+  for (auto& [agent, upstream] : relay.directory.upstreams) {
+    upstream.load.work_ms = agent == first_by_load ? 150 : 100;
+  }
+  BOOST_CHECK(first() == first_by_load);
+  relay.directory.places_by_wait = true;
+  BOOST_CHECK(first() != first_by_load);
+}
+
+// Guards against an upstream that fails its requests at once, and against
+// service times from the wire that are no numbers.
+BOOST_AUTO_TEST_CASE(ImplausibleWork_PlacedByWait_ShiftsLoadAtMostTwofold) {
+  relay.directory.places_by_wait = true;
+  const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
+  for (const double work_ms : {0.001, 1e300, -5.0, std::nan("")}) {
+    for (auto& [agent, upstream] : relay.directory.upstreams) {
+      Report(agent, UpstreamPhase::kReady, 20, 2);
+      upstream.load.work_ms = agent == AgentAddress(2) ? work_ms : 100;
+    }
+    const std::vector<PlacementCandidate> ranked =
+        RankUpstreams(relay.directory, RouteOf(*this), flow, 0, 5, now);
+    BOOST_TEST(ranked.front().load >= ranked.back().load / 2.5);
+  }
+}
+
+// Guards against single requests that queue behind others because their
+// upstream has few flows.
+BOOST_AUTO_TEST_CASE(OneRequestKinds_PlacedByWait_GoWhereRequestsAreFew) {
+  relay.directory.places_by_wait = true;
+  RelayRoute route = RouteOf(*this);
+  const FlowTuple flow = FlowFromCaller(CallerPacket(1, 0));
+  const auto rank = [&] {
+    return RankUpstreams(relay.directory, route, flow, 0, 5, now);
+  };
+  for (const auto& [agent, upstream] : relay.directory.upstreams) {
+    Report(agent, UpstreamPhase::kReady, 0, 3);
+  }
+  const Endpoint idle = rank().back().agent;
+  Report(idle, UpstreamPhase::kReady, 100, 1);
+  route.terms.kind = RequestKind::kUnsafe;
+  BOOST_CHECK(rank().front().agent != idle);
+  route.terms.kind = RequestKind::kDownload;
+  BOOST_CHECK(rank().front().agent == idle);
+}
+
 BOOST_AUTO_TEST_CASE(DrainingUpstream_NewFlow_IsNeverRanked) {
   Report(AgentAddress(3), UpstreamPhase::kDraining);
   for (uint16_t port = 1; port < 200; ++port) {
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/flow_ownership.h"
 #include "medlarwinch/coordination/packet_path/upstream_liveness.h"
+#include "medlarwinch/node/admission_report.h"
 #include "medlarwinch/node/node_metrics.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
@@ -61,6 +62,7 @@
   relay_.heartbeat_interval = settings.heartbeat_interval;
   relay_.gate.requires_evacuations = settings.features.evacuations;
   relay_.gate.failure_domain = settings.failure_domain;
+  relay_.admits_by_class = settings.features.admission_by_class;
   relay_.flow_tracker.integrated_until = relay_.started;
   relay_.flow_tracker.averaged_until = relay_.started;
 }
@@ -277,6 +279,11 @@
       LogDroppedPackets(log_limiter_, *drop, MonotonicNow());
       continue;
     }
+    if (const ReportOpeningDecision* report =
+            std::get_if<ReportOpeningDecision>(&action)) {
+      LogOpeningDecision(log_limiter_, *report, MonotonicNow());
+      continue;
+    }
     if (const ResetCaller* reset = std::get_if<ResetCaller>(&action)) {
       SendReset(*reset);
     }
--- a/packages/node/src/agent_node_terms.cc
+++ b/packages/node/src/agent_node_terms.cc
@@ -36,6 +36,7 @@
 AgentLoad AgentNode::MakeLoad() {
   const TimePoint now = MonotonicNow();
   AgentLoad load;
+  load.work_ms = KnownWorkMs(relay_.work_time);
   load.cold_openings_left = ColdOpeningsLeft(relay_, now);
   if (relay_.flow_tracker.responses.has_value()) {
     ReportOutcomes(*relay_.flow_tracker.responses, now, load);
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -1,6 +1,7 @@
 #include "medlarwinch/node/node_metrics.h"
 
 #include "medlarwinch/coordination/packet_path/evacuation.h"
+#include "medlarwinch/node/admission_report.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
@@ -110,6 +111,7 @@
                 relay.flow_tracker.responses->totals, RequestOutcomeName,
                 metrics);
   }
+  SetAdmissionMetrics(relay, labels, metrics);
   metrics.Set("medlarwinch_agent_flows", labels, relay.flow_tracker.open);
   metrics.Set("medlarwinch_agent_requests_outstanding", labels,
               relay.flow_tracker.outstanding);
--- a/packages/node/tests/node_metrics_test.cc
+++ b/packages/node/tests/node_metrics_test.cc
@@ -15,6 +15,9 @@
   relay.counters.forwarded_openings[static_cast<size_t>(RefusalReason::kBusy)] =
       7;
   relay.gate.refused_cold = 3;
+  relay.admission
+      .decisions[ClassIndex({RequestKind::kDownload, 2})]
+                [static_cast<size_t>(AdmissionReason::kKeptForUrgent)] = 3;
   Metrics metrics;
   SetAgentMetrics(relay, "probe-hub", metrics);
   const std::string text = metrics.Render();
@@ -26,6 +29,8 @@
         "service=\"probe-hub\"} 7\n",
         "medlarwinch_agent_openings_refused_cold_total{"
         "service=\"probe-hub\"} 3\n",
+        "medlarwinch_agent_openings_decided_total{kind=\"download\","
+        "priority=\"2\",reason=\"kept_for_urgent\",service=\"probe-hub\"} 3\n",
         "# TYPE medlarwinch_agent_flows gauge"}) {
     BOOST_TEST(text.find(expected) != std::string::npos, expected);
   }
