Test oversized openings that an upstream returns

An oversized packet could end the agent as well: an opening that the upstream returns is encoded again when the agent passes it on.

--- a/standins/platform_side/tests/malformed_datagram_test.cc
+++ b/standins/platform_side/tests/malformed_datagram_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <functional>
 #include <random>
+#include <thread>
 
 #include "medlarwinch/platform/packet_format.h"
 #include "medlarwinch/platform_side/flow_packets.h"
@@ -31,6 +32,8 @@
 constexpr size_t kPacketLengths[] = {1'236, 1'237, 1'300, 1'400, 1'401,
                                      1'500, 2'012, 2'047, 2'048};
 constexpr size_t kValidLengths = 1;
+constexpr size_t kFlagsOffset = 26;
+constexpr uint8_t kBouncedFlag = 32;
 constexpr int kRandomDatagrams = 300;
 constexpr uint32_t kRandomSeed = 20261206;
 
@@ -150,9 +153,10 @@
     Run(std::chrono::milliseconds(1));
   }
 
-  Bytes Packet(bool is_syn, size_t data_bytes) const {
+  Bytes Packet(bool is_syn, size_t data_bytes,
+               uint16_t caller_port = 1'030) const {
     FlowPacket packet;
-    packet.source = Endpoint{caller_ip, 1'030};
+    packet.source = Endpoint{caller_ip, caller_port};
     packet.destination = *RouteAddresses(kHubService).begin();
     packet.is_syn = is_syn;
     packet.is_ack = !is_syn;
@@ -160,6 +164,16 @@
     return EncodePacket(packet, std::string(data_bytes, 'x'));
   }
 
+  // An opening with this header is passed on to the caller's address if the
+  // upstream does not take it.
+  RelayHeader MakeHeader() const {
+    RelayHeader header;
+    header.balancer = Endpoint{balancer_ip, kRelayPort};
+    header.allowed = {MakeServiceId(kHubService)};
+    header.alternates = {Endpoint{caller_ip, kDatagramPort}};
+    return header;
+  }
+
   void CheckBothReady() {
     BOOST_TEST(IsReady(balancer_ip));
     BOOST_TEST(IsReady(agent_ip));
@@ -211,14 +225,10 @@
   CheckBothReady();
 }
 
-// Guards against an upstream or a caller that ends the agent in the same way:
-// its answer and a relayed packet may hold more data than the platform allows.
+// Guards against relayed packets and packets of the upstream with more data
+// than the platform allows.
 BOOST_AUTO_TEST_CASE(OversizedPackets_SentToAgent_ProcessStaysReady) {
-  RelayHeader header;
-  header.balancer = Endpoint{balancer_ip, kRelayPort};
-  header.allowed = {MakeServiceId(kHubService)};
-  // Passed on to another agent, which encodes the packet again.
-  header.alternates = {Endpoint{caller_ip, kDatagramPort}};
+  RelayHeader header = MakeHeader();
   Bytes message;
   for (const size_t length : kPacketLengths) {
     for (const bool is_syn : {false, true}) {
@@ -236,6 +246,33 @@
   CheckBothReady();
 }
 
+// Guards against an upstream that returns an opening with more data than a
+// relayed message holds, which ends the agent when it passes the opening on.
+BOOST_AUTO_TEST_CASE(OversizedOpening_ReturnedToAgent_ProcessStaysReady) {
+  // No more than the upstream's slots, since the agent passes further openings
+  // on without delivering them.
+  constexpr size_t kLengths[] = {1'401, 2'012, 2'048};
+  uint16_t port = 2'000;
+  Bytes message;
+  for (const size_t length : kLengths) {
+    ++port;
+    EncodeRelayMessage(RelayedPacket{MakeHeader(), Packet(true, 0, port)},
+                       message);
+    BOOST_REQUIRE(caller->Send(Endpoint{agent_ip, kDatagramPort}, message));
+    // The upstream, which runs on this thread, must not answer before.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    Bytes returned = Packet(true, length - platform::kPacketHeaderBytes, port);
+    returned[kFlagsOffset] |= kBouncedFlag;
+    Send(Endpoint{agent_ip, kOutboundPort}, returned);
+  }
+  BOOST_TEST(RunUntil([&] {
+    return agent->HasExited() ||
+           Metric(agent_ip, "medlarwinch_agent_packets_malformed_total") ==
+               std::size(kLengths);
+  }));
+  CheckBothReady();
+}
+
 BOOST_AUTO_TEST_CASE(RandomDatagrams_SentToEverySocket_ProcessesStayReady) {
   std::mt19937 random(kRandomSeed);
   const Endpoint sockets[] = {balancer_datagrams,
