Fuzz the decoders that read input from outside

First finding: a byte that is neither 0 nor 1 was copied into a bool (undefined behaviour) in relay messages. All booleans of all messages are now checked on decode, and numbers that are not finite are refused.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 BUILD_DIR ?= build
 BUILD_TYPE ?= RelWithDebInfo
 JOBS ?= $(shell nproc)
+FUZZ_BUILD_DIR ?= $(BUILD_DIR)-fuzz
+# Time for each fuzz target.
+FUZZ_SECONDS ?= 5
+FUZZ_SEED ?= 20261206
 PACKAGES = g++ cmake make ccache clang-format clang-tidy libcaf-dev libcereal-dev \
   libboost-dev libboost-system-dev libboost-log-dev libboost-thread-dev \
   libboost-filesystem-dev libboost-test-dev libcli11-dev libyaml-cpp-dev \
@@ -13,10 +17,10 @@
   paste -sd'|' | sed -n "/./s/.*/-E '&'/p")
 SOURCES = $(shell git ls-files --cached --others --exclude-standard -- '*.cc' '*.h')
 
-.PHONY: help setup configure build lint format test bench demo scenarios clean
+.PHONY: help setup configure build lint format test fuzz bench demo scenarios clean
 
 help:
-	@echo "make setup|build|lint|format|test|bench|demo|scenarios"
+	@echo "make setup|build|lint|format|test|fuzz|bench|demo|scenarios"
 
 # Installs the missing packages only, so that a prepared machine needs no network.
 setup:
@@ -43,6 +47,13 @@
 test: build
 	@cd $(BUILD_DIR) && ctest --output-on-failure -j 4 $(KNOWN_RED)
 
+# Runs every fuzz target; `make fuzz FUZZ_SECONDS=3600` for an hour each.
+fuzz: setup
+	@cmake -S . -B $(FUZZ_BUILD_DIR) -DCMAKE_CXX_COMPILER=clang++ \
+	  -DCMAKE_BUILD_TYPE=RelWithDebInfo -DMEDLARWINCH_FUZZ=ON >/dev/null
+	@cmake --build $(FUZZ_BUILD_DIR) -j $(JOBS) --target fuzzers -- --no-print-directory
+	@bash fuzz/run $(FUZZ_BUILD_DIR) $(FUZZ_SECONDS) $(FUZZ_SEED) $(JOBS)
+
 bench: build
 	@bash bench/run $(BUILD_DIR)
 
@@ -54,4 +65,4 @@
 	@bash standins/run_all $(BUILD_DIR)
 
 clean:
-	@rm -rf $(BUILD_DIR)
+	@rm -rf $(BUILD_DIR) $(FUZZ_BUILD_DIR)
--- a/packages/protocol/include/medlarwinch/protocol/codec.h
+++ b/packages/protocol/include/medlarwinch/protocol/codec.h
@@ -2,6 +2,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
+#include <cmath>
 #include <exception>
 #include <istream>
 #include <ostream>
@@ -13,6 +14,33 @@
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/state/result.h"
 
+namespace cereal {
+
+// These overloads are preferred over cereal's template for all arithmetic
+// types, which copies the bytes unchecked, in every message.
+
+/// Decodes a boolean. Throws Exception for a byte other than 0 and 1, which
+/// would be undefined behaviour in a bool.
+inline void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                                      bool& value) {
+  uint8_t value_on_wire = 0;
+  archive(value_on_wire);
+  if (value_on_wire > 1) {
+    throw Exception("boolean has the value " + std::to_string(value_on_wire));
+  }
+  value = value_on_wire == 1;
+}
+
+/// Decodes a number. Throws Exception for one that is not finite: comparisons
+/// with it are not a strict weak ordering, which sorting needs.
+inline void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                                      double& value) {
+  archive.loadBinary<sizeof(double)>(&value, sizeof(double));
+  if (!std::isfinite(value)) throw Exception("number is not finite");
+}
+
+}  // namespace cereal
+
 namespace medlarwinch {
 
 /// Stream buffer that reads from caller-owned bytes without copying them.
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <random>
 
 #include "medlarwinch/protocol/control_messages.h"
@@ -98,6 +99,28 @@
   CheckMutations(RelayMessage(AgentStatus{report, 12}));
 }
 
+// Guards against a byte that is neither true nor false, which was copied into a
+// bool; fuzzing found it in an EvacuationView.
+BOOST_AUTO_TEST_CASE(BooleanWithOtherValue_Decoded_IsRejected) {
+  Bytes encoded = Encode(RelayMessage(AgentPoll{true, 12}));
+  BOOST_TEST(IsOk(DecodeRelayMessage(encoded)));
+  constexpr size_t kIsListedOffset = 5;
+  encoded[kIsListedOffset] = 0x31;
+  BOOST_TEST(!IsOk(DecodeRelayMessage(encoded)));
+}
+
+// Guards against loads that can't be ordered: ranking by them is undefined.
+BOOST_AUTO_TEST_CASE(NumberThatIsNotFinite_Decoded_IsRejected) {
+  for (const double load : {std::numeric_limits<double>::quiet_NaN(),
+                            std::numeric_limits<double>::infinity()}) {
+    AgentStatus status;
+    status.report.mean_outstanding = load;
+    Bytes encoded;
+    EncodeRelayMessage(status, encoded);
+    BOOST_TEST(!IsOk(DecodeRelayMessage(encoded)));
+  }
+}
+
 // Guards against batches that exceed the maximum datagram size.
 BOOST_AUTO_TEST_CASE(LargestOwnershipBatch_Encoded_FitsOneMessage) {
   OwnershipBatchQuery query;
