Bound the figures that a decoder takes from other processes

Times, durations and loads in relay messages were taken as they came, so that one wrong figure could overflow signed arithmetic. The encoding is as before.

--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
+#include "medlarwinch/protocol/bounded_number.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/protocol/codec.h"
 #include "medlarwinch/protocol/serialization.h"
@@ -18,6 +19,12 @@
 /// Maximum size of a message between balancers and agents, in bytes.
 inline constexpr uint32_t kMaxRelayMessageBytes = 1'700;
 
+/// Limits of decoded figures: times and durations in milliseconds, numbers of
+/// requests, and rates per second.
+inline constexpr int64_t kMaxDecodedTimeMs = int64_t{1} << 53;
+inline constexpr int64_t kMaxDecodedDurationMs = 86'400'000;
+inline constexpr double kMaxDecodedCount = 1'000'000;
+
 /// Balancer to agent, or agent to agent: a caller's packet.
 struct RelayedPacket {
   RelayHeader header;
@@ -135,12 +142,12 @@
 
 template <typename Archive>
 void serialize(Archive& archive, Millis& duration) {
-  archive(duration.value);
+  archive(Clamped(duration.value, 0, kMaxDecodedDurationMs));
 }
 
 template <typename Archive>
 void serialize(Archive& archive, TimePoint& time) {
-  archive(time.value);
+  archive(Clamped(time.value, 0, kMaxDecodedTimeMs));
 }
 
 template <typename Archive>
@@ -151,7 +158,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, ServiceTerms& terms) {
-  archive(terms.cold_openings_per_second, terms.cold_time);
+  archive(Clamped(terms.cold_openings_per_second, 0, kMaxDecodedCount),
+          terms.cold_time);
 }
 
 template <typename Archive>
@@ -178,7 +186,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, AgentLoad& load) {
-  archive(load.work_ms, load.suspected_failures, load.cold_openings_left,
+  archive(Clamped(load.work_ms, 0, static_cast<double>(kMaxDecodedDurationMs)),
+          Clamped(load.suspected_failures, 0, 1), load.cold_openings_left,
           Bounded(load.routes, kMaxReportedRoutes));
 }
 
@@ -209,7 +218,8 @@
 void serialize(Archive& archive, AgentReport& report) {
   archive(report.service, report.agent_boot, report.sequence,
           BoundedEnum(report.phase, UpstreamPhase::kAgentRestarting),
-          report.slots, report.flows, report.mean_outstanding,
+          report.slots, report.flows,
+          Clamped(report.mean_outstanding, 0, kMaxDecodedCount),
           report.outstanding, report.is_cold);
 }
 
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -121,6 +121,31 @@
   }
 }
 
+// Guards against figures with which the arithmetic of the receiver overflows.
+BOOST_AUTO_TEST_CASE(FigureOutOfRange_Decoded_IsClamped) {
+  const OpeningContext context{
+      TimePoint{std::numeric_limits<int64_t>::min()}, 1,
+      RouteTerms{RequestKind::kSafe, 0, Millis{-5}, Millis{INT64_MAX}}};
+  Bytes encoded;
+  EncodeRelayMessage(OpeningRefused{{{1, 2}, {3, 4}}, context}, encoded);
+  const Result<RelayMessage> refused = DecodeRelayMessage(encoded);
+  BOOST_REQUIRE(IsOk(refused));
+  const OpeningContext& decoded =
+      std::get<OpeningRefused>(ValueOf(refused)).context;
+  BOOST_TEST(decoded.relayed_at.value == 0);
+  BOOST_TEST(decoded.terms.latency_objective.value == 0);
+  BOOST_TEST(decoded.terms.request_timeout.value == kMaxDecodedDurationMs);
+  ExtendedStatus status;
+  status.status.report.mean_outstanding = -1e300;
+  status.load.suspected_failures = 7;
+  EncodeRelayMessage(status, encoded);
+  const Result<RelayMessage> reported = DecodeRelayMessage(encoded);
+  BOOST_REQUIRE(IsOk(reported));
+  const ExtendedStatus& clamped = std::get<ExtendedStatus>(ValueOf(reported));
+  BOOST_TEST(clamped.status.report.mean_outstanding == 0);
+  BOOST_TEST(clamped.load.suspected_failures == 1);
+}
+
 // Guards against batches that exceed the maximum datagram size.
 BOOST_AUTO_TEST_CASE(LargestOwnershipBatch_Encoded_FitsOneMessage) {
   OwnershipBatchQuery query;
