Refuse a returned packet of another flow

Cause: a balancer that got an agent's reply with a packet that is malformed or belongs to another flow searched for the owner with the fields of an empty or foreign packet; agents could then deny an open flow. Change: such a reply counts as a malformed message.

--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -191,8 +191,15 @@
     ++malformed_messages_;
     return;
   }
-  const FlowPacket packet =
-      platform_.decode_packet(reply->packet).value_or(FlowPacket{});
+  const std::optional<FlowPacket> returned =
+      platform_.decode_packet(reply->packet);
+  // A search with another packet than one of this flow could prove nothing.
+  if (!reply->packet.empty() &&
+      (!returned.has_value() || FlowFromCaller(*returned) != reply->flow)) {
+    ++malformed_messages_;
+    return;
+  }
+  const FlowPacket packet = returned.value_or(FlowPacket{});
   actions_.clear();
   HandleOwnershipReply(relay_,
                        OwnershipReply{from, reply->flow, reply->ownership},
--- a/standins/platform_side/tests/malformed_datagram_test.cc
+++ b/standins/platform_side/tests/malformed_datagram_test.cc
@@ -273,6 +273,25 @@
   CheckBothReady();
 }
 
+// Guards against a search with the fields of another packet, after which a flow
+// that is open would seem to have no owner and be reset.
+BOOST_AUTO_TEST_CASE(ReturnedPacketOfOtherFlow_SentToBalancer_IsMalformed) {
+  const Bytes packet = Packet(false, 4);
+  const FlowTuple other{Endpoint{caller_ip, 1'031},
+                        *RouteAddresses(kHubService).begin()};
+  Bytes message;
+  for (const Bytes& returned : {packet, Bytes(20, 1)}) {
+    EncodeRelayMessage(
+        FlowOwnershipReply{other, FlowOwnership::kNotOwned, returned}, message);
+    Send(Endpoint{balancer_ip, kRelayPort}, message);
+  }
+  BOOST_TEST(RunUntil([this] {
+    return Metric(balancer_ip,
+                  "medlarwinch_balancer_messages_malformed_total") == 2;
+  }));
+  CheckBothReady();
+}
+
 BOOST_AUTO_TEST_CASE(RandomDatagrams_SentToEverySocket_ProcessesStayReady) {
   std::mt19937 random(kRandomSeed);
   const Endpoint sockets[] = {balancer_datagrams,
