Wait for readiness responses in the test of malformed datagrams

A loaded machine may delay a response beyond the client's timeout. The checks that both processes still run are as before.

--- a/standins/platform_side/tests/malformed_datagram_test.cc
+++ b/standins/platform_side/tests/malformed_datagram_test.cc
@@ -174,9 +174,12 @@
     return header;
   }
 
+  // Waits for the readiness responses, since a loaded machine may delay them.
   void CheckBothReady() {
-    BOOST_TEST(IsReady(balancer_ip));
-    BOOST_TEST(IsReady(agent_ip));
+    BOOST_TEST(RunUntil(
+        [this] { return balancer->HasExited() || IsReady(balancer_ip); }));
+    BOOST_TEST(
+        RunUntil([this] { return agent->HasExited() || IsReady(agent_ip); }));
     BOOST_TEST(!balancer->HasExited());
     BOOST_TEST(!agent->HasExited());
   }
