--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -78,28 +78,6 @@
 void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
                           uint32_t copy, Millis age, RelayActions& actions);
 
-/// An agent's reply to an ownership query.
-struct OwnershipReply {
-  Endpoint agent;
-  FlowTuple flow;
-  FlowOwnership ownership = FlowOwnership::kNotOwned;
-};
-
-/// Processes an agent's reply. `raw` is the packet returned with the reply, or
-/// empty, and `packet` is its decoded form.
-void HandleOwnershipReply(BalancerRelay& relay, const OwnershipReply& reply,
-                          const FlowPacket& packet,
-                          std::span<const uint8_t> raw, TimePoint now,
-                          RelayActions& actions);
-
-/// Sends the queries that were collected since ScheduleQueryFlush was returned.
-void FlushOwnershipQueries(BalancerRelay& relay, RelayActions& actions);
-
-/// Records that the list of agents requested at `requested_at` was applied to
-/// the directory, and concludes the searches that waited for it.
-void HandleDirectoryRefreshed(BalancerRelay& relay, TimePoint requested_at,
-                              TimePoint now, RelayActions& actions);
-
 /// Ends searches that have timed out and removes idle flows from the cache. To
 /// be called about every 100 ms; `tick_delay` is how late the call is.
 void HandleBalancerTick(BalancerRelay& relay, Millis tick_delay, TimePoint now,
--- a/packages/coordination/tests/packet_path/relay_fixture.h
+++ b/packages/coordination/tests/packet_path/relay_fixture.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/balancer_search.h"
 
 namespace medlarwinch {
 
--- a/packages/node/src/agent_node_terms.cc
+++ b/packages/node/src/agent_node_terms.cc
@@ -6,6 +6,62 @@
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
+namespace {
+
+// Number of reports after which the polling balancer is told the number of
+// balancers.
+constexpr uint64_t kReportsPerBalancerCount = 64;
+
+}  // namespace
+
+bool AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
+  const TimePoint now = MonotonicNow();
+  const bool is_first = last_poll_by_balancer_.count(from) == 0;
+  last_poll_by_balancer_.insert_or_assign(from, now);
+  configuration_version_ =
+      std::max(configuration_version_, poll.configuration_version);
+  registration_.RecordPoll(from, poll.is_listed, now);
+  return is_first;
+}
+
+void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
+  const bool is_first = RecordPoll(from, poll);
+  SendStatus(from);
+  SendPeriodicNotices(from);
+  // A balancer forgets the offer when it learns of a new process, so the offer
+  // follows the status. A plain poll shows that the balancer has not read it.
+  const bool awaits_extended = settings_.features != NodeFeatures{};
+  if (is_first || awaits_extended) SendProtocolOffer(from);
+}
+
+void AgentNode::HandleExtendedPoll(const Endpoint& from,
+                                   const ExtendedPoll& poll) {
+  const bool is_first = RecordPoll(from, poll.poll);
+  ApplyPolledTerms(from, poll);
+  ApplyPolledBaselines(poll.terms);
+  RecordLink(from, poll.terms);
+  EncodeRelayMessage(
+      ExtendedStatus{MakeStatus(), relay_.gate.evacuations, MakeLoad()},
+      message_buffer_);
+  relay_socket_->Send(from, message_buffer_);
+  SendPeriodicNotices(from);
+  if (is_first) SendProtocolOffer(from);
+}
+
+void AgentNode::SendProtocolOffer(const Endpoint& balancer) {
+  EncodeRelayMessage(ProtocolOffer{kExtendedProtocolVersion}, message_buffer_);
+  relay_socket_->Send(balancer, message_buffer_);
+}
+
+// Repeats what a balancer would miss if one datagram were lost.
+void AgentNode::SendPeriodicNotices(const Endpoint& balancer) {
+  if (report_sequence_ % kReportsPerBalancerCount != 0) return;
+  EncodeRelayMessage(
+      BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
+      message_buffer_);
+  relay_socket_->Send(balancer, message_buffer_);
+  SendProtocolOffer(balancer);
+}
 
 void AgentNode::ApplyPolledTerms(const Endpoint& from,
                                  const ExtendedPoll& poll) {
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -1,6 +1,7 @@
 // The calls of a balancer to the platform's metadata store.
 #include <utility>
 
+#include "medlarwinch/coordination/packet_path/balancer_search.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
 #include "medlarwinch/coordination/shared/store_watch_policy.h"
 #include "medlarwinch/node/agent_registration.h"
--- a/standins/platform_side/tests/malformed_datagram_test.cc
+++ b/standins/platform_side/tests/malformed_datagram_test.cc
@@ -51,7 +51,7 @@
             });
     BOOST_REQUIRE(IsOk(listening));
     store_server = TakeValue(std::move(listening));
-    store.Put("config", "main", SoakConfiguration(1));
+    store.Put("config", "main", SoakConfiguration(1, 0));
     balancer = Spawn("balancer", balancer_ip);
     agent = Spawn("agent", agent_ip);
     BOOST_REQUIRE(IsOk(upstream.Start()));
