--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -46,6 +46,10 @@
   /// True if a restored store lists the entry again although its removal was
   /// seen, until the agent reports. Most likely the agent is gone.
   bool is_resurrected = false;
+  /// True for an agent that is known only because a listed agent named it,
+  /// until the store lists it. It gets no new flows: its failure domain is
+  /// unknown.
+  bool is_only_named = false;
   /// True when the agent is in the balancer's own failure domain.
   bool is_local = false;
   /// The last report; its phase is kUnknown before the first one.
@@ -78,6 +82,9 @@
   bool is_complete = false;
   /// Highest revision of a list that was applied.
   StoreRevision listed_revision;
+  /// Number of polls of all agents since the first list of the era, counted up
+  /// to kPollsToProveList.
+  uint32_t polls_in_era = 0;
   /// Revision of the last write of entries that were removed; at most
   /// kMaxRemovedEntries.
   std::map<Endpoint, StoreRevision> removed;
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 
 namespace medlarwinch {
 namespace {
@@ -195,6 +196,8 @@
     ConcludeOwned(relay, flow, *remaining, now, actions);
     return;
   }
+  // An agent that a restored store does not list may own the flow.
+  if (!IsListProven(relay.directory)) return;
   // An agent that has registered since the last list may own the flow.
   const bool is_directory_recent =
       relay.directory_requested_at.has_value() &&
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -143,6 +143,7 @@
                    TimePoint now) {
   if (!directory.is_complete) return true;
   for (const auto& [agent, upstream] : directory.upstreams) {
+    if (upstream.is_only_named) continue;
     if (upstream.report.phase == UpstreamPhase::kAbsent) continue;
     if (upstream.report.phase == UpstreamPhase::kDraining) continue;
     if (!HasTarget(route, upstream.report.service)) continue;
--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -55,6 +55,7 @@
   directory.removed.erase(entry.agent);
   upstream.entry = entry;
   upstream.is_listed = true;
+  upstream.is_only_named = false;
   upstream.is_local = entry.failure_domain == directory.own_failure_domain;
 }
 
@@ -62,6 +63,7 @@
                   const std::vector<DirectoryEntry>& entries,
                   const StoreRevision& revision, TimePoint now) {
   if (revision.era < directory.listed_revision.era) return;
+  if (revision.era > directory.listed_revision.era) directory.polls_in_era = 0;
   std::set<Endpoint> listed;
   for (const DirectoryEntry& entry : entries) listed.insert(entry.agent);
   for (auto& [agent, upstream] : directory.upstreams) {
@@ -114,7 +116,8 @@
 }
 
 bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now) {
-  return upstream.report.phase == UpstreamPhase::kReady &&
+  return !upstream.is_only_named &&
+         upstream.report.phase == UpstreamPhase::kReady &&
          now - upstream.last_contact <= kMaxReportAge;
 }
 
--- a/packages/coordination/tests/packet_path/relay_fixture.h
+++ b/packages/coordination/tests/packet_path/relay_fixture.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 
 namespace medlarwinch {
 
@@ -71,6 +72,8 @@
           DirectoryEntry{AgentAddress(index), service, "catania", {1, 1}});
     }
     ApplyListing(relay.directory, entries, StoreRevision{1, 1}, now);
+    // The balancer has run for longer than the first polls of an era.
+    relay.directory.polls_in_era = kPollsToProveList;
     ReportAll();
   }
 
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "medlarwinch/coordination/packet_path/agent_relay.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 #include "medlarwinch/node/agent_registration.h"
 #include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
@@ -39,6 +40,11 @@
   void ApplyPolledTerms(const Endpoint& from, const ExtendedPoll& poll);
   void SendProtocolOffer(const Endpoint& balancer);
   void SendPeriodicNotices(const Endpoint& balancer);
+  /// Records the agents that a polling balancer names as not listed by the
+  /// store. Returns false if the message is another one.
+  bool RecordNamedByBalancer(const Endpoint& from, const RelayMessage& message);
+  /// Passes on the agents that balancers have named.
+  void SendNamedAgents(const Endpoint& balancer);
   AgentStatus MakeStatus();
   AgentLoad MakeLoad() const;
   void HandleUpstreamDatagram(std::span<uint8_t> datagram);
@@ -75,6 +81,8 @@
   UpstreamPhase announced_phase_ = UpstreamPhase::kUnknown;
   /// Time of the last poll by each balancer that polled recently.
   std::map<Endpoint, TimePoint> last_poll_by_balancer_;
+  /// Agents in use that balancers do not find in the store.
+  NamedAgents named_agents_;
   AgentRegistration registration_;
   std::unique_ptr<AsyncUdpSocket> relay_socket_;
   std::unique_ptr<AsyncUdpSocket> upstream_socket_;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -67,6 +67,11 @@
   void PollAgent(const Endpoint& agent, bool is_listed);
   void PollAgents();
   void PollStartingAgents();
+  /// Polls all agents, and names those that the store does not list.
+  void PollPeriodically();
+  void NameUnlistedAgents();
+  /// Returns false if the message is another one.
+  bool HandleNamedAgents(const Endpoint& from, const RelayMessage& message);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -25,9 +25,6 @@
 // A stopping agent whose upstream is absent or deregistered exits once its
 // entry is withdrawn, or after this time.
 constexpr Millis kWithdrawTimeout{1'500};
-// Number of reports after which the polling balancer is told the number of
-// balancers.
-constexpr uint64_t kReportsPerBalancerCount = 64;
 
 DirectoryEntry MakeOwnEntry(const NodeSettings& settings) {
   return DirectoryEntry{settings.datagram_address,
@@ -135,6 +132,7 @@
     HandleExtendedPoll(from, *poll);
     return;
   }
+  if (RecordNamedByBalancer(from, message)) return;
   ++malformed_messages_;
 }
 
@@ -185,21 +183,6 @@
   if (is_first) SendProtocolOffer(from);
 }
 
-void AgentNode::SendProtocolOffer(const Endpoint& balancer) {
-  EncodeRelayMessage(ProtocolOffer{kExtendedProtocolVersion}, message_buffer_);
-  relay_socket_->Send(balancer, message_buffer_);
-}
-
-// Repeats what a balancer would miss if one datagram were lost.
-void AgentNode::SendPeriodicNotices(const Endpoint& balancer) {
-  if (report_sequence_ % kReportsPerBalancerCount != 0) return;
-  EncodeRelayMessage(
-      BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
-      message_buffer_);
-  relay_socket_->Send(balancer, message_buffer_);
-  SendProtocolOffer(balancer);
-}
-
 void AgentNode::HandleUpstreamDatagram(std::span<uint8_t> datagram) {
   const std::optional<FlowPacket> packet = platform_.decode_packet(datagram);
   if (!packet.has_value()) {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -66,7 +66,7 @@
   WatchAgents();
   WatchEvacuations();
   poll_timer_ = std::make_unique<PeriodicTimer>(loop_, kAgentPollInterval,
-                                                [this] { PollAgents(); });
+                                                [this] { PollPeriodically(); });
   poll_timer_->Start();
   lost_agent_timer_ = std::make_unique<PeriodicTimer>(
       loop_, kLostAgentCheckInterval, [this] { RemoveLostAgentEntry(); });
@@ -201,6 +201,7 @@
     ExecuteActions(actions_, {});
     return;
   }
+  if (HandleNamedAgents(from, message)) return;
   const FlowOwnershipReply* reply = std::get_if<FlowOwnershipReply>(&message);
   if (reply == nullptr) {
     ++malformed_messages_;
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 #include "medlarwinch/protocol/bytes.h"
 #include "medlarwinch/protocol/codec.h"
 #include "medlarwinch/protocol/serialization.h"
@@ -128,6 +129,15 @@
                          const OpeningRefused&) = default;
 };
 
+/// Balancer to listed agents, and from these to each balancer that polls them:
+/// agents that are in use although a restored store does not list them.
+struct UnlistedAgents {
+  std::vector<Endpoint> agents;
+
+  friend bool operator==(const UnlistedAgents&,
+                         const UnlistedAgents&) = default;
+};
+
 template <typename Archive>
 void serialize(Archive& archive, StoreRevision& revision) {
   archive(revision.era, revision.number);
@@ -294,13 +304,18 @@
   archive(message.flow, message.context);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, UnlistedAgents& message) {
+  archive(Bounded(message.agents, kMaxNamedAgents));
+}
+
 /// New messages are appended, so that processes of different versions read each
 /// other's older messages.
 using RelayMessage =
     std::variant<RelayedPacket, OwnershipQuery, FlowOwnershipReply, AgentPoll,
                  AgentStatus, OwnershipBatchQuery, OwnershipBatchReply,
                  BalancerCount, ProtocolOffer, ExtendedPoll, ExtendedStatus,
-                 RelayedOpening, OpeningRefused>;
+                 RelayedOpening, OpeningRefused, UnlistedAgents>;
 
 /// Replaces the content of `bytes` with the encoding of `message`.
 void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
