Drop openings while the list of a restored store is unproven

Another balancer may have placed an earlier copy of the opening at an agent that the store does not list, so a reset could meet an open flow.

--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -5,6 +5,7 @@
 
 #include "medlarwinch/coordination/packet_path/evacuation.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 #include "medlarwinch/coordination/shared/rendezvous.h"
 
 namespace medlarwinch {
@@ -141,9 +142,8 @@
 
 bool MayAcceptSoon(const UpstreamDirectory& directory, const RelayRoute& route,
                    TimePoint now) {
-  if (!directory.is_complete) return true;
+  if (!directory.is_complete || !IsListProven(directory)) return true;
   for (const auto& [agent, upstream] : directory.upstreams) {
-    if (upstream.is_only_named) continue;
     if (upstream.report.phase == UpstreamPhase::kAbsent) continue;
     if (upstream.report.phase == UpstreamPhase::kDraining) continue;
     if (!HasTarget(route, upstream.report.service)) continue;
--- a/packages/coordination/tests/packet_path/unlisted_agents_test.cc
+++ b/packages/coordination/tests/packet_path/unlisted_agents_test.cc
@@ -98,6 +98,17 @@
   BOOST_TEST(AcceptsFlows(upstream, now));
 }
 
+// Guards against the reset of an opening of which another balancer has placed
+// an earlier copy at an agent that the store does not list.
+BOOST_AUTO_TEST_CASE(AllAgentsUnlisted_Opening_IsDroppedUntilListIsProven) {
+  relay.directory = UpstreamDirectory{};
+  ApplyListing(relay.directory, {}, StoreRevision{2, 1}, now);
+  BOOST_TEST(
+      AreOnlyDropped(Send(OpeningPacket(1)), PacketDropReason::kNoUpstreamYet));
+  PollAll(kPollsToProveList);
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(2))).size() == 1U);
+}
+
 // Guards against a name that is passed around after the agent is lost.
 BOOST_AUTO_TEST_CASE(UnlistedAgent_NamedOnlyWhileItReports) {
   ListInEra(2);
