--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -8,6 +8,7 @@
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
 #include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
+#include "medlarwinch/coordination/packet_path/unlisted_agents.h"
 
 namespace medlarwinch {
 namespace {
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -71,6 +71,11 @@
   bool SendsBaselines() const;
   void RefreshBaselines(TimePoint now);
   void UpdateOutliers(TimePoint now);
+  /// Polls all agents, and names those that the store does not list.
+  void PollPeriodically();
+  void NameUnlistedAgents();
+  /// Returns false if the message is another one.
+  bool HandleNamedAgents(const Endpoint& from, const RelayMessage& message);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -134,6 +134,7 @@
     HandleExtendedPoll(from, *poll);
     return;
   }
+  if (RecordNamedByBalancer(from, message)) return;
   ++malformed_messages_;
 }
 
--- a/packages/node/src/agent_node_terms.cc
+++ b/packages/node/src/agent_node_terms.cc
@@ -6,14 +6,6 @@
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
-namespace {
-
-// Number of reports after which the polling balancer is told the number of
-// balancers.
-constexpr uint64_t kReportsPerBalancerCount = 64;
-
-}  // namespace
-
 bool AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
   const TimePoint now = MonotonicNow();
   const bool is_first = last_poll_by_balancer_.count(from) == 0;
@@ -48,21 +40,6 @@
   if (is_first) SendProtocolOffer(from);
 }
 
-void AgentNode::SendProtocolOffer(const Endpoint& balancer) {
-  EncodeRelayMessage(ProtocolOffer{kExtendedProtocolVersion}, message_buffer_);
-  relay_socket_->Send(balancer, message_buffer_);
-}
-
-// Repeats what a balancer would miss if one datagram were lost.
-void AgentNode::SendPeriodicNotices(const Endpoint& balancer) {
-  if (report_sequence_ % kReportsPerBalancerCount != 0) return;
-  EncodeRelayMessage(
-      BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
-      message_buffer_);
-  relay_socket_->Send(balancer, message_buffer_);
-  SendProtocolOffer(balancer);
-}
-
 void AgentNode::ApplyPolledTerms(const Endpoint& from,
                                  const ExtendedPoll& poll) {
   if (!ApplyBalancerTerms(relay_.gate, poll.terms,
