Spill new flows to other failure domains by expected wait

Cause: a fixed load penalty of 0.03 for upstreams of other domains is smaller than the differences between single upstreams, and says nothing of the wait saved or of the size of the answers. Off unless the settings ask for it.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -28,6 +28,8 @@
 struct BalancerCounters {
   uint64_t opened = 0;
   uint64_t open_retransmissions = 0;
+  /// Openings, without copies, placed outside the balancer's failure domain.
+  uint64_t opened_outside_domain = 0;
   uint64_t relayed = 0;
   uint64_t searches = 0;
   uint64_t owners_found = 0;
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_routes.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_routes.h
@@ -42,6 +42,8 @@
   uint64_t version = 0;
   std::map<Endpoint, RelayRoute> routes;
   std::map<ServiceId, ServiceTerms> services;
+  /// Names of `services`, for logs and metrics.
+  std::map<ServiceId, std::string> service_names;
   /// Flows that were idle for longer may be removed.
   Millis flow_idle_timeout{0};
 
@@ -49,6 +51,10 @@
                          const RelayConfiguration&) = default;
 };
 
+/// Returns the service's name, or its hash if the configuration names none.
+std::string ServiceName(const RelayConfiguration& configuration,
+                        ServiceId service);
+
 /// The active configuration, and the routes that earlier configurations of this
 /// process had.
 struct RouteTable {
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "medlarwinch/coordination/packet_path/domain_spill.h"
 #include "medlarwinch/coordination/packet_path/relay_terms.h"
 #include "medlarwinch/coordination/packet_path/relay_types.h"
 #include "medlarwinch/coordination/shared/store_revision.h"
@@ -119,6 +120,10 @@
   bool detects_outliers = false;
   /// Time at which most upstreams of a service last looked like outliers.
   std::map<ServiceId, TimePoint> services_changed_at;
+  /// New flows stay in the own failure domain except for the shares in
+  /// `spills`.
+  bool spills_by_domain = false;
+  std::map<ServiceId, DomainSpill> spills;
 
   friend bool operator==(const UpstreamDirectory&,
                          const UpstreamDirectory&) = default;
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -82,7 +82,11 @@
     header.alternates.push_back(ranked[index].agent);
   }
   const Endpoint first = ranked.front().agent;
-  RecordPlacement(relay.directory, relay.directory.upstreams.at(first));
+  KnownUpstream& chosen = relay.directory.upstreams.at(first);
+  RecordPlacement(relay.directory, chosen);
+  if (!is_retransmission && !chosen.is_local) {
+    ++relay.counters.opened_outside_domain;
+  }
   relay.cache.Put(flow, first, !is_retransmission, now);
   ++(is_retransmission ? relay.counters.open_retransmissions
                        : relay.counters.opened);
--- a/packages/coordination/src/packet_path/flow_placement.cc
+++ b/packages/coordination/src/packet_path/flow_placement.cc
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "medlarwinch/coordination/packet_path/admission_class.h"
+#include "medlarwinch/coordination/packet_path/domain_spill.h"
 #include "medlarwinch/coordination/packet_path/evacuation.h"
 #include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
@@ -40,6 +41,8 @@
   /// number.
   double work_ms = 0;
   double measured = 0;
+  /// The failure domain that the flow should go to; null if none is drawn.
+  const std::string* drawn_domain = nullptr;
 };
 
 bool ReportsWork(const AgentLoad& load) {
@@ -106,14 +109,29 @@
   double cost = 0;
   uint64_t score = 0;
   PlacementClass placement = PlacementClass::kUsual;
+  /// In the failure domain that was drawn for the flow, if one is drawn.
+  bool is_in_drawn_domain = true;
 };
 
 bool IsBetter(const RankedCandidate& a, const RankedCandidate& b) {
   if (a.placement != b.placement) return a.placement < b.placement;
+  if (a.is_in_drawn_domain != b.is_in_drawn_domain) {
+    return a.is_in_drawn_domain;
+  }
   if (a.cost != b.cost) return a.cost < b.cost;
   return a.score > b.score;
 }
 
+// Null while domains are not drawn.
+const std::string* DrawDomainOf(const UpstreamDirectory& directory,
+                                ServiceId service, RequestKind kind,
+                                const FlowTuple& flow) {
+  if (!directory.spills_by_domain) return nullptr;
+  const auto spill = directory.spills.find(service);
+  if (spill == directory.spills.end()) return &directory.own_failure_domain;
+  return &DrawDomain(spill->second, directory.own_failure_domain, kind, flow);
+}
+
 bool HasHigherScore(const RankedCandidate& a, const RankedCandidate& b) {
   return a.score > b.score;
 }
@@ -146,11 +164,16 @@
     }
     accepting.push_back(&upstream);
   }
+  for (auto& [service, load] : loads) {
+    load.drawn_domain =
+        DrawDomainOf(directory, service, route.terms.kind, flow);
+  }
   std::map<ServiceId, std::vector<RankedCandidate>> ranked;
   for (const KnownUpstream* upstream : accepting) {
     const ServiceId service = upstream->report.service;
     const Endpoint& agent = upstream->entry.agent;
     const ServiceLoad& service_load = loads[service];
+    const std::string* drawn = service_load.drawn_domain;
     const double load =
         directory.places_by_wait
             ? ExpectedWait(*upstream, route.terms.kind, service_load)
@@ -159,7 +182,8 @@
     const uint64_t score = PlacementScore(flow, agent);
     ranked[service].push_back(RankedCandidate{
         PlacementCandidate{agent, service, load}, cost, score,
-        ClassifyPlacement(directory, recent, *upstream, score)});
+        ClassifyPlacement(directory, recent, *upstream, score),
+        drawn == nullptr || upstream->entry.failure_domain == *drawn});
   }
   for (auto& [service, list] : ranked) {
     const size_t choices = std::min(kPlacementChoices, list.size());
--- a/packages/coordination/src/packet_path/relay_routes.cc
+++ b/packages/coordination/src/packet_path/relay_routes.cc
@@ -14,6 +14,14 @@
 
 }  // namespace
 
+std::string ServiceName(const RelayConfiguration& configuration,
+                        ServiceId service) {
+  const auto name = configuration.service_names.find(service);
+  return name != configuration.service_names.end()
+             ? name->second
+             : std::to_string(service.value);
+}
+
 bool ApplyConfiguration(RouteTable& table, RelayConfiguration configuration,
                         const StoreRevision& revision, TimePoint now) {
   if (table.is_loaded) {
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -71,6 +71,7 @@
   bool SendsBaselines() const;
   void RefreshBaselines(TimePoint now);
   void UpdateOutliers(TimePoint now);
+  void UpdateSpills(TimePoint now);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -44,6 +44,7 @@
   relay_.random.seed(seed);
   relay_.directory.own_failure_domain = settings.failure_domain;
   relay_.directory.places_by_wait = settings.features.admission_by_class;
+  relay_.directory.spills_by_domain = settings.features.domain_spill;
 }
 
 Result<Ok> BalancerNode::Start() {
@@ -121,6 +122,7 @@
   RefreshUploadFlows(relay_.uploads, MonotonicNow());
   ++poll_round_;
   RefreshBaselines(MonotonicNow());
+  UpdateSpills(MonotonicNow());
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     PollAgent(agent, upstream.is_listed);
   }
--- a/packages/node/src/node_metrics.cc
+++ b/packages/node/src/node_metrics.cc
@@ -29,6 +29,7 @@
   };
   set_total("flows_opened", counters.opened);
   set_total("opening_copies", counters.open_retransmissions);
+  set_total("flows_opened_outside_domain", counters.opened_outside_domain);
   set_total("packets_relayed", counters.relayed);
   set_total("owner_searches", counters.searches);
   set_total("owners_found", counters.owners_found);
@@ -63,6 +64,14 @@
               static_cast<double>(evacuations.failure_domains.size()));
   metrics.Set("medlarwinch_balancer_evacuations_revision", {},
               static_cast<double>(evacuations.revision.number));
+  for (const auto& [service, spill] : relay.directory.spills) {
+    const std::string name = ServiceName(relay.routes.configuration, service);
+    for (size_t index = 1; index < kRequestKinds; ++index) {
+      const char* kind = RequestKindName(static_cast<RequestKind>(index));
+      metrics.Set("medlarwinch_balancer_spill_share",
+                  {{"service", name}, {"kind", kind}}, spill.shares[index]);
+    }
+  }
   for (const auto& [agent, upstream] : relay.directory.upstreams) {
     const MetricLabels labels = {{"agent", ToString(agent)}};
     metrics.Set("medlarwinch_upstream_flows", labels, upstream.report.flows);
