Estimate the demand of a domain by its busy slots

Change: shares follow the busy part of the slots, fall to 0 when nobody receives, and a kilobyte is priced at 0.5 ms.

--- a/packages/coordination/src/packet_path/domain_spill.cc
+++ b/packages/coordination/src/packet_path/domain_spill.cc
@@ -15,8 +15,9 @@
 constexpr double kWayCostMs = 5;
 // A kilobyte between failure domains costs about 0.002 of an answer's worth,
 // and so does a millisecond of wait: an answer loses 0.7 over an objective of
-// 300 ms and more.
-constexpr double kMsPerKilobyte = 1;
+// 300 ms and more. Half of that, because a flow that leaves also shortens the
+// wait of those that stay.
+constexpr double kMsPerKilobyte = 0.5;
 constexpr double kLongAnswerKilobytes = 60;
 constexpr double kSafeAnswerKilobytes = 4;
 constexpr double kUnsafeAnswerKilobytes = 1;
@@ -44,6 +45,10 @@
   return (wait + std::sqrt(wait * wait + 4 * wait)) / 2;
 }
 
+// Busy part of the slots at `load`. Approaches 1 in an overload, where the
+// queue grows with time and says little about the demand.
+double BusyPartAt(double load) { return load / (1 + WaitAt(load)); }
+
 double Stepped(double share, double target) {
   const double seconds = static_cast<double>(kDomainSpillInterval.value) / 1000;
   return std::clamp(target, share - kShareFallPerSecond * seconds,
@@ -99,6 +104,17 @@
   return slots > 0 ? requests / slots : 0;
 }
 
+// The domains below the mean, by what they lack.
+void FindReceivers(DomainSpill& spill,
+                   const std::map<std::string, DomainFigures>& domains,
+                   double mean) {
+  for (const auto& [domain, load] : spill.loads) {
+    if (load >= mean) continue;
+    spill.receivers[domain] = domains.at(domain).slots * (mean - load);
+  }
+  NormalizeReceivers(spill.receivers);
+}
+
 // The own domain has no upstreams: everything leaves, split by free slots.
 void GiveEverything(DomainSpill& spill,
                     const std::map<std::string, DomainFigures>& domains) {
@@ -180,6 +196,8 @@
     return;
   }
   spill.own_wait_ms = WaitAt(own->second) * work_ms;
+  if (own->second > mean) FindReceivers(spill, domains, mean);
+  const bool may_send = !spill.receivers.empty();
   const double saved_ms = spill.own_wait_ms - spill.other_wait_ms;
   for (size_t index = 0; index < kRequestKinds; ++index) {
     double& share = spill.shares[index];
@@ -189,19 +207,14 @@
     // without spill is estimated from the share that caused the present one.
     const double wanted = LoadAt((spill.other_wait_ms + cost_ms) / work_ms);
     double target = 0;
-    if (own->second > 0) {
-      target = 1 - (1 - mean_share) * wanted / own->second;
+    if (may_send) {
+      target =
+          1 - (1 - mean_share) * BusyPartAt(wanted) / BusyPartAt(own->second);
     }
     if (share == 0 && saved_ms < cost_ms * kStartFactor) target = 0;
     share = std::clamp(Stepped(share, target), 0.0, 1.0);
     mean_share += (share - mean_share) * kNewFigureWeight;
   }
-  if (own->second <= mean) return;
-  for (const auto& [domain, load] : spill.loads) {
-    if (load >= mean) continue;
-    spill.receivers[domain] = domains.at(domain).slots * (mean - load);
-  }
-  NormalizeReceivers(spill.receivers);
 }
 
 const std::string& DrawDomain(const DomainSpill& spill,
