--- a/packages/node/tests/node_metrics_test.cc
+++ b/packages/node/tests/node_metrics_test.cc
@@ -52,6 +52,20 @@
              std::string::npos);
 }
 
+// Guards against a spill that operators can't attribute to a service and kind.
+BOOST_AUTO_TEST_CASE(SpillShares_Rendered_NameServiceAndKind) {
+  BalancerRelay relay;
+  const ServiceId service = MakeServiceId("wayfinder");
+  relay.routes.configuration.service_names[service] = "wayfinder";
+  relay.directory.spills[service]
+      .shares[static_cast<size_t>(RequestKind::kUnsafe)] = 0.25;
+  Metrics metrics;
+  SetBalancerMetrics(relay, 0, 0, metrics);
+  BOOST_TEST(metrics.Render().find("medlarwinch_balancer_spill_share{kind="
+                                   "\"unsafe\",service=\"wayfinder\"} 0.25") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(BalancerCounters_Rendered_AreCounters) {
   BalancerRelay relay;
   relay.counters.searches_unresolved = 4;
