Compare domains by the busy part of their slots

Cause: the mean of requests per slot is that of the longest queue, so that an overloaded domain next to a longer queue counted as a receiver. Change: means and receivers go by the busy part, which stays below 1. Result: a test of this case; coordination_tests pass.

--- a/packages/coordination/src/packet_path/domain_spill.cc
+++ b/packages/coordination/src/packet_path/domain_spill.cc
@@ -49,6 +49,11 @@
 // queue grows with time and says little about the demand.
 double BusyPartAt(double load) { return load / (1 + WaitAt(load)); }
 
+// Inverse of BusyPartAt(), for parts below 1.
+double LoadAtBusyPart(double part) {
+  return (std::sqrt(1 + 4 * part / (1 - part)) - 1) / 2;
+}
+
 double Stepped(double share, double target) {
   const double seconds = static_cast<double>(kDomainSpillInterval.value) / 1000;
   return std::clamp(target, share - kShareFallPerSecond * seconds,
@@ -92,25 +97,28 @@
   return true;
 }
 
-double MeanLoad(const DomainSpill& spill,
-                const std::map<std::string, DomainFigures>& domains) {
+// Mean busy part of the slots. A mean of requests would be that of the longest
+// queue, next to which other overloaded domains would look free.
+double MeanBusyPart(const DomainSpill& spill,
+                    const std::map<std::string, DomainFigures>& domains) {
   double slots = 0;
-  double requests = 0;
+  double busy = 0;
   for (const auto& [domain, load] : spill.loads) {
     const double domain_slots = domains.at(domain).slots;
     slots += domain_slots;
-    requests += load * domain_slots;
+    busy += BusyPartAt(load) * domain_slots;
   }
-  return slots > 0 ? requests / slots : 0;
+  return slots > 0 ? busy / slots : 0;
 }
 
 // The domains below the mean, by what they lack.
 void FindReceivers(DomainSpill& spill,
                    const std::map<std::string, DomainFigures>& domains,
-                   double mean) {
+                   double mean_busy) {
   for (const auto& [domain, load] : spill.loads) {
-    if (load >= mean) continue;
-    spill.receivers[domain] = domains.at(domain).slots * (mean - load);
+    const double lacking = mean_busy - BusyPartAt(load);
+    if (lacking <= 0) continue;
+    spill.receivers[domain] = domains.at(domain).slots * lacking;
   }
   NormalizeReceivers(spill.receivers);
 }
@@ -186,9 +194,9 @@
                        double work_ms, TimePoint now) {
   if (!UpdateLoads(spill, domains, now)) return;
   spill.receivers.clear();
-  const double mean = MeanLoad(spill, domains);
+  const double mean_busy = MeanBusyPart(spill, domains);
   const auto own = spill.loads.find(own_domain);
-  spill.other_wait_ms = WaitAt(mean) * work_ms;
+  spill.other_wait_ms = WaitAt(LoadAtBusyPart(mean_busy)) * work_ms;
   if (own == spill.loads.end()) {
     spill.own_wait_ms = 0;
     GiveEverything(spill, domains);
@@ -196,7 +204,8 @@
     return;
   }
   spill.own_wait_ms = WaitAt(own->second) * work_ms;
-  if (own->second > mean) FindReceivers(spill, domains, mean);
+  const double own_busy = BusyPartAt(own->second);
+  if (own_busy > mean_busy) FindReceivers(spill, domains, mean_busy);
   const bool may_send = !spill.receivers.empty();
   const double saved_ms = spill.own_wait_ms - spill.other_wait_ms;
   for (size_t index = 0; index < kRequestKinds; ++index) {
@@ -208,8 +217,7 @@
     const double wanted = LoadAt((spill.other_wait_ms + cost_ms) / work_ms);
     double target = 0;
     if (may_send) {
-      target =
-          1 - (1 - mean_share) * BusyPartAt(wanted) / BusyPartAt(own->second);
+      target = 1 - (1 - mean_share) * BusyPartAt(wanted) / own_busy;
     }
     if (share == 0 && saved_ms < cost_ms * kStartFactor) target = 0;
     share = std::clamp(Stepped(share, target), 0.0, 1.0);
--- a/packages/coordination/tests/packet_path/domain_spill_test.cc
+++ b/packages/coordination/tests/packet_path/domain_spill_test.cc
@@ -112,6 +112,18 @@
   BOOST_TEST(!model.sends_to_["c"]["a"]);
 }
 
+// Guards against a domain that counts as free next to a longer queue.
+BOOST_AUTO_TEST_CASE(OverloadedDomain_NextToLongerQueue_GetsNothing) {
+  const std::map<std::string, DomainFigures> domains = {
+      {"a", {40, 320, false}}, {"b", {40, 100, false}}, {"c", {40, 12, false}}};
+  for (const std::string own : {"a", "b"}) {
+    DomainSpill spill;
+    UpdateDomainSpill(spill, own, domains, 100, TimePoint{10'000});
+    BOOST_TEST(spill.receivers.size() == 1);
+    BOOST_TEST(spill.receivers.count("c") == 1);
+  }
+}
+
 // Guards against paying for long answers while short ones can leave.
 BOOST_AUTO_TEST_CASE(Downloads_ModerateExcess_StayLongerThanUnsafe) {
   const std::map<std::string, double> demand = {
