--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -76,6 +76,7 @@
   void NameUnlistedAgents();
   /// Returns false if the message is another one.
   bool HandleNamedAgents(const Endpoint& from, const RelayMessage& message);
+  void UpdateSpills(TimePoint now);
   void RemoveLostAgentEntry();
   void Tick();
   bool IsReady() const;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -45,6 +45,7 @@
   relay_.random.seed(seed);
   relay_.directory.own_failure_domain = settings.failure_domain;
   relay_.directory.places_by_wait = settings.features.admission_by_class;
+  relay_.directory.spills_by_domain = settings.features.domain_spill;
 }
 
 Result<Ok> BalancerNode::Start() {
--- a/packages/node/src/balancer_node_polls.cc
+++ b/packages/node/src/balancer_node_polls.cc
@@ -46,6 +46,7 @@
   RefreshUploadFlows(relay_.uploads, MonotonicNow());
   ++poll_round_;
   RefreshBaselines(MonotonicNow());
+  UpdateSpills(MonotonicNow());
   for (const auto& [agent, upstream] : relay_.directory.upstreams) {
     PollAgent(agent, upstream.is_listed);
   }
