--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -92,17 +92,6 @@
                          const FlowPacket& packet, TimePoint now,
                          RelayActions& actions);
 
-/// Answers a balancer that searches for the owner of a flow.
-void HandleOwnershipQuery(AgentRelay& relay, const Endpoint& balancer,
-                          const OwnershipQuery& query, TimePoint now,
-                          RelayActions& actions);
-
-/// As HandleOwnershipQuery(), for several flows.
-void HandleOwnershipBatchQuery(const AgentRelay& relay,
-                               const Endpoint& balancer,
-                               const OwnershipBatchQuery& query, TimePoint now,
-                               RelayActions& actions);
-
 /// Processes a packet from the upstream. `packet.is_bounced` marks a caller's
 /// packet that the upstream returned.
 UpstreamPacketEffect HandleUpstreamPacket(AgentRelay& relay,
