--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -300,10 +300,8 @@
                                 ? Millis{0}
                                 : now - last_tick_at_ - kTickInterval;
   last_tick_at_ = now;
-  actions_.clear();
   HandleAgentTick(relay_, tick_delay, now);
   RefreshPacing(now);
-  ExecuteActions(actions_, {});
   std::erase_if(last_poll_by_balancer_, [&](const auto& entry) {
     return now - entry.second > kBalancerExpiry;
   });
