--- a/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -54,6 +54,8 @@
   TimePoint last_queried;
   /// Agents that were queried or that denied ownership unasked, sorted.
   std::vector<Endpoint> asked;
+  /// Agents that denied ownership, sorted.
+  std::vector<Endpoint> denied;
   /// Agents in `asked` that may still own the flow, sorted.
   std::vector<Endpoint> pending;
   /// Agents in `pending` whose query is sent with the next batch.
@@ -115,6 +117,11 @@
 void RemoveAbsentAgents(OwnerSearch& search, const UpstreamDirectory& directory,
                         TimePoint now);
 
+/// Returns what is known of the agents that the search does not wait for.
+OwnerSearchEvidence CollectEvidence(const OwnerSearch& search,
+                                    const UpstreamDirectory& directory,
+                                    TimePoint now);
+
 /// Moves the unsent queries of all searches into batches for each agent.
 /// `allowed_services` returns the services whose upstreams may own a flow.
 std::vector<SendOwnershipBatchQuery> TakeBatchQueries(
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -155,11 +155,34 @@
   OpeningDecision decision;
 };
 
+/// What a search for the owner of a flow knew of the agents when it concluded
+/// that none owns the flow.
+struct OwnerSearchEvidence {
+  /// Number of agents that denied the flow during the search.
+  uint32_t denied = 0;
+  /// Number of agents that were left out because of a report that their
+  /// upstream is absent.
+  uint32_t absent = 0;
+  /// Number of agents that were left out because they had not reported.
+  uint32_t silent = 0;
+  /// Age of the oldest report of absence that was used.
+  Millis oldest_absence{0};
+  /// Time since the list of agents was requested.
+  Millis list_age{0};
+  /// Time since the search began.
+  Millis search_age{0};
+
+  friend bool operator==(const OwnerSearchEvidence&,
+                         const OwnerSearchEvidence&) = default;
+};
+
 /// Send a reset to the caller.
 struct ResetCaller {
   FlowTuple flow;
   uint32_t sequence = 0;
   FlowResetReason reason = FlowResetReason::kNoRoute;
+  /// Set for a balancer's reset with kNoOwner.
+  std::optional<OwnerSearchEvidence> evidence = std::nullopt;
 };
 
 /// Read the list of agents from the store again, not from a stale copy, and
--- a/packages/coordination/src/packet_path/balancer_search.cc
+++ b/packages/coordination/src/packet_path/balancer_search.cc
@@ -125,7 +125,11 @@
   // point.
   const bool were_all_queried = search.asked.size() < kMaxSearchedAgents;
   if (were_all_queried) {
-    AddReset(ResetCaller{flow, search.acknowledged, FlowResetReason::kNoOwner},
+    OwnerSearchEvidence evidence =
+        CollectEvidence(search, relay.directory, now);
+    evidence.list_age = now - *relay.directory_requested_at;
+    AddReset(ResetCaller{flow, search.acknowledged, FlowResetReason::kNoOwner,
+                         evidence},
              relay.counters.resets, actions);
   } else {
     ++relay.counters.searches_unresolved;
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -143,6 +143,7 @@
 
 void RecordDenial(OwnerSearch& search, const Endpoint& agent) {
   InsertSorted(search.asked, agent);
+  InsertSorted(search.denied, agent);
   const auto found =
       std::lower_bound(search.pending.begin(), search.pending.end(), agent);
   if (found != search.pending.end() && *found == agent) {
@@ -159,6 +160,27 @@
   });
 }
 
+OwnerSearchEvidence CollectEvidence(const OwnerSearch& search,
+                                    const UpstreamDirectory& directory,
+                                    TimePoint now) {
+  OwnerSearchEvidence evidence;
+  evidence.search_age = now - search.started;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (IsInSorted(search.denied, agent)) {
+      ++evidence.denied;
+      continue;
+    }
+    if (upstream.report.phase != UpstreamPhase::kAbsent) {
+      ++evidence.silent;
+      continue;
+    }
+    ++evidence.absent;
+    evidence.oldest_absence =
+        std::max(evidence.oldest_absence, now - upstream.last_contact);
+  }
+  return evidence;
+}
+
 std::vector<SendOwnershipBatchQuery> TakeBatchQueries(
     OwnerSearches& searches,
     const std::function<std::span<const ServiceId>(const FlowTuple&)>&
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -1,5 +1,6 @@
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -175,6 +176,19 @@
   BOOST_CHECK(resets[0].reason == FlowResetReason::kNoOwner);
 }
 
+// Guards against resets whose cause can't be told from the logs afterwards.
+BOOST_AUTO_TEST_CASE(FlowWithoutOwner_Reset_NamesWhatIsKnownOfEachAgent) {
+  Report(AgentAddress(1), UpstreamPhase::kAbsent);
+  now = now + Millis{40};
+  const std::vector<ResetCaller> resets = DenyAll(*this, CallerPacket(1, 77));
+  BOOST_REQUIRE(resets.size() == 1);
+  BOOST_REQUIRE(resets[0].evidence.has_value());
+  BOOST_TEST(resets[0].evidence->denied + resets[0].evidence->absent ==
+             kAgents);
+  BOOST_TEST(resets[0].evidence->silent == 0U);
+  BOOST_CHECK(resets[0].evidence->list_age == Millis{40});
+}
+
 // Guards against the reset of a flow at an upstream that only other balancers
 // know.
 BOOST_AUTO_TEST_CASE(StoreLost_EveryAgentDenies_IsNotReset) {
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -6,6 +6,7 @@
 
 #include "medlarwinch/coordination/packet_path/balancer_search.h"
 #include "medlarwinch/node/node_metrics.h"
+#include "medlarwinch/node/owner_search_log.h"
 #include "medlarwinch/transport/log.h"
 #include "medlarwinch/transport/system_clock.h"
 
@@ -233,6 +234,11 @@
     }
     if (RelayBufferedPacket* buffered =
             std::get_if<RelayBufferedPacket>(&action)) {
+      if (buffered->header.purpose == RelayPurpose::kProbe) {
+        LogProbe(log_limiter_,
+                 FlowFromCaller(*platform_.decode_packet(buffered->packet)),
+                 buffered->to, MonotonicNow());
+      }
       agent_socket_->Send(
           buffered->to, packet_encoder_.Encode(std::move(buffered->header),
                                                std::nullopt, buffered->packet));
@@ -283,13 +289,7 @@
 
 void BalancerNode::SendReset(const ResetCaller& reset) {
   SendResetPacket(*caller_socket_, platform_, reset);
-  if (!AllowResetLogLine(log_limiter_, MonotonicNow())) return;
-  Log(LogLevel::kWarning, "flow_reset",
-      {{"flow", FormatFlow(reset.flow)},
-       {"reason", FlowResetReasonName(reset.reason)},
-       {"sequence", static_cast<int64_t>(reset.sequence)},
-       {"agents", static_cast<int64_t>(relay_.directory.upstreams.size())},
-       {"revision", static_cast<int64_t>(relay_.routes.revision.number)}});
+  LogBalancerReset(log_limiter_, relay_, reset, MonotonicNow());
 }
 
 void BalancerNode::Tick() {
