Ask the agent of an absent upstream before a flow is reset

What callers could see: a reset of a flow whose upstream is sound. An agent reports its upstream absent, for example because nothing listens at its address yet; the upstream starts and takes flows from one balancer; another balancer, which has not got the newer report, searches for the owner of such a flow, leaves this agent out and resets the flow when all others have denied it.

Cause: a report of absence counted as a proof for flows that were opened after it. A denial must be newer than the packet that is searched for. The agent is now asked like all others, unless it has removed its entry from the store, as it does when its upstream has exited.

Evidence: UpstreamStartedSinceReportOfAbsence_OthersDeny_IsAsked failed before (three checks: the reset is sent, the agent is not asked), and passes now.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -61,6 +61,9 @@
   DirectoryEntry entry;
   /// False once the entry was removed from the store.
   bool is_listed = false;
+  /// True once the entry was removed within its era of the store, until it is
+  /// listed again. An entry that a restored store has lost is not withdrawn.
+  bool is_withdrawn = false;
   /// True if a restored store lists the entry again although its removal was
   /// seen, until the agent reports. Most likely the agent is gone.
   bool is_resurrected = false;
@@ -172,9 +175,10 @@
 /// Returns true if new flows may be placed at the upstream.
 bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now);
 
-/// Returns true if the upstream may own flows. False only when it reported that
-/// it is absent, or when its agent has timed out and failure detection is not
-/// suspended. The suspension does not cover agents with a resurrected entry.
+/// Returns true if the upstream may own flows. False only when its agent has
+/// reported it absent and removed its entry, or when the agent has timed out
+/// and failure detection is not suspended. The suspension does not cover agents
+/// with a resurrected entry.
 bool MayOwnFlows(const UpstreamDirectory& directory,
                  const KnownUpstream& upstream, TimePoint now);
 
--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -55,6 +55,7 @@
   directory.removed.erase(entry.agent);
   upstream.entry = entry;
   upstream.is_listed = true;
+  upstream.is_withdrawn = false;
   upstream.is_only_named = false;
   upstream.is_local = entry.failure_domain == directory.own_failure_domain;
 }
@@ -82,6 +83,7 @@
   KnownUpstream& upstream = found->second;
   if (!upstream.is_listed || upstream.entry.revision > revision) return;
   upstream.is_listed = false;
+  upstream.is_withdrawn = upstream.entry.revision.era == revision.era;
   upstream.is_resurrected = false;
   directory.removed.insert_or_assign(agent, upstream.entry.revision);
   if (directory.removed.size() > kMaxRemovedEntries) {
@@ -130,7 +132,9 @@
       trusts_silence ? now - upstream.last_contact : Millis{0};
   switch (upstream.report.phase) {
     case UpstreamPhase::kAbsent:
-      return false;
+      // The upstream may have started and taken flows since the report. Its
+      // agent removes the entry when it has exited.
+      return !upstream.is_withdrawn && time_since_contact < kAgentTimeout;
     case UpstreamPhase::kAgentRestarting:
       return time_since_contact < kAgentRestartTimeout;
     default:
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -201,6 +201,39 @@
   BOOST_TEST(relay.counters.searches_unresolved == 1U);
 }
 
+// Guards against the reset of a flow that an upstream has taken since its agent
+// reported it absent.
+BOOST_AUTO_TEST_CASE(UpstreamStartedSinceReportOfAbsence_OthersDeny_IsAsked) {
+  const Endpoint started = AgentAddress(1);
+  Report(started, UpstreamPhase::kAbsent);
+  now = now + Millis{100};
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions = Send(packet);
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    if (AgentAddress(index) == started) continue;
+    for (const RelayAction& action :
+         Reply(AgentAddress(index), packet, FlowOwnership::kNotOwned)) {
+      actions.push_back(action);
+    }
+  }
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+  const std::vector<SendOwnershipQuery> queried =
+      ActionsOf<SendOwnershipQuery>(actions);
+  BOOST_TEST(std::any_of(
+      queried.begin(), queried.end(),
+      [&](const SendOwnershipQuery& query) { return query.to == started; }));
+  BOOST_TEST(ActionsOf<RelayBufferedPacket>(
+                 Reply(started, packet, FlowOwnership::kOwned))
+                 .size() == 1U);
+}
+
+// Guards against searches that wait for the agent of an upstream that has left.
+BOOST_AUTO_TEST_CASE(AbsentUpstreamWithdrewItsEntry_OthersDeny_IsReset) {
+  Report(AgentAddress(1), UpstreamPhase::kAbsent);
+  ApplyRemoval(relay.directory, AgentAddress(1), StoreRevision{1, 20});
+  BOOST_TEST(DenyAll(*this, CallerPacket(1, 77)).size() == 1U);
+}
+
 // Guards against the same reset when the list of agents is seconds old.
 BOOST_AUTO_TEST_CASE(StaleList_RefreshNamesNewAgent_NewAgentIsQueried) {
   now = now + kMaxDirectoryAge + Millis{1};
