Place no flows at an agent whose entry was withdrawn until it is stored again

What callers could see: a reset of a flow whose upstream is sound. An agent whose upstream has exited removes its entry from the store. When the upstream starts again, balancers that still know the agent place flows there at once, while the new entry may be written seconds later, if the store is slow, turns the agent away, or loses the response. A balancer that starts in between reads a list without the agent, every listed agent denies the flow, and it is reset.

Cause: the proof that no upstream owns a flow needs every agent that gets flows to be in the list; a withdrawn entry broke that until it was stored again. Only agents that a restored store had lost were covered (unlisted_agents.cc). A balancer now places new flows only at agents whose entry it has not seen withdrawn. Entries that a restored store has lost don't count as withdrawn.

Evidence: WithdrawnEntry_AgentReportsReady_GetsFlowsOnceListedAgain failed before and passes now.

--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -119,7 +119,9 @@
 }
 
 bool AcceptsFlows(const KnownUpstream& upstream, TimePoint now) {
-  return !upstream.is_only_named &&
+  // A balancer that reads the list of agents anew would not find the owner of a
+  // flow at an upstream without an entry.
+  return !upstream.is_only_named && !upstream.is_withdrawn &&
          upstream.report.phase == UpstreamPhase::kReady &&
          now - upstream.last_contact <= kMaxReportAge;
 }
--- a/packages/coordination/tests/packet_path/upstream_directory_test.cc
+++ b/packages/coordination/tests/packet_path/upstream_directory_test.cc
@@ -54,6 +54,29 @@
   BOOST_TEST(relay.directory.upstreams.at(AgentAddress(0)).is_listed);
 }
 
+// Guards against flows that balancers without the entry take for flows without
+// an owner: an agent that has left is in use again before its entry is stored.
+BOOST_AUTO_TEST_CASE(
+    WithdrawnEntry_AgentReportsReady_GetsFlowsOnceListedAgain) {
+  const Endpoint agent = AgentAddress(0);
+  ApplyRemoval(relay.directory, agent, StoreRevision{1, 5});
+  Report(agent, UpstreamPhase::kReady);
+  BOOST_TEST(!AcceptsFlows(relay.directory.upstreams.at(agent), now));
+  ApplyEntry(relay.directory, DirectoryEntry{agent, service, "catania", {1, 6}},
+             now);
+  BOOST_TEST(AcceptsFlows(relay.directory.upstreams.at(agent), now));
+}
+
+// Guards against the loss of all capacity when a restored store lacks entries
+// of agents that are in use.
+BOOST_AUTO_TEST_CASE(
+    EntryLostByRestoredStore_AgentReportsReady_KeepsGettingFlows) {
+  ApplyListing(relay.directory, {}, StoreRevision{2, 3}, now);
+  const KnownUpstream& upstream = relay.directory.upstreams.at(AgentAddress(0));
+  BOOST_TEST(!upstream.is_listed);
+  BOOST_TEST(AcceptsFlows(upstream, now));
+}
+
 // Guards against the withdrawal of an agent that has just registered.
 BOOST_AUTO_TEST_CASE(NewEntry_OlderListOrRemovalArrives_StaysListed) {
   const Endpoint added = AgentAddress(50);
