Probe at most two agents while one that may own the flow has not replied

What callers could see: packets of an open flow reach three or more other upstreams within two seconds and none its own. After a roll of agents most of them can't tell whether their upstream owns a flow; while the agent of the flow's upstream is itself restarting, a search sent the flow's packet to all of the others, one after the other.

Cause: a search probed the next agent as soon as the last one had denied the flow, whether or not the likely owner had replied. With an agent that has not replied, a search now probes two agents and then waits: a delay harms a flow less than packets at foreign upstreams.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -39,6 +39,10 @@
 /// One that is silent for this long may own the flow: it need not answer a bare
 /// acknowledgement.
 inline constexpr Millis kProbeTimeout{100};
+/// Maximum number of agents that a search probes while another agent, which may
+/// own the flow, has not replied. Callers' packets that reach several upstreams
+/// and not their own break the flow.
+inline constexpr size_t kMaxProbesWhileUnanswered = 2;
 /// A search that has found no owner after this time ends without a conclusion.
 /// The caller's next packet starts a new search. Longer than kAgentTimeout, so
 /// that a search outlasts the detection of a failed agent.
@@ -95,7 +99,8 @@
 /// Returns the agent to probe now, if any. Probes go one at a time, first to
 /// the agents of the services in `allowed`, in the order in which the flow was
 /// most likely placed. The next one is sent when the upstream of the last one
-/// has returned it or was silent for kProbeTimeout.
+/// has returned it or was silent for kProbeTimeout, and after
+/// kMaxProbesWhileUnanswered only once every queried agent has replied.
 std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
                                          const UpstreamDirectory& directory,
                                          const FlowTuple& flow,
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -95,8 +95,9 @@
       search.pending.begin(), search.pending.end(), [&](const Endpoint& agent) {
         return !Contains(search.undetermined, agent);
       });
-  if (has_unanswered_query && now - search.last_queried < kProbeDelay) {
-    return std::nullopt;
+  if (has_unanswered_query) {
+    if (now - search.last_queried < kProbeDelay) return std::nullopt;
+    if (search.probed.size() >= kMaxProbesWhileUnanswered) return std::nullopt;
   }
   const bool is_probe_open = !search.probed.empty() &&
                              IsInSorted(search.pending, search.probed.back());
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -110,6 +110,39 @@
   BOOST_TEST(ActionsOf<RelayBufferedPacket>(actions).size() == 1U);
 }
 
+// Guards against packets that reach several other upstreams while the agent of
+// the flow's own upstream restarts and can't reply.
+BOOST_AUTO_TEST_CASE(OwnersAgentRestarting_OthersUndetermined_FewAreProbed) {
+  Report(AgentAddress(2), UpstreamPhase::kAgentRestarting);
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions = Send(packet);
+  std::set<Endpoint> probed;
+  const TimePoint end = now + kSearchTimeout;
+  while (now < end) {
+    RelayActions next;
+    const auto append = [&next](const RelayActions& added) {
+      next.insert(next.end(), added.begin(), added.end());
+    };
+    for (const SendOwnershipQuery& query :
+         ActionsOf<SendOwnershipQuery>(actions)) {
+      if (query.to == AgentAddress(2)) continue;
+      append(Reply(query.to, packet, FlowOwnership::kUndetermined));
+    }
+    for (const RelayBufferedPacket& probe :
+         ActionsOf<RelayBufferedPacket>(actions)) {
+      probed.insert(probe.to);
+      append(Reply(probe.to, packet, FlowOwnership::kNotOwned));
+    }
+    now = now + Millis{20};
+    ReportAll();
+    Report(AgentAddress(2), UpstreamPhase::kAgentRestarting);
+    HandleBalancerTick(relay, Millis{0}, now, next);
+    actions = next;
+  }
+  BOOST_TEST(!probed.empty());
+  BOOST_TEST(probed.size() <= kMaxProbesWhileUnanswered);
+}
+
 // Guards against a flow that stays without an owner because its upstream does
 // not answer a bare acknowledgement: it remains when all others have denied.
 BOOST_AUTO_TEST_CASE(SilentProbedAgent_AllOthersDeny_IsTheOwner) {
