Reset a refused opening only if no other copy of it can have opened the flow

What callers could see: a reset of a flow that has just opened. A caller sends copies of its opening after 200 and 600 ms. The first one is taken by an upstream whose response is lost or late, and sent again after 200 ms, the moment of the next copy; the agent of that copy, or of the third one, refuses it, and its balancer resets the flow. The same follows when a balancer was late and relays the copies that waited in its socket at once, and when a balancer without a ready upstream gets a copy whose earlier ones passed another balancer.

Cause: the refusal of a copy was taken as a proof for all copies; only its age was checked, against later copies. A refusal proves something for its own copy. Agents now tell the balancer of each copy that they leave to the next one (OpeningDeclined, appended to the messages; a balancer that does not know it counts a malformed message).

The older test of late refusals expected a reset of copies that were never relayed; it relays and declines them first now and checks the same ages. AreOnlyDropped allows the new notice beside the drop, nothing else.

--- a/fuzz/seed_writer.cc
+++ b/fuzz/seed_writer.cc
@@ -79,7 +79,8 @@
           ExtendedPoll{poll, terms},
           ExtendedStatus{status, evacuations, load},
           RelayedOpening{header, context, Bytes(36, 7)},
-          OpeningRefused{flow, context}};
+          OpeningRefused{flow, context},
+          OpeningDeclined{flow, 2}};
 }
 
 void WriteMessages(const std::string& folder) {
--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -147,8 +147,8 @@
       {"route_dropped", "the configuration in force removed the route"},
       {"no_upstream", "no upstream of the route could accept the flow"},
       {"left_to_next_copy",
-       "no agent accepted the flow opening; the caller is expected to "
-       "retransmit it"},
+       "no agent accepted the flow opening, or an earlier copy of it may have "
+       "opened the flow; the caller is expected to retransmit it"},
       {"no_upstream_yet", "the upstreams of the route were still starting"},
       {"owner_not_proved",
        "an agent did not answer, so the owner of the flow could not be "
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -74,9 +74,15 @@
                         std::span<const uint8_t> raw, TimePoint now,
                         RelayActions& actions);
 
+/// Records that no upstream has taken a copy of an opening, without a refusal:
+/// the caller's next copy is awaited.
+void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
+                           uint32_t copy);
+
 /// Processes the refusal of an opening that this balancer relayed `age` ago.
-/// Resets the flow if the caller can't have sent a later copy yet, which may
-/// have opened the flow at another upstream.
+/// Resets the flow if no other copy can have opened it at an upstream: the
+/// caller can't have sent a later copy yet, and every earlier one passed this
+/// balancer and was taken by no upstream.
 void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
                           uint32_t copy, Millis age, RelayActions& actions);
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -149,6 +149,14 @@
   OpeningContext context;
 };
 
+/// Tell the balancer that no agent takes a copy of an opening now, and that the
+/// caller's next copy is awaited.
+struct SendOpeningDeclined {
+  Endpoint balancer;
+  FlowTuple flow;
+  uint32_t copy = 0;
+};
+
 /// Log the decision on an opening by its class.
 struct ReportOpeningDecision {
   FlowTuple flow;
@@ -193,9 +201,9 @@
     std::variant<RelayToAgent, RelayBufferedPacket, DeliverToUpstream,
                  DeliverToCaller, SendOwnershipQuery, SendOwnershipBatchQuery,
                  ScheduleQueryFlush, SendOwnershipReply,
-                 SendOwnershipBatchReply, SendOpeningRefused, RefreshDirectory,
-                 DropPackets, ReportOpeningDecision, ResetCaller, HoldPacket,
-                 DiscardHeld>;
+                 SendOwnershipBatchReply, SendOpeningRefused,
+                 SendOpeningDeclined, RefreshDirectory, DropPackets,
+                 ReportOpeningDecision, ResetCaller, HoldPacket, DiscardHeld>;
 using RelayActions = std::vector<RelayAction>;
 
 /// Appends `reset` to the actions and counts it.
--- a/packages/coordination/src/packet_path/agent_openings.cc
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -77,6 +77,17 @@
                                 PacketDropReason::kLeftToRetransmission});
 }
 
+// Leaves an opening that no upstream has taken to the caller's next copy. The
+// balancer is told, so that a refusal of the next copy can be final.
+void DeclineCopy(AgentRelay& relay, const RelayHeader& header,
+                 const std::optional<OpeningContext>& context,
+                 const FlowPacket& packet, RelayActions& actions) {
+  LeaveToNextCopy(relay, packet, actions);
+  if (!context.has_value()) return;
+  actions.push_back(SendOpeningDeclined{header.balancer, FlowFromCaller(packet),
+                                        context->copy});
+}
+
 // Only the balancer knows whether the refusal is recent enough for a reset,
 // since an agent does not see for how long the opening was on its way.
 void RefuseOpening(AgentRelay& relay, const RelayHeader& header,
@@ -102,7 +113,7 @@
     return;
   }
   if (AwaitsRetransmission(relay, packet, reason)) {
-    LeaveToNextCopy(relay, packet, actions);
+    DeclineCopy(relay, header, context, packet, actions);
     return;
   }
   if (context.has_value()) {
@@ -139,7 +150,7 @@
       ForwardOpening(relay, header, context, packet, refusal, actions);
       return false;
     case OpeningVerdict::kAwaitCopy:
-      LeaveToNextCopy(relay, packet, actions);
+      DeclineCopy(relay, header, context, packet, actions);
       return false;
     case OpeningVerdict::kRefuse:
       RefuseOpening(relay, header, context, packet, actions);
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -22,6 +22,20 @@
 constexpr std::array<Millis, 3> kOpeningCopyIntervals = {
     Millis{200}, Millis{400}, Millis{800}};
 
+uint8_t CopyBit(uint32_t copy) {
+  constexpr uint32_t kHighestBit = 7;
+  return static_cast<uint8_t>(1U << std::min(copy, kHighestBit));
+}
+
+// Returns true if no upstream can have taken one of the copies before `copy`.
+// Copies that passed another balancer may have been taken.
+bool AreEarlierCopiesDeclined(const CachedFlow* cached, uint32_t copy) {
+  if (copy == 0) return true;
+  const uint8_t earlier = static_cast<uint8_t>(CopyBit(copy) - 1);
+  return cached != nullptr && cached->relayed_copies == earlier &&
+         cached->declined_copies == earlier;
+}
+
 // Returns true if every agent that may get the opening reads the extended
 // messages.
 bool DoAllReadExtended(const UpstreamDirectory& directory,
@@ -48,8 +62,7 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    if (was_tried && IsAgentEvacuated(relay.directory, cached->agent)) {
-      // An earlier copy may have opened the flow before the evacuation.
+    if (!AreEarlierCopiesDeclined(cached, retransmissions)) {
       actions.push_back(
           DropPackets{flow, PacketDropReason::kLeftToRetransmission});
       return;
@@ -80,7 +93,12 @@
   if (!is_retransmission && !chosen.is_local) {
     ++relay.counters.opened_outside_domain;
   }
+  const uint8_t relayed_before = was_tried ? cached->relayed_copies : 0;
+  const uint8_t declined_before = was_tried ? cached->declined_copies : 0;
   relay.cache.Put(flow, first, !is_retransmission, now);
+  CachedFlow& placed = *relay.cache.Find(flow);
+  placed.relayed_copies = relayed_before | CopyBit(retransmissions);
+  placed.declined_copies = declined_before;
   ++(is_retransmission ? relay.counters.open_retransmissions
                        : relay.counters.opened);
   RelayToAgent relayed{first, std::move(header), std::nullopt};
@@ -133,11 +151,25 @@
       std::nullopt});
 }
 
+void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
+                           uint32_t copy) {
+  CachedFlow* cached = relay.cache.Find(flow);
+  if (cached != nullptr) cached->declined_copies |= CopyBit(copy);
+}
+
 void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
                           uint32_t copy, Millis age, RelayActions& actions) {
   const size_t last = kOpeningCopyIntervals.size() - 1;
   const Millis interval = kOpeningCopyIntervals[std::min<size_t>(copy, last)];
-  if (age < Millis{0} || age >= interval) {
+  const CachedFlow* cached = relay.cache.Find(flow);
+  const bool is_last_copy =
+      cached != nullptr && cached->relayed_copies == CopyBit(copy) * 2 - 1;
+  const bool are_earlier_declined =
+      cached != nullptr &&
+      (cached->declined_copies | CopyBit(copy)) == cached->relayed_copies;
+  if (age < Millis{0} || age >= interval || !is_last_copy ||
+      !are_earlier_declined) {
+    HandleOpeningDeclined(relay, flow, copy);
     ++relay.counters.outdated_refusals;
     actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedRefusal});
     return;
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -701,6 +701,24 @@
   BOOST_CHECK(refusals[0].context == *context);
 }
 
+// Guards against a last copy whose refusal is never final, because the balancer
+// does not know that no upstream took the earlier ones.
+BOOST_AUTO_TEST_CASE(CopyLeftToNext_WithContext_IsReportedToItsBalancer) {
+  uint16_t port = 1;
+  while (!ActionsOf<DeliverToUpstream>(Relay(OpeningPacket(port))).empty()) {
+    OpenWithRequest(port++);
+    BOOST_REQUIRE(port < 100);
+  }
+  context = OpeningContext{TimePoint{77}, 1, {}};
+  const RelayActions actions = Relay(OpeningPacket(200, 1));
+  BOOST_TEST(AreOnlyDropped(actions, PacketDropReason::kLeftToRetransmission));
+  const std::vector<SendOpeningDeclined> notices =
+      ActionsOf<SendOpeningDeclined>(actions);
+  BOOST_REQUIRE(notices.size() == 1);
+  BOOST_CHECK(notices[0].balancer == kBalancerAddress);
+  BOOST_TEST(notices[0].copy == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnsweredRequest_Outstanding_ReturnsToZero) {
   OpenWithRequest(1);
   BOOST_TEST(relay.flow_tracker.outstanding == 1U);
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -390,22 +390,81 @@
   BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(1))).size() == 1U);
 }
 
-// Guards against the reset of an open flow by the refusal of an earlier copy,
-// which was held by a suspended agent while a later copy opened the flow.
-BOOST_AUTO_TEST_CASE(RefusedOpening_LaterCopyPossible_IsDropped) {
-  const FlowTuple flow = FlowFromCaller(OpeningPacket(1));
-  const auto refuse = [&](uint32_t copy, int64_t age) {
+// A caller's opening, of which copies are relayed, declined and refused.
+struct BalancerWithOpening : RelayWithAgents {
+  void RelayCopy(uint32_t copy) { Send(OpeningPacket(1, copy)); }
+
+  RelayActions Refuse(uint32_t copy, int64_t age) {
     RelayActions actions;
     HandleOpeningRefused(relay, flow, copy, Millis{age}, actions);
     return actions;
-  };
-  BOOST_TEST(ActionsOf<ResetCaller>(refuse(0, 199)).size() == 1U);
-  BOOST_TEST(
-      AreOnlyDropped(refuse(0, 200), PacketDropReason::kOutdatedRefusal));
-  BOOST_TEST(ActionsOf<ResetCaller>(refuse(2, 799)).size() == 1U);
+  }
+
+  bool IsReset(uint32_t copy, int64_t age) {
+    const RelayActions actions = Refuse(copy, age);
+    BOOST_TEST(actions.size() == 1U);
+    return ActionsOf<ResetCaller>(actions).size() == 1;
+  }
+
+  const FlowTuple flow = FlowFromCaller(OpeningPacket(1));
+};
+
+// Guards against the reset of an open flow by the refusal of an earlier copy,
+// which was held by a suspended agent while a later copy opened the flow.
+BOOST_FIXTURE_TEST_CASE(RefusedOpening_LaterCopyPossible_IsDropped,
+                        BalancerWithOpening) {
+  RelayCopy(0);
+  BOOST_TEST(!IsReset(0, 200));
+  BOOST_TEST(!IsReset(0, -1));
+  BOOST_TEST(IsReset(0, 199));
+  for (const uint32_t copy : {0U, 1U, 2U}) {
+    RelayCopy(copy);
+    if (copy < 2) HandleOpeningDeclined(relay, flow, copy);
+  }
   BOOST_TEST(
-      AreOnlyDropped(refuse(9, 800), PacketDropReason::kOutdatedRefusal));
-  BOOST_TEST(AreOnlyDropped(refuse(0, -1), PacketDropReason::kOutdatedRefusal));
+      AreOnlyDropped(Refuse(2, 800), PacketDropReason::kOutdatedRefusal));
+  BOOST_TEST(IsReset(2, 799));
+}
+
+// Guards against the reset of a flow that an earlier copy has opened: its
+// response was lost or late, and the agent of the next copy refuses.
+BOOST_FIXTURE_TEST_CASE(RefusedOpening_EarlierCopyMayHaveOpened_IsDropped,
+                        BalancerWithOpening) {
+  RelayCopy(0);
+  RelayCopy(1);
+  BOOST_TEST(!IsReset(1, 1));
+  HandleOpeningDeclined(relay, flow, 0);
+  BOOST_TEST(IsReset(1, 1));
+}
+
+// Guards against the reset of a flow that a later copy has opened: both copies
+// were relayed at once by a balancer that was late.
+BOOST_FIXTURE_TEST_CASE(RefusedOpening_LaterCopyRelayed_IsDropped,
+                        BalancerWithOpening) {
+  RelayCopy(0);
+  RelayCopy(1);
+  BOOST_TEST(!IsReset(0, 1));
+}
+
+// Guards against the reset of a flow that an earlier copy has opened through
+// another balancer, before the routers moved the caller here.
+BOOST_FIXTURE_TEST_CASE(RefusedOpening_EarlierCopyPassedElsewhere_IsDropped,
+                        BalancerWithOpening) {
+  RelayCopy(2);
+  BOOST_TEST(!IsReset(2, 1));
+}
+
+// Guards against the same reset by a balancer that knows no ready upstream.
+BOOST_FIXTURE_TEST_CASE(NoUpstream_EarlierCopyMayHaveOpened_IsLeftToNextCopy,
+                        BalancerWithOpening) {
+  RelayCopy(0);
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kDraining);
+  }
+  BOOST_TEST(AreOnlyDropped(Send(OpeningPacket(1, 1)),
+                            PacketDropReason::kLeftToRetransmission));
+  HandleOpeningDeclined(relay, flow, 0);
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(1, 1))).size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/coordination/tests/packet_path/relay_fixture.h
+++ b/packages/coordination/tests/packet_path/relay_fixture.h
@@ -47,11 +47,13 @@
 }
 
 /// Returns true if the packets are dropped for `reason` without any other
-/// action.
+/// action than a notice to the balancer that the copy was not taken.
 inline bool AreOnlyDropped(const RelayActions& actions,
                            PacketDropReason reason) {
   const std::vector<DropPackets> drops = ActionsOf<DropPackets>(actions);
-  return actions.size() == 1 && drops.size() == 1 && drops[0].reason == reason;
+  const size_t notices = ActionsOf<SendOpeningDeclined>(actions).size();
+  return actions.size() == 1 + notices && notices <= 1 && drops.size() == 1 &&
+         drops[0].reason == reason;
 }
 
 /// A balancer with one route to `probe-hub` and several ready agents.
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -224,6 +224,13 @@
       relay_socket_->Send(refused->balancer, message_buffer_);
       continue;
     }
+    if (const SendOpeningDeclined* declined =
+            std::get_if<SendOpeningDeclined>(&action)) {
+      EncodeRelayMessage(OpeningDeclined{declined->flow, declined->copy},
+                         message_buffer_);
+      relay_socket_->Send(declined->balancer, message_buffer_);
+      continue;
+    }
     if (const DropPackets* drop = std::get_if<DropPackets>(&action)) {
       LogDroppedPackets(log_limiter_, *drop, MonotonicNow());
       continue;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -139,6 +139,11 @@
     ExecuteActions(actions_, {});
     return;
   }
+  if (const OpeningDeclined* declined =
+          std::get_if<OpeningDeclined>(&message)) {
+    HandleOpeningDeclined(relay_, declined->flow, declined->copy);
+    return;
+  }
   if (const BalancerCount* count = std::get_if<BalancerCount>(&message)) {
     relay_.directory.reported_balancers = count->balancers;
     return;
--- a/packages/protocol/include/medlarwinch/protocol/relay_messages.h
+++ b/packages/protocol/include/medlarwinch/protocol/relay_messages.h
@@ -136,6 +136,16 @@
                          const OpeningRefused&) = default;
 };
 
+/// Agent to the balancer that relayed a copy of an opening: no agent takes it
+/// now, it was delivered to no upstream, and the caller's next copy is awaited.
+struct OpeningDeclined {
+  FlowTuple flow;
+  uint32_t copy = 0;
+
+  friend bool operator==(const OpeningDeclined&,
+                         const OpeningDeclined&) = default;
+};
+
 /// Balancer to listed agents, and from these to each balancer that polls them:
 /// agents that are in use although a restored store does not list them.
 struct UnlistedAgents {
@@ -314,6 +324,11 @@
   archive(message.flow, message.context);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, OpeningDeclined& message) {
+  archive(message.flow, message.copy);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, UnlistedAgents& message) {
   archive(Bounded(message.agents, kMaxNamedAgents));
@@ -325,7 +340,8 @@
     std::variant<RelayedPacket, OwnershipQuery, FlowOwnershipReply, AgentPoll,
                  AgentStatus, OwnershipBatchQuery, OwnershipBatchReply,
                  BalancerCount, ProtocolOffer, ExtendedPoll, ExtendedStatus,
-                 RelayedOpening, OpeningRefused, UnlistedAgents>;
+                 RelayedOpening, OpeningRefused, UnlistedAgents,
+                 OpeningDeclined>;
 
 /// Replaces the content of `bytes` with the encoding of `message`.
 void EncodeRelayMessage(const RelayMessage& message, Bytes& bytes);
--- a/packages/protocol/tests/decoder_test.cc
+++ b/packages/protocol/tests/decoder_test.cc
@@ -85,6 +85,7 @@
   CheckMutations(RelayMessage(ProtocolOffer{kExtendedProtocolVersion}));
   CheckMutations(RelayMessage(RelayedOpening{header, context, Bytes(36, 7)}));
   CheckMutations(RelayMessage(OpeningRefused{{{1, 2}, {3, 4}}, context}));
+  CheckMutations(RelayMessage(OpeningDeclined{{{1, 2}, {3, 4}}, 2}));
   CheckMutations(RelayMessage(UnlistedAgents{{{1, 2}, {3, 4}}}));
   CheckMutations(RelayMessage(
       ExtendedPoll{AgentPoll{true, 12}, BalancerTerms{evacuations,
