Account for copies of an opening that the balancer drops itself

Copies that it drops itself, before it has a configuration, while upstreams are starting, or while the opening of an upload is held, counted as unknown, so that callers waited for the end of their attempt instead of a reset. They count as taken by nobody now.

RefusedOpening_EarlierCopyDroppedHere_IsReset guards it. IsAgentEvacuated has no caller left and is removed.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/balancer_relay.h
@@ -74,6 +74,10 @@
                         std::span<const uint8_t> raw, TimePoint now,
                         RelayActions& actions);
 
+/// Records that this balancer relays a copy of an opening to no agent.
+void RecordUnrelayedCopy(BalancerRelay& relay, const FlowTuple& flow,
+                         uint32_t copy, TimePoint now);
+
 /// Records that no upstream has taken a copy of an opening, without a refusal:
 /// the caller's next copy is awaited.
 void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_cache.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_cache.h
@@ -19,8 +19,8 @@
   /// False while several agents may have accepted the opening, so that the next
   /// packet has to establish which of them the caller chose.
   bool is_owner_confirmed = false;
-  /// Copies of the flow's opening that this balancer has relayed, and those of
-  /// them that no upstream has taken, as bits by the number of the copy.
+  /// Copies of the flow's opening that passed this balancer, and those of them
+  /// that no upstream has taken, as bits by the number of the copy.
   uint8_t relayed_copies = 0;
   uint8_t declined_copies = 0;
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/placement_limits.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/placement_limits.h
@@ -17,10 +17,6 @@
 bool MayPlaceFlow(const UpstreamDirectory& directory,
                   const KnownUpstream& upstream);
 
-/// Returns true if the agent is known to be in an evacuated failure domain.
-bool IsAgentEvacuated(const UpstreamDirectory& directory,
-                      const Endpoint& agent);
-
 /// Returns true if the route's services have upstreams and all of them are in
 /// evacuated failure domains.
 bool IsEvacuatedEverywhere(const UpstreamDirectory& directory,
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -27,13 +27,14 @@
   return static_cast<uint8_t>(1U << std::min(copy, kHighestBit));
 }
 
-// Returns true if no upstream can have taken one of the copies before `copy`.
-// Copies that passed another balancer may have been taken.
-bool AreEarlierCopiesDeclined(const CachedFlow* cached, uint32_t copy) {
-  if (copy == 0) return true;
+// Returns true if no upstream can have taken a copy of the opening other than
+// `copy`. Earlier copies that passed another balancer may have been taken.
+bool AreOtherCopiesDeclined(const CachedFlow* cached, uint32_t copy) {
+  const uint8_t relayed = cached == nullptr ? 0 : cached->relayed_copies;
+  const uint8_t declined = cached == nullptr ? 0 : cached->declined_copies;
   const uint8_t earlier = static_cast<uint8_t>(CopyBit(copy) - 1);
-  return cached != nullptr && cached->relayed_copies == earlier &&
-         cached->declined_copies == earlier;
+  return (relayed & earlier) == earlier &&
+         (relayed & ~declined & ~CopyBit(copy)) == 0;
 }
 
 // Returns true if every agent that may get the opening reads the extended
@@ -59,10 +60,12 @@
   if (ranked.empty()) {
     if (MayAcceptSoon(relay.directory, route, now)) {
       ++relay.counters.waiting_for_upstream;
+      RecordUnrelayedCopy(relay, flow, retransmissions, now);
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    if (!AreEarlierCopiesDeclined(cached, retransmissions)) {
+    if (is_retransmission && !AreOtherCopiesDeclined(cached, retransmissions)) {
+      RecordUnrelayedCopy(relay, flow, retransmissions, now);
       actions.push_back(
           DropPackets{flow, PacketDropReason::kLeftToRetransmission});
       return;
@@ -123,6 +126,9 @@
       // Another balancer may have a newer configuration with this route, so
       // open flows are not reset.
       ++relay.counters.dropped_no_route;
+      if (packet.is_syn) {
+        RecordUnrelayedCopy(relay, flow, packet.acknowledged, now);
+      }
       actions.push_back(DropPackets{flow, PacketDropReason::kRouteNotKnown});
       return;
     }
@@ -151,6 +157,16 @@
       std::nullopt});
 }
 
+void RecordUnrelayedCopy(BalancerRelay& relay, const FlowTuple& flow,
+                         uint32_t copy, TimePoint now) {
+  if (relay.cache.Find(flow) == nullptr) {
+    relay.cache.Put(flow, Endpoint{}, false, now);
+  }
+  CachedFlow& cached = *relay.cache.Find(flow);
+  cached.relayed_copies |= CopyBit(copy);
+  cached.declined_copies |= CopyBit(copy);
+}
+
 void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
                            uint32_t copy) {
   CachedFlow* cached = relay.cache.Find(flow);
@@ -161,14 +177,8 @@
                           uint32_t copy, Millis age, RelayActions& actions) {
   const size_t last = kOpeningCopyIntervals.size() - 1;
   const Millis interval = kOpeningCopyIntervals[std::min<size_t>(copy, last)];
-  const CachedFlow* cached = relay.cache.Find(flow);
-  const bool is_last_copy =
-      cached != nullptr && cached->relayed_copies == CopyBit(copy) * 2 - 1;
-  const bool are_earlier_declined =
-      cached != nullptr &&
-      (cached->declined_copies | CopyBit(copy)) == cached->relayed_copies;
-  if (age < Millis{0} || age >= interval || !is_last_copy ||
-      !are_earlier_declined) {
+  if (age < Millis{0} || age >= interval ||
+      !AreOtherCopiesDeclined(relay.cache.Find(flow), copy)) {
     HandleOpeningDeclined(relay, flow, copy);
     ++relay.counters.outdated_refusals;
     actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedRefusal});
--- a/packages/coordination/src/packet_path/placement_limits.cc
+++ b/packages/coordination/src/packet_path/placement_limits.cc
@@ -43,13 +43,6 @@
   return upstream.placed_since_report < ColdShare(directory, upstream);
 }
 
-bool IsAgentEvacuated(const UpstreamDirectory& directory,
-                      const Endpoint& agent) {
-  const auto known = directory.upstreams.find(agent);
-  return known != directory.upstreams.end() &&
-         IsEvacuated(directory.evacuations, known->second.entry.failure_domain);
-}
-
 bool IsEvacuatedEverywhere(const UpstreamDirectory& directory,
                            const RelayRoute& route) {
   bool has_upstream = false;
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -454,6 +454,20 @@
   BOOST_TEST(!IsReset(2, 1));
 }
 
+// Guards against callers that wait for the end of their attempt although the
+// balancer itself has dropped the earlier copies.
+BOOST_FIXTURE_TEST_CASE(RefusedOpening_EarlierCopyDroppedHere_IsReset,
+                        BalancerWithOpening) {
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kUnknown);
+  }
+  BOOST_TEST(
+      AreOnlyDropped(Send(OpeningPacket(1)), PacketDropReason::kNoUpstreamYet));
+  ReportAll();
+  RelayCopy(1);
+  BOOST_TEST(IsReset(1, 1));
+}
+
 // Guards against the same reset by a balancer that knows no ready upstream.
 BOOST_FIXTURE_TEST_CASE(NoUpstream_EarlierCopyMayHaveOpened_IsLeftToNextCopy,
                         BalancerWithOpening) {
--- a/packages/node/src/balancer_node_uploads.cc
+++ b/packages/node/src/balancer_node_uploads.cc
@@ -43,6 +43,12 @@
           DropPackets{flow, PacketDropReason::kLeftToRetransmission}, now);
       break;
   }
+  const bool is_copy_dropped =
+      effect.action == UploadPacketAction::kRenewHeld ||
+      effect.action == UploadPacketAction::kDrop;
+  if (packet.is_syn && is_copy_dropped) {
+    RecordUnrelayedCopy(relay_, flow, packet.acknowledged, now);
+  }
   for (const FlowTuple& reported : TakeFlowsToReport(relay_.uploads, now)) {
     PollUploadAgent(reported);
   }
