Remove the entry of an earlier process when an agent stops for good

What callers could see: after a loss of power, flows that no upstream holds any more hang for up to 1.5 s. An agent whose upstream does not return with its VM is stopped; it has published nothing, so it leaves the entry of its process before the loss of power in the store. Since the agent of an absent upstream is asked before a reset, all searches wait until its silence counts.

Cause: an agent withdrew only entries that this process had written. When it is stopped beside an absent upstream, it now reads the entry and removes it if its content is its own.

EntryOf- EarlierProcess_WithdrawnForGood_IsRemoved guards it; it could not run before, since the call is new, and shows first that Withdraw() keeps such an entry.

--- a/packages/node/include/medlarwinch/node/agent_registration.h
+++ b/packages/node/include/medlarwinch/node/agent_registration.h
@@ -47,6 +47,10 @@
   /// Removes the entry; Publish() creates it again.
   void Withdraw();
 
+  /// As Withdraw(), also for an entry that an earlier process of the agent has
+  /// written.
+  void WithdrawEarlierEntry();
+
   /// Records a poll by `balancer`. Rewrites the entry when the balancer does
   /// not find it in the store, and removes it again when the balancer still
   /// finds it some time after this process has removed it: a restored store may
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -323,7 +323,11 @@
       is_deregistered || relay_.upstream.exited_at.has_value();
   if (is_absent && (has_left || is_contact_lost) && !is_withdraw_requested_) {
     is_withdraw_requested_ = true;
-    registration_.Withdraw();
+    if (relay_.is_stopping) {
+      registration_.WithdrawEarlierEntry();
+    } else {
+      registration_.Withdraw();
+    }
   }
   registration_.RepublishIfUnpolled(now);
   LogSuppressedLines(log_limiter_);
@@ -345,6 +349,8 @@
   if (relay_.is_stopping) return;
   BeginAgentStop(relay_);
   stop_requested_at_ = MonotonicNow();
+  // An entry of an earlier process would name an agent that never replies.
+  if (!registration_.is_published()) is_withdraw_requested_ = false;
   held_packets_.ReleaseAll();
   AnnouncePhase("stopping");
   CheckUpstream();
--- a/packages/node/src/agent_registration.cc
+++ b/packages/node/src/agent_registration.cc
@@ -92,6 +92,11 @@
   StartWrite();
 }
 
+void AgentRegistration::WithdrawEarlierEntry() {
+  has_reappeared_ = true;
+  Withdraw();
+}
+
 void AgentRegistration::RecordPoll(const Endpoint& balancer, bool is_listed,
                                    TimePoint now) {
   last_poll_at_ = now;
@@ -217,7 +222,8 @@
 // Within an era of the store, an entry with another revision was written by
 // another agent at this address.
 bool AgentRegistration::IsOwnEntry(const StoredObject& found) const {
-  const bool is_replaced = found.revision.era == revision_.era &&
+  const bool is_replaced = revision_.number != 0 &&
+                           found.revision.era == revision_.era &&
                            found.revision.number != revision_.number;
   return !is_replaced && IsSameEntry(found.content, content_);
 }
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -84,6 +84,26 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against searches that wait for an agent that is gone: its upstream did
+// not return after a loss of power, so that its last process published nothing.
+BOOST_AUTO_TEST_CASE(EntryOfEarlierProcess_WithdrawnForGood_IsRemoved) {
+  store.Put(name, EncodeAgentEntry(directory_entry, "probe-hub"));
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+  registration->WithdrawEarlierEntry();
+  Run();
+  BOOST_TEST(registration->is_in_sync());
+  BOOST_TEST(store.objects.count(name) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryOfAnotherService_WithdrawnForGood_IsKept) {
+  store.Put(name, EncodeAgentEntry(directory_entry, "report-desk"));
+  registration->WithdrawEarlierEntry();
+  Run();
+  BOOST_TEST(store.objects.count(name) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(WithdrawDuringPublish_LastRequestWins) {
   registration->Publish();
   registration->Withdraw();
