--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -22,6 +22,21 @@
 constexpr std::array<Millis, 3> kOpeningCopyIntervals = {
     Millis{200}, Millis{400}, Millis{800}};
 
+uint8_t CopyBit(uint32_t copy) {
+  constexpr uint32_t kHighestBit = 7;
+  return static_cast<uint8_t>(1U << std::min(copy, kHighestBit));
+}
+
+// Returns true if no upstream can have taken a copy of the opening other than
+// `copy`. Earlier copies that passed another balancer may have been taken.
+bool AreOtherCopiesDeclined(const CachedFlow* cached, uint32_t copy) {
+  const uint8_t relayed = cached == nullptr ? 0 : cached->relayed_copies;
+  const uint8_t declined = cached == nullptr ? 0 : cached->declined_copies;
+  const uint8_t earlier = static_cast<uint8_t>(CopyBit(copy) - 1);
+  return (relayed & earlier) == earlier &&
+         (relayed & ~declined & ~CopyBit(copy)) == 0;
+}
+
 // Returns true if every agent that may get the opening reads the extended
 // messages.
 bool DoAllReadExtended(const UpstreamDirectory& directory,
@@ -45,11 +60,12 @@
   if (ranked.empty()) {
     if (MayAcceptSoon(relay.directory, route, now)) {
       ++relay.counters.waiting_for_upstream;
+      RecordUnrelayedCopy(relay, flow, retransmissions, now);
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    if (was_tried && IsAgentEvacuated(relay.directory, cached->agent)) {
-      // An earlier copy may have opened the flow before the evacuation.
+    if (is_retransmission && !AreOtherCopiesDeclined(cached, retransmissions)) {
+      RecordUnrelayedCopy(relay, flow, retransmissions, now);
       actions.push_back(
           DropPackets{flow, PacketDropReason::kLeftToRetransmission});
       return;
@@ -80,7 +96,12 @@
   if (!is_retransmission && !chosen.is_local) {
     ++relay.counters.opened_outside_domain;
   }
+  const uint8_t relayed_before = was_tried ? cached->relayed_copies : 0;
+  const uint8_t declined_before = was_tried ? cached->declined_copies : 0;
   relay.cache.Put(flow, first, !is_retransmission, now);
+  CachedFlow& placed = *relay.cache.Find(flow);
+  placed.relayed_copies = relayed_before | CopyBit(retransmissions);
+  placed.declined_copies = declined_before;
   ++(is_retransmission ? relay.counters.open_retransmissions
                        : relay.counters.opened);
   RelayToAgent relayed{first, std::move(header), std::nullopt};
@@ -105,6 +126,9 @@
       // Another balancer may have a newer configuration with this route, so
       // open flows are not reset.
       ++relay.counters.dropped_no_route;
+      if (packet.is_syn) {
+        RecordUnrelayedCopy(relay, flow, packet.acknowledged, now);
+      }
       actions.push_back(DropPackets{flow, PacketDropReason::kRouteNotKnown});
       return;
     }
@@ -133,11 +157,29 @@
       std::nullopt});
 }
 
+void RecordUnrelayedCopy(BalancerRelay& relay, const FlowTuple& flow,
+                         uint32_t copy, TimePoint now) {
+  if (relay.cache.Find(flow) == nullptr) {
+    relay.cache.Put(flow, Endpoint{}, false, now);
+  }
+  CachedFlow& cached = *relay.cache.Find(flow);
+  cached.relayed_copies |= CopyBit(copy);
+  cached.declined_copies |= CopyBit(copy);
+}
+
+void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
+                           uint32_t copy) {
+  CachedFlow* cached = relay.cache.Find(flow);
+  if (cached != nullptr) cached->declined_copies |= CopyBit(copy);
+}
+
 void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
                           uint32_t copy, Millis age, RelayActions& actions) {
   const size_t last = kOpeningCopyIntervals.size() - 1;
   const Millis interval = kOpeningCopyIntervals[std::min<size_t>(copy, last)];
-  if (age < Millis{0} || age >= interval) {
+  if (age < Millis{0} || age >= interval ||
+      !AreOtherCopiesDeclined(relay.cache.Find(flow), copy)) {
+    HandleOpeningDeclined(relay, flow, copy);
     ++relay.counters.outdated_refusals;
     actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedRefusal});
     return;
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -95,8 +95,9 @@
       search.pending.begin(), search.pending.end(), [&](const Endpoint& agent) {
         return !Contains(search.undetermined, agent);
       });
-  if (has_unanswered_query && now - search.last_queried < kProbeDelay) {
-    return std::nullopt;
+  if (has_unanswered_query) {
+    if (now - search.last_queried < kProbeDelay) return std::nullopt;
+    if (search.probed.size() >= kMaxProbesWhileUnanswered) return std::nullopt;
   }
   const bool is_probe_open = !search.probed.empty() &&
                              IsInSorted(search.pending, search.probed.back());
@@ -143,6 +144,7 @@
 
 void RecordDenial(OwnerSearch& search, const Endpoint& agent) {
   InsertSorted(search.asked, agent);
+  InsertSorted(search.denied, agent);
   const auto found =
       std::lower_bound(search.pending.begin(), search.pending.end(), agent);
   if (found != search.pending.end() && *found == agent) {
@@ -159,6 +161,27 @@
   });
 }
 
+OwnerSearchEvidence CollectEvidence(const OwnerSearch& search,
+                                    const UpstreamDirectory& directory,
+                                    TimePoint now) {
+  OwnerSearchEvidence evidence;
+  evidence.search_age = now - search.started;
+  for (const auto& [agent, upstream] : directory.upstreams) {
+    if (IsInSorted(search.denied, agent)) {
+      ++evidence.denied;
+      continue;
+    }
+    if (upstream.report.phase != UpstreamPhase::kAbsent) {
+      ++evidence.silent;
+      continue;
+    }
+    ++evidence.absent;
+    evidence.oldest_absence =
+        std::max(evidence.oldest_absence, now - upstream.last_contact);
+  }
+  return evidence;
+}
+
 std::vector<SendOwnershipBatchQuery> TakeBatchQueries(
     OwnerSearches& searches,
     const std::function<std::span<const ServiceId>(const FlowTuple&)>&
