Ignore a refused connection if the upstream was heard in the same millisecond

What callers could see: resets of all flows of an upstream that has just started, and no new flows there until its next heartbeat. An agent connects to its upstream's address in the moment in which the upstream starts; the connection is refused, the first heartbeat arrives, flows open, and then the refusal is processed.

Cause: what was heard since the check began was found by comparing times in milliseconds, and a heartbeat in the millisecond of the check counted as earlier. It is a flag now, cleared when a check begins.

Evidence: HeardInMillisecondOfCheck_ConnectionRefused_StaysReady failed before (three checks, a reset of an open flow among them) and passes now.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -75,6 +75,8 @@
   std::optional<TimePoint> unanswered_since;
   /// Start of the last check whether the upstream runs.
   std::optional<TimePoint> upstream_checked_at;
+  /// True if the upstream has sent anything since that check began.
+  bool was_heard_since_check = false;
   /// Time of the last connection that the upstream accepted.
   std::optional<TimePoint> upstream_accepted_at;
   /// Time until which the agent itself was late, so that heartbeats may have
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -13,6 +13,7 @@
 
 void RecordContact(AgentRelay& relay, TimePoint now) {
   relay.upstream_last_contact = now;
+  relay.was_heard_since_check = true;
   relay.unanswered_since.reset();
 }
 
--- a/packages/coordination/src/packet_path/upstream_liveness.cc
+++ b/packages/coordination/src/packet_path/upstream_liveness.cc
@@ -33,12 +33,6 @@
          kDepartureCheckDelay;
 }
 
-bool WasHeardSinceCheck(const AgentRelay& relay) {
-  return relay.upstream_last_contact.has_value() &&
-         relay.upstream_checked_at.has_value() &&
-         *relay.upstream_last_contact > *relay.upstream_checked_at;
-}
-
 void RecordAbsence(AgentRelay& relay, TimePoint now, RelayActions& actions) {
   relay.upstream.phase = UpstreamPhase::kAbsent;
   relay.unanswered_since.reset();
@@ -78,6 +72,7 @@
 
 void BeginUpstreamCheck(AgentRelay& relay, TimePoint now) {
   relay.upstream_checked_at = now;
+  relay.was_heard_since_check = false;
 }
 
 void HandleConnectionAccepted(AgentRelay& relay, TimePoint now) {
@@ -86,7 +81,7 @@
 
 bool HandleConnectionRefused(AgentRelay& relay, TimePoint now,
                              RelayActions& actions) {
-  if (WasHeardSinceCheck(relay)) return false;
+  if (relay.was_heard_since_check) return false;
   if (relay.upstream.phase == UpstreamPhase::kAbsent) return false;
   RecordNoUpstream(relay.flow_history, now);
   const bool may_start_soon = relay.upstream.phase == UpstreamPhase::kUnknown &&
@@ -103,7 +98,7 @@
 
 bool HandleConnectionTimeout(AgentRelay& relay, TimePoint now,
                              RelayActions& actions) {
-  if (WasHeardSinceCheck(relay)) return false;
+  if (relay.was_heard_since_check) return false;
   if (relay.upstream.phase == UpstreamPhase::kAbsent) return false;
   if (!HasMissedHeartbeats(relay, now)) return false;
   RecordAbsence(relay, now, actions);
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -227,6 +227,18 @@
   BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kReady);
 }
 
+// Guards against the loss of all flows of an upstream that starts in the moment
+// in which its agent checks whether one runs.
+BOOST_AUTO_TEST_CASE(HeardInMillisecondOfCheck_ConnectionRefused_StaysReady) {
+  BeginUpstreamCheck(relay, now);
+  NextHeartbeat(Millis{0});
+  OpenWithRequest(1);
+  BOOST_TEST(Refuse().empty());
+  BOOST_CHECK(ReportedPhase(relay, now) == UpstreamPhase::kReady);
+  BOOST_CHECK(QueryOwnership(1, kUpstreamSequence + 1) ==
+              FlowOwnership::kOwned);
+}
+
 // Guards against searches that wait for an agent whose upstream has exited: the
 // agent is requested to stop after that.
 BOOST_AUTO_TEST_CASE(StoppingAgent_UpstreamAbsent_IsReportedAbsent) {
