Let the simulated store serve content that is not valid JSON

MetadataService keeps the content of objects as text, and PutText() stores one that another writer may leave, such as a number that no double holds.

--- a/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/metadata_service.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/transport/async_http_server.h"
@@ -39,6 +40,11 @@
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& content);
 
+  /// Creates or replaces an object with content that is served as it is, even
+  /// if it is not valid JSON.
+  void PutText(const std::string& kind, const std::string& name,
+               const std::string& content);
+
   /// Removes the object if it exists, as an operator does.
   void Remove(const std::string& kind, const std::string& name);
 
@@ -59,14 +65,15 @@
 
  private:
   struct Object {
-    nlohmann::json content;
+    /// JSON text, except for content of PutText().
+    std::string content;
     uint64_t revision = 0;
     uint64_t create_revision = 0;
   };
   struct Event {
     std::string kind;
     uint64_t revision = 0;
-    nlohmann::json object;
+    std::string object;
     bool is_deleted = false;
   };
   using ObjectsByKind = std::map<std::string, std::map<std::string, Object>>;
@@ -87,11 +94,12 @@
   HttpResponse Write(const HttpRequest& request, const std::string& kind,
                      const std::string& name, uint64_t expected_revision);
   void RecordChange(const std::string& kind, const std::string& name,
-                    bool is_deleted, const nlohmann::json& content);
-  nlohmann::json ToObjectJson(const std::string& name,
-                              const Object& object) const;
-  nlohmann::json EventsSince(const std::string& kind, uint64_t since) const;
+                    bool is_deleted, const std::string& content);
+  std::string ToObjectText(const std::string& name, const Object& object) const;
+  std::vector<std::string> EventsSince(const std::string& kind,
+                                       uint64_t since) const;
   HttpResponse ListAll(const std::string& kind) const;
+  HttpResponse ListEvents(const std::vector<std::string>& events) const;
 
   ObjectsByKind objects_by_kind_;
   /// In the order of their times.
--- a/standins/platform_side/src/metadata_service.cc
+++ b/standins/platform_side/src/metadata_service.cc
@@ -15,6 +15,19 @@
   return HttpResponse{status, "application/json", body.dump()};
 }
 
+HttpResponse TextResponse(int status, std::string body) {
+  return HttpResponse{status, "application/json", std::move(body)};
+}
+
+std::string JoinArray(const std::vector<std::string>& elements) {
+  std::string text = "[";
+  for (const std::string& element : elements) {
+    if (text.size() > 1) text += ',';
+    text += element;
+  }
+  return text + "]";
+}
+
 uint64_t NumberParameter(const HttpTarget& target, const std::string& key) {
   const auto found = target.query.find(key);
   return found == target.query.end() ? 0 : std::stoull(found->second);
@@ -28,50 +41,60 @@
 
 }  // namespace
 
-Json MetadataService::ToObjectJson(const std::string& name,
-                                   const Object& object) const {
-  return {{"meta",
-           {{"name", name},
-            {"revision", object.revision},
-            {"create_revision", object.create_revision},
-            {"finalizers", Json::array()},
-            {"deleting", false}}},
-          {"spec", object.content},
-          {"status", nullptr}};
-}
-
-Json MetadataService::EventsSince(const std::string& kind,
-                                  uint64_t since) const {
-  Json events = Json::array();
+// Inserts the content as text, since a test's content need not be valid JSON.
+std::string MetadataService::ToObjectText(const std::string& name,
+                                          const Object& object) const {
+  const Json meta = {{"name", name},
+                     {"revision", object.revision},
+                     {"create_revision", object.create_revision},
+                     {"finalizers", Json::array()},
+                     {"deleting", false}};
+  return R"({"meta":)" + meta.dump() + R"(,"spec":)" + object.content +
+         R"(,"status":null})";
+}
+
+std::vector<std::string> MetadataService::EventsSince(const std::string& kind,
+                                                      uint64_t since) const {
+  std::vector<std::string> events;
   for (const Event& event : events_) {
     if (event.kind != kind || event.revision <= since) continue;
-    events.push_back({{"deleted", event.is_deleted}, {"object", event.object}});
+    events.push_back(std::string(R"({"deleted":)") +
+                     (event.is_deleted ? "true" : "false") + R"(,"object":)" +
+                     event.object + "}");
   }
   return events;
 }
 
 HttpResponse MetadataService::ListAll(const std::string& kind) const {
-  Json items = Json::array();
+  std::vector<std::string> items;
   const auto objects = objects_by_kind_.find(kind);
   if (objects != objects_by_kind_.end()) {
     for (const auto& [name, object] : objects->second) {
-      items.push_back(ToObjectJson(name, object));
+      items.push_back(ToObjectText(name, object));
     }
   }
-  return JsonResponse(
-      200, {{"items", items}, {"has_more", false}, {"as_of", revision_}});
+  return TextResponse(200, R"({"items":)" + JoinArray(items) +
+                               R"(,"has_more":false,"as_of":)" +
+                               std::to_string(revision_) + "}");
+}
+
+HttpResponse MetadataService::ListEvents(
+    const std::vector<std::string>& events) const {
+  return TextResponse(200, R"({"events":)" + JoinArray(events) +
+                               R"(,"as_of":)" + std::to_string(revision_) +
+                               "}");
 }
 
 void MetadataService::RecordChange(const std::string& kind,
                                    const std::string& name, bool is_deleted,
-                                   const Json& content) {
+                                   const std::string& content) {
   ++revision_;
   Object& object = objects_by_kind_[kind][name];
   if (object.create_revision == 0) object.create_revision = revision_;
   object.revision = revision_;
   if (!is_deleted) object.content = content;
   events_.push_back(
-      Event{kind, revision_, ToObjectJson(name, object), is_deleted});
+      Event{kind, revision_, ToObjectText(name, object), is_deleted});
   if (is_deleted) objects_by_kind_[kind].erase(name);
   for (auto watch = pending_watches_.begin();
        watch != pending_watches_.end();) {
@@ -79,15 +102,18 @@
       ++watch;
       continue;
     }
-    watch->respond(JsonResponse(
-        200,
-        {{"events", EventsSince(kind, watch->since)}, {"as_of", revision_}}));
+    watch->respond(ListEvents(EventsSince(kind, watch->since)));
     watch = pending_watches_.erase(watch);
   }
 }
 
 void MetadataService::Put(const std::string& kind, const std::string& name,
                           const Json& content) {
+  PutText(kind, name, content.dump());
+}
+
+void MetadataService::PutText(const std::string& kind, const std::string& name,
+                              const std::string& content) {
   RecordChange(kind, name, false, content);
 }
 
@@ -96,7 +122,7 @@
   if (objects == objects_by_kind_.end()) return;
   const auto object = objects->second.find(name);
   if (object == objects->second.end()) return;
-  const Json content = object->second.content;
+  const std::string content = object->second.content;
   RecordChange(kind, name, true, content);
 }
 
@@ -136,8 +162,7 @@
       ++watch;
       continue;
     }
-    watch->respond(
-        JsonResponse(200, {{"events", Json::array()}, {"as_of", revision_}}));
+    watch->respond(ListEvents({}));
     watch = pending_watches_.erase(watch);
   }
 }
@@ -147,17 +172,18 @@
                                     const std::string& name,
                                     uint64_t expected_revision) {
   const Json body = Json::parse(request.body, nullptr, false);
-  const Json content = body.is_object() ? body.value("spec", Json()) : Json();
+  const std::string content =
+      (body.is_object() ? body.value("spec", Json()) : Json()).dump();
   std::map<std::string, Object>& objects = objects_by_kind_[kind];
   const auto found = objects.find(name);
   const bool exists = found != objects.end();
   if (request.method == "POST" && exists) {
-    return JsonResponse(409, ToObjectJson(name, found->second));
+    return TextResponse(409, ToObjectText(name, found->second));
   }
   if (request.method != "POST") {
     if (!exists) return JsonResponse(404, Json::object());
     if (expected_revision != 0 && expected_revision != found->second.revision) {
-      return JsonResponse(409, ToObjectJson(name, found->second));
+      return TextResponse(409, ToObjectText(name, found->second));
     }
   }
   const bool is_deleted = request.method == "DELETE";
@@ -165,7 +191,7 @@
       exists && !is_deleted && found->second.content == content;
   if (!is_same) RecordChange(kind, name, is_deleted, content);
   if (is_deleted) return JsonResponse(200, Json::object());
-  return JsonResponse(200, ToObjectJson(name, objects.at(name)));
+  return TextResponse(200, ToObjectText(name, objects.at(name)));
 }
 
 void MetadataService::Handle(const HttpRequest& request, StoreFault fault,
@@ -217,17 +243,14 @@
     if (found == objects_by_kind_[kind].end()) {
       return respond(JsonResponse(404, Json::object()));
     }
-    return respond(JsonResponse(200, ToObjectJson(name, found->second)));
+    return respond(TextResponse(200, ToObjectText(name, found->second)));
   }
   if (target.query.count("watch") == 0) return respond(ListAll(kind));
   const uint64_t since = NumberParameter(target, "watch");
   if (since + 1 < oldest_event_revision_ || since > revision_)
     return respond(JsonResponse(410, Json::object()));
-  const Json events = EventsSince(kind, since);
-  if (!events.empty()) {
-    return respond(
-        JsonResponse(200, {{"events", events}, {"as_of", revision_}}));
-  }
+  const std::vector<std::string> events = EventsSince(kind, since);
+  if (!events.empty()) return respond(ListEvents(events));
   const Millis wait{static_cast<int64_t>(NumberParameter(target, "wait_ms"))};
   pending_watches_.push_back(
       PendingWatch{kind, since, now + wait, std::move(respond)});
