Decode each element of a store response by itself

Operators saw: another writer left one odd entry among those of the hosts, very deeply nested, with a number too large or with a port out of range, and the machines that read the list stopped following it.

Cause: a response of the store was parsed as a whole. One value that is nested deeper than 64 levels, has a number outside the range of a double or is not valid UTF-8 made every list and every change of its kind fail. A balancer that started never became ready, one that ran repeated the failed call for good, and an agent whose entry was overwritten could not read the revision with which to replace it. Processes did not end; ports out of range were refused already.

The content is passed on as the text that the store holds, so that its reader refuses this one object, and removal, paging and conditional writes go on by name and revision. Elements without a name or revision are left out, counted and logged once by the watch.

OddEntry_PublishedAndWithdrawn_EndsInSync and the ports of InvalidEntry_Decoded_IsRejected guard the node's side; they were not run against the code before this change.

--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -16,16 +16,26 @@
   std::string name;
   /// Revision of its last change, in the era in which it was read.
   StoreRevision revision;
-  /// The content as JSON text.
+  /// The content as the store holds it: a JSON text, unless another writer left
+  /// one that is not valid or has many levels. Parse it by ParseBoundedJson().
   std::string content;
 
   friend bool operator==(const StoredObject&, const StoredObject&) = default;
 };
 
+/// Elements of a response that are not reported as objects, since their name,
+/// revision or kind of change can't be decoded.
+struct LeftOutElements {
+  size_t count = 0;
+  /// Name of the first one; empty if it can't be decoded.
+  std::string first_name;
+};
+
 /// All objects of a kind as of one revision.
 struct ObjectListing {
   std::vector<StoredObject> objects;
   StoreRevision revision;
+  LeftOutElements left_out = {};
 };
 
 /// A change of one object; `object.content` is empty when it was removed.
@@ -41,6 +51,7 @@
   /// watched one if the store was restored meanwhile; `changes` may then lack
   /// some.
   StoreRevision revision;
+  LeftOutElements left_out = {};
 };
 
 /// A connection to the platform's metadata store. It carries one call at a
--- a/packages/node/src/agent_registration.cc
+++ b/packages/node/src/agent_registration.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "medlarwinch/coordination/shared/platform_calls.h"
+#include "medlarwinch/transport/bounded_json.h"
 #include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
@@ -23,9 +24,10 @@
 }
 
 // Compares decoded contents, since the store may format them differently.
+// Content that can't be decoded is equal to none.
 bool IsSameEntry(const std::string& a, const std::string& b) {
-  return nlohmann::json::parse(a, nullptr, false) ==
-         nlohmann::json::parse(b, nullptr, false);
+  const nlohmann::json decoded = ParseBoundedJson(a);
+  return !decoded.is_discarded() && decoded == ParseBoundedJson(b);
 }
 
 }  // namespace
@@ -50,8 +52,7 @@
 }
 
 Result<DirectoryEntry> DecodeAgentEntry(const StoredObject& object) {
-  const nlohmann::json content =
-      nlohmann::json::parse(object.content, nullptr, false);
+  const nlohmann::json content = ParseBoundedJson(object.content);
   if (!content.is_object()) return InvalidEntry(object, "not a JSON object");
   const auto text = [&](const char* key) -> std::string {
     const auto found = content.find(key);
--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "medlarwinch/coordination/shared/platform_calls.h"
+#include "medlarwinch/transport/log.h"
 
 namespace medlarwinch {
 namespace {
@@ -16,6 +17,16 @@
 // been restored meanwhile, and a response shows its era.
 constexpr Millis kProbeWait{1};
 
+void LogLeftOut(const std::string& kind, const LeftOutElements& left_out,
+                const StoreRevision& revision) {
+  if (left_out.count == 0) return;
+  Log(LogLevel::kWarning, "store_objects_left_out",
+      {{"kind", kind},
+       {"objects", static_cast<int64_t>(left_out.count)},
+       {"first", left_out.first_name},
+       {"revision", static_cast<int64_t>(revision.number)}});
+}
+
 }  // namespace
 
 StoreWatch::StoreWatch(boost::asio::io_context& loop,
@@ -57,6 +68,7 @@
                  }
                  position_ = listing.revision;
                  SetConnected(true, "listed");
+                 LogLeftOut(options_.kind, listing.left_out, position_);
                  observer_.on_listing(listing);
                  Watch();
                });
@@ -87,6 +99,7 @@
                   }
                   position_ = std::max(position_, changes.revision);
                   SetConnected(true, "watched");
+                  LogLeftOut(options_.kind, changes.left_out, position_);
                   for (const ObjectChange& change : changes.changes) {
                     observer_.on_change(change);
                   }
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -30,6 +30,15 @@
   std::unique_ptr<AgentRegistration> registration;
 };
 
+// Contents that another writer may store, and that can't be parsed or only with
+// a deep stack.
+std::vector<std::string> OddContents() {
+  constexpr size_t kLevels = 1'000'000;
+  return {std::string(kLevels, '[') + std::string(kLevels, ']'),
+          std::string(kLevels, '{'), R"({"relay":1e999})",
+          "{\"relay\":\"\xff\"}"};
+}
+
 BOOST_FIXTURE_TEST_SUITE(AgentRegistrationTest, AgentRegistrationFixture)
 
 BOOST_AUTO_TEST_CASE(PublishedEntry_Decoded_HasAgentAndService) {
@@ -188,10 +197,37 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against an agent that is never listed again after another writer has
+// overwritten its entry, and against one that never ends its withdrawal.
+BOOST_AUTO_TEST_CASE(OddEntry_PublishedAndWithdrawn_EndsInSync) {
+  for (const std::string& odd : OddContents()) {
+    store.Put(name, odd);
+    registration->Publish();
+    Run();
+    BOOST_TEST(registration->is_published());
+    BOOST_TEST(IsOk(DecodeAgentEntry(store.objects.at(name))));
+    store.Put(name, odd);
+    registration->Withdraw();
+    Run();
+    BOOST_TEST(registration->is_in_sync());
+    BOOST_TEST(!registration->is_published());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidEntry_Decoded_IsRejected) {
-  const std::vector<std::string> contents = {
+  std::vector<std::string> contents = {
       "", "[]", "{}", R"({"relay":"10.1.0.9:8172","upstream_service":"a"})",
       R"({"relay":"10.1.0.8:8172","upstream_service":4})"};
+  for (const char* port : {"70000", "-1", "0", "99999999999", "", "8172.0",
+                           "8172 ", "+8172", "1e3"}) {
+    contents.push_back(std::string(R"({"relay":"10.1.0.8:)") + port +
+                       R"(","upstream_service":"a"})");
+  }
+  for (const std::string& odd : OddContents()) {
+    contents.push_back(odd);
+    contents.push_back(
+        R"({"relay":"10.1.0.8:8172","upstream_service":"a","x":)" + odd + "}");
+  }
   for (const std::string& content : contents) {
     BOOST_TEST(!IsOk(DecodeAgentEntry(StoredObject{name, {1, 1}, content})));
   }
--- /dev/null
+++ b/standins/platform_side/tests/odd_store_entry_test.cc
@@ -0,0 +1,95 @@
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "medlarwinch/node/agent_registration.h"
+#include "running_daemons.h"
+
+namespace medlarwinch {
+namespace {
+
+constexpr size_t kLevels = 100'000;
+
+struct OddEntry {
+  std::string name;
+  std::string content;
+};
+
+// Entries that another writer might leave among those of the agents.
+std::vector<OddEntry> OddEntries() {
+  return {
+      {"deep", std::string(kLevels, '[') + std::string(kLevels, ']')},
+      {"10.9.9.1-8172",
+       R"({"relay":"10.9.9.1:8172","upstream_service":1e999})"},
+      {"10.9.9.2-70000",
+       R"({"relay":"10.9.9.2:70000","upstream_service":"probe-hub"})"},
+      {"10.9.9.3-8172",
+       "{\"relay\":\"10.9.9.3:8172\",\"upstream_service\":\"\xff\xfe\"}"},
+      {"10.9.9.4-99999999999",
+       R"({"relay":"10.9.9.4:99999999999","upstream_service":"probe-hub"})"},
+  };
+}
+
+struct DaemonsWithOddEntries : RunningDaemons {
+  void PutOddEntries() {
+    for (const OddEntry& entry : OddEntries()) {
+      store.PutText(kAgentEntryKind, entry.name, entry.content);
+      Run(std::chrono::milliseconds(100));
+    }
+  }
+
+  // Returns true if the log of the process has a line with `text`.
+  bool HasLogged(const std::string& process, const std::string& text) const {
+    std::ifstream file(folder + "/" + process + ".log");
+    std::stringstream log;
+    log << file.rdbuf();
+    return log.str().find(text) != std::string::npos;
+  }
+
+  // Starts an agent with an upstream at the address of the caller.
+  void StartSecondAgent() {
+    caller.reset();
+    second_agent = Spawn("agent", "second-agent", caller_ip);
+    BOOST_REQUIRE(IsOk(second_upstream.Start()));
+  }
+
+  std::unique_ptr<ChildProcess> second_agent;
+  SimulatedUpstream second_upstream{
+      loop,
+      SimulatedUpstreamSettings{kHubService, "d1", caller_ip},
+      RouteAddresses(kHubService),
+      2,
+      [](const std::string& what) { BOOST_ERROR(what); },
+      [](const FlowTuple& /*flow*/) {}};
+  const std::string second_name =
+      AgentEntryName(Endpoint{caller_ip, kDatagramPort});
+};
+
+BOOST_FIXTURE_TEST_SUITE(OddStoreEntryTest, DaemonsWithOddEntries)
+
+// Guards against a balancer that stops following the agents' entries, since one
+// entry in a response of the store can't be decoded.
+BOOST_AUTO_TEST_CASE(OddEntries_WrittenWhileRunning_LaterAgentIsFound) {
+  PutOddEntries();
+  StartSecondAgent();
+  BOOST_TEST(RunUntil([this] {
+    return HasLogged("balancer", "event=agent_listed agent=" + second_name);
+  }));
+  BOOST_TEST(!HasLogged("balancer", "event=store_lost watch=agents"));
+  CheckBothReady();
+}
+
+// Guards against a balancer that never becomes ready, since one entry in its
+// first listing can't be decoded.
+BOOST_AUTO_TEST_CASE(OddEntries_WrittenBefore_StartedBalancerBecomesReady) {
+  PutOddEntries();
+  balancer.reset();
+  balancer = Spawn("balancer", "second-balancer", balancer_ip);
+  CheckBothReady();
+  BOOST_TEST(HasLogged("second-balancer", "event=agents_listed agents=1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace medlarwinch
