Take only the exact name of an agent entry for that of the agent

What operators could see: an agent that gets no new flows for some seconds, although its entry is in the store. Another writer created and removed an entry whose name is another form of the agent's address, such as 10.1.0.8:8172 or 010.1.0.8-8172 for 10.1.0.8-8172.

Cause: ParseAgentEntryName() accepted each form, so that the removal of such an entry was applied to the agent, whose own entry is a different object. The name must now be the one that AgentEntryName() makes of the address.

Failed before: NameInOtherForm_Parsed_IsRejected, for 10.1.0.8:8172, 010.1.0.8-8172 and 10.1.0.8-08172. Found by reading.

--- a/packages/node/include/medlarwinch/node/agent_registration.h
+++ b/packages/node/include/medlarwinch/node/agent_registration.h
@@ -23,8 +23,9 @@
 /// object per address, so that an agent at a reused address replaces the entry
 /// of the previous agent.
 std::string AgentEntryName(const Endpoint& agent);
-/// Inverse of AgentEntryName().
-Result<Endpoint> ParseAgentEntryName(std::string name);
+/// Inverse of AgentEntryName(). Fails with kInvalidInput for any other form of
+/// an address, since that is the name of another object.
+Result<Endpoint> ParseAgentEntryName(const std::string& name);
 std::string EncodeAgentEntry(const DirectoryEntry& entry,
                              const std::string& service);
 /// Fails with kInvalidInput when the content is not a valid entry or its relay
--- a/packages/node/src/agent_registration.cc
+++ b/packages/node/src/agent_registration.cc
@@ -38,9 +38,15 @@
   return name;
 }
 
-Result<Endpoint> ParseAgentEntryName(std::string name) {
-  std::replace(name.begin(), name.end(), '-', ':');
-  return ParseEndpoint(name);
+Result<Endpoint> ParseAgentEntryName(const std::string& name) {
+  std::string address = name;
+  std::replace(address.begin(), address.end(), '-', ':');
+  Result<Endpoint> agent = ParseEndpoint(address);
+  if (IsOk(agent) && AgentEntryName(ValueOf(agent)) != name) {
+    return Error{ErrorCode::kInvalidInput,
+                 "'" + name + "' is not the name of an agent entry"};
+  }
+  return agent;
 }
 
 std::string EncodeAgentEntry(const DirectoryEntry& entry,
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -214,6 +214,18 @@
   }
 }
 
+// Guards against a balancer that takes the removal of another writer's entry
+// for that of the agent's own.
+BOOST_AUTO_TEST_CASE(NameInOtherForm_Parsed_IsRejected) {
+  BOOST_CHECK(ValueOf(ParseAgentEntryName(name)) == directory_entry.agent);
+  for (const char* other :
+       {"", "10.1.0.8", "10.1.0.8:8172", "010.1.0.8-8172", "10.1.0.8-08172",
+        "10.1.0.8-70000", "10.1.0.8--1", "10.1.0.8-0", "10.1.0.8-99999999999",
+        "10-1.0.8-8172", " 10.1.0.8-8172"}) {
+    BOOST_TEST(!IsOk(ParseAgentEntryName(other)), other);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidEntry_Decoded_IsRejected) {
   std::vector<std::string> contents = {
       "", "[]", "{}", R"({"relay":"10.1.0.9:8172","upstream_service":"a"})",
