List anew after a change that can't be decoded

What operators could see: an object that stays in use at the balancers that run although it was changed or removed. A change without a readable name, revision or kind is left out, the position goes on, and a watch never reports it again.

The watch now lists the objects after such a change.

Failed before: ChangeLeftOut_NextCall_ListsAgain (both checks). Found by reading; the store writes these fields itself, so this is only a precaution.

--- a/packages/node/src/store_watch.cc
+++ b/packages/node/src/store_watch.cc
@@ -103,6 +103,11 @@
                   for (const ObjectChange& change : changes.changes) {
                     observer_.on_change(change);
                   }
+                  // A change that can't be decoded is not reported again.
+                  if (changes.left_out.count > 0) {
+                    List();
+                    return;
+                  }
                   const bool has_delay = !changes.changes.empty() &&
                                          observer_.coalescing_delay != nullptr;
                   const Millis delay =
--- a/packages/node/tests/store_watch_test.cc
+++ b/packages/node/tests/store_watch_test.cc
@@ -72,6 +72,17 @@
   BOOST_TEST(listing_count == 2);
 }
 
+// Guards against an object that stays in use although it has changed: the
+// change can't be decoded, and a watch does not report it again.
+BOOST_AUTO_TEST_CASE(ChangeLeftOut_NextCall_ListsAgain) {
+  Run();
+  store.objects.clear();
+  store.CompleteWatches(ObjectChanges{{}, store.revision, {1, "main"}});
+  Run();
+  BOOST_TEST(listing_count == 2);
+  BOOST_TEST(listed_count == 0U);
+}
+
 // Guards against a watch that stops after its first refused call.
 BOOST_AUTO_TEST_CASE(StoreUnavailable_CallsRefused_AreRetriedAndReported) {
   Run();
