Write an agent's entry again after another writer has overwritten it

What operators could see: an upstream that balancers started later never find, and flows of it that they reset. Another writer overwrote the entry of an agent with content that can't be decoded.

Cause: balancers that ran refused the change and kept the entry as it was before, so that their polls told the agent that it was listed, and it had no reason to write. Balancers that read the list did not know the agent at all, or took the missing entry for a withdrawal, which counts as a proof that an upstream reported absent owns no flows.

Fix: ApplyUndecodableEntry() records such an entry, from a list or a change. The agent is polled as not listed and writes its entry again (entry_missed); until then it gets no new flows, since other balancers may not know it, but is asked for the flows that it owns. An agent that never answers is forgotten after kAgentRestartTimeout, as one that was named by another. Each revision is handled and logged (agent_entry_refused) once; before, every search for an owner that read the list logged it again.

Failed before: OwnEntry_Overwritten_IsWrittenAgain, with the daemons, for each of the five contents (not written again in 8 s).

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/upstream_directory.h
@@ -67,9 +67,9 @@
   /// True if a restored store lists the entry again although its removal was
   /// seen, until the agent reports. Most likely the agent is gone.
   bool is_resurrected = false;
-  /// True for an agent that is known only because a listed agent named it,
-  /// until the store lists it. It gets no new flows: its failure domain is
-  /// unknown.
+  /// True for an agent that is known only because a listed agent named it or an
+  /// entry of its name can't be decoded, until the store lists it. It gets no
+  /// new flows: its failure domain is unknown.
   bool is_only_named = false;
   /// True when the agent is in the balancer's own failure domain.
   bool is_local = false;
@@ -157,6 +157,13 @@
 void ApplyRemoval(UpstreamDirectory& directory, const Endpoint& agent,
                   const StoreRevision& revision);
 
+/// Records that the entry of `agent` as of `revision` can't be decoded, unless
+/// a later write is known. Most likely another writer has overwritten it, so
+/// the agent may run and own flows; it writes the entry again once it is
+/// polled.
+void ApplyUndecodableEntry(UpstreamDirectory& directory, const Endpoint& agent,
+                           const StoreRevision& revision, TimePoint now);
+
 /// The effect of a report.
 struct ReportEffect {
   /// True when the report came from a known agent and is newer than its last
--- a/packages/coordination/src/packet_path/upstream_directory.cc
+++ b/packages/coordination/src/packet_path/upstream_directory.cc
@@ -93,6 +93,20 @@
   }
 }
 
+void ApplyUndecodableEntry(UpstreamDirectory& directory, const Endpoint& agent,
+                           const StoreRevision& revision, TimePoint now) {
+  const auto [position, is_new] = directory.upstreams.try_emplace(agent);
+  KnownUpstream& upstream = position->second;
+  if (is_new) {
+    upstream.entry.agent = agent;
+    upstream.last_contact = now;
+  }
+  if (upstream.entry.revision > revision) return;
+  upstream.is_listed = false;
+  upstream.is_withdrawn = false;
+  upstream.is_only_named = true;
+}
+
 ReportEffect ApplyAgentReport(UpstreamDirectory& directory,
                               const Endpoint& from, const AgentReport& report,
                               TimePoint now) {
--- a/packages/coordination/tests/packet_path/upstream_directory_test.cc
+++ b/packages/coordination/tests/packet_path/upstream_directory_test.cc
@@ -217,6 +217,45 @@
   BOOST_TEST(FindLostAgents(relay.directory, now).size() == kAgents);
 }
 
+// Guards against flows that are reset although their upstream is sound: an
+// entry that another writer has overwritten is no withdrawal.
+BOOST_AUTO_TEST_CASE(UndecodableEntry_KnownAgent_MayOwnFlowsAndGetsNone) {
+  const Endpoint agent = AgentAddress(0);
+  const KnownUpstream& upstream = relay.directory.upstreams.at(agent);
+  const DirectoryEntry entry = upstream.entry;
+  ApplyListing(relay.directory, {}, StoreRevision{1, 8}, now);
+  ApplyUndecodableEntry(relay.directory, agent, StoreRevision{1, 7}, now);
+  BOOST_TEST(!upstream.is_listed);
+  BOOST_TEST(!AcceptsFlows(upstream, now));
+  AgentReport report = upstream.report;
+  ++report.sequence;
+  report.phase = UpstreamPhase::kAbsent;
+  ApplyAgentReport(relay.directory, agent, report, now);
+  BOOST_TEST(MayOwnFlows(relay.directory, upstream, now));
+  report.phase = UpstreamPhase::kReady;
+  ++report.sequence;
+  ApplyAgentReport(relay.directory, agent, report, now);
+  DirectoryEntry written = entry;
+  written.revision = StoreRevision{1, 9};
+  ApplyEntry(relay.directory, written, now);
+  ApplyUndecodableEntry(relay.directory, agent, StoreRevision{1, 7}, now);
+  BOOST_TEST(upstream.is_listed);
+  BOOST_TEST(AcceptsFlows(upstream, now));
+}
+
+// Guards against a balancer that starts while an entry is overwritten and does
+// not ask its agent for the owner of a flow.
+BOOST_AUTO_TEST_CASE(UndecodableEntry_UnknownAgent_IsAskedUntilSilent) {
+  const Endpoint agent{0x0a0900ff, 8'172};
+  ApplyUndecodableEntry(relay.directory, agent, StoreRevision{1, 7}, now);
+  const KnownUpstream& upstream = relay.directory.upstreams.at(agent);
+  BOOST_TEST(!upstream.is_listed);
+  BOOST_TEST(MayOwnFlows(relay.directory, upstream, now));
+  BOOST_TEST(!MayOwnFlows(relay.directory, upstream, now + kAgentTimeout));
+  RemoveUnlistedAgents(relay.directory, now + kAgentRestartTimeout);
+  BOOST_TEST(relay.directory.upstreams.count(agent) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -56,6 +56,7 @@
   void HandleAgentListing(const ObjectListing& listing);
   void ConfirmAgents();
   void HandleAgentChange(const ObjectChange& change);
+  void HandleRefusedEntry(const StoredObject& object, const Error& error);
   void WatchConfiguration();
   void WatchAgents();
   void WatchEvacuations();
@@ -98,6 +99,8 @@
   std::unique_ptr<StoreWatch> agent_watch_;
   /// Null unless the settings ask for evacuations.
   std::unique_ptr<StoreWatch> evacuation_watch_;
+  /// Agent entries that can't be decoded, with the revision that was handled.
+  std::map<std::string, StoreRevision> refused_entries_;
   /// Names of the evacuation objects that this process has read.
   std::set<std::string> stored_evacuations_;
   /// Connections for calls other than the watches; a connection carries one
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -143,11 +143,13 @@
 
 void BalancerNode::HandleAgentListing(const ObjectListing& listing) {
   std::vector<DirectoryEntry> entries;
+  std::vector<std::pair<const StoredObject*, Error>> refused;
+  std::set<std::string> refused_names;
   for (const StoredObject& object : listing.objects) {
     Result<DirectoryEntry> entry = DecodeAgentEntry(object);
     if (!IsOk(entry)) {
-      Log(LogLevel::kWarning, "agent_entry_refused",
-          {{"message", ErrorOf(entry).message}});
+      refused.emplace_back(&object, ErrorOf(entry));
+      refused_names.insert(object.name);
       continue;
     }
     entries.push_back(TakeValue(std::move(entry)));
@@ -155,6 +157,11 @@
   const bool is_first = !relay_.directory.is_complete;
   const size_t known_count = relay_.directory.upstreams.size();
   ApplyListing(relay_.directory, entries, listing.revision, MonotonicNow());
+  std::erase_if(refused_entries_, [&](const auto& known) {
+    return refused_names.count(known.first) == 0;
+  });
+  for (const auto& [object, error] : refused)
+    HandleRefusedEntry(*object, error);
   if (is_first) first_listing_at_ = MonotonicNow();
   Log(LogLevel::kInfo, "agents_listed",
       {{"agents", static_cast<int64_t>(entries.size())},
@@ -192,8 +199,25 @@
       });
 }
 
+// Handles each revision once, since the list is read again for many searches.
+void BalancerNode::HandleRefusedEntry(const StoredObject& object,
+                                      const Error& error) {
+  const auto [handled, is_new] =
+      refused_entries_.try_emplace(object.name, object.revision);
+  if (!is_new && handled->second == object.revision) return;
+  handled->second = object.revision;
+  Log(LogLevel::kWarning, "agent_entry_refused",
+      {{"message", error.message},
+       {"revision", static_cast<int64_t>(object.revision.number)}});
+  const Result<Endpoint> agent = ParseAgentEntryName(object.name);
+  if (!IsOk(agent)) return;
+  ApplyUndecodableEntry(relay_.directory, ValueOf(agent), object.revision,
+                        MonotonicNow());
+}
+
 void BalancerNode::HandleAgentChange(const ObjectChange& change) {
   if (change.is_removed) {
+    refused_entries_.erase(change.object.name);
     const Result<Endpoint> agent = ParseAgentEntryName(change.object.name);
     if (!IsOk(agent)) return;
     ApplyRemoval(relay_.directory, ValueOf(agent), change.object.revision);
@@ -204,10 +228,10 @@
   }
   const Result<DirectoryEntry> entry = DecodeAgentEntry(change.object);
   if (!IsOk(entry)) {
-    Log(LogLevel::kWarning, "agent_entry_refused",
-        {{"message", ErrorOf(entry).message}});
+    HandleRefusedEntry(change.object, ErrorOf(entry));
     return;
   }
+  refused_entries_.erase(change.object.name);
   ApplyEntry(relay_.directory, ValueOf(entry), MonotonicNow());
   Log(LogLevel::kInfo, "agent_listed",
       {{"agent", change.object.name},
--- a/standins/platform_side/tests/odd_store_entry_test.cc
+++ b/standins/platform_side/tests/odd_store_entry_test.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "medlarwinch/node/agent_registration.h"
+#include "medlarwinch/platform/metadata_store.h"
 #include "running_daemons.h"
 
 namespace medlarwinch {
@@ -19,14 +20,14 @@
 std::vector<OddEntry> OddEntries() {
   return {
       {"deep", std::string(kLevels, '[') + std::string(kLevels, ']')},
-      {"10.9.9.1-8172",
-       R"({"relay":"10.9.9.1:8172","upstream_service":1e999})"},
-      {"10.9.9.2-70000",
-       R"({"relay":"10.9.9.2:70000","upstream_service":"probe-hub"})"},
-      {"10.9.9.3-8172",
-       "{\"relay\":\"10.9.9.3:8172\",\"upstream_service\":\"\xff\xfe\"}"},
-      {"10.9.9.4-99999999999",
-       R"({"relay":"10.9.9.4:99999999999","upstream_service":"probe-hub"})"},
+      {"127.9.9.1-8172",
+       R"({"relay":"127.9.9.1:8172","upstream_service":1e999})"},
+      {"127.9.9.2-70000",
+       R"({"relay":"127.9.9.2:70000","upstream_service":"probe-hub"})"},
+      {"127.9.9.3-8172",
+       "{\"relay\":\"127.9.9.3:8172\",\"upstream_service\":\"\xff\xfe\"}"},
+      {"127.9.9.4-99999999999",
+       R"({"relay":"127.9.9.4:99999999999","upstream_service":"probe-hub"})"},
   };
 }
 
@@ -46,6 +47,15 @@
     return log.str().find(text) != std::string::npos;
   }
 
+  bool HasValidEntry(const std::string& name) {
+    platform::MetadataStore reader(loop, Endpoint{balancer_ip, kStorePort});
+    std::optional<Result<StoredObject>> found;
+    reader.Get(kAgentEntryKind, name,
+               [&found](Result<StoredObject> result) { found = result; });
+    while (!found.has_value()) Run(std::chrono::milliseconds(1));
+    return IsOk(*found) && IsOk(DecodeAgentEntry(ValueOf(*found)));
+  }
+
   // Starts an agent with an upstream at the address of the caller.
   void StartSecondAgent() {
     caller.reset();
@@ -89,6 +99,19 @@
   BOOST_TEST(HasLogged("second-balancer", "event=agents_listed agents=1"));
 }
 
+// Guards against an agent that balancers started later never find, since its
+// entry was overwritten: running balancers kept the earlier entry and told the
+// agent that it was listed.
+BOOST_AUTO_TEST_CASE(OwnEntry_Overwritten_IsWrittenAgain) {
+  const std::string name = AgentEntryName(Endpoint{agent_ip, kDatagramPort});
+  for (const OddEntry& entry : OddEntries()) {
+    store.PutText(kAgentEntryKind, name, entry.content);
+    BOOST_TEST(RunUntil([&] { return HasValidEntry(name); }),
+               entry.name << " stays");
+  }
+  CheckBothReady();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
