List anew if the changes of a watch are too large to be read

What operators could see: balancers that do not follow a kind of objects for up to the time that the store keeps its history, 20 s here. Another writer changes five objects of 1 MB in quick succession, or one object five times.

Cause: the client refuses responses above 4 MiB, and the watch took that for a call that may be repeated. It got the same response, until the store answered that this history is gone. A listing has no more than 1 MB a page.

Such a response now ends with kLimitExceeded, like one whose history is gone, and the watch lists the objects.

Failed before: ChangesOfManyLargeObjects_Watched_HistoryIsMissing, against the simulated store. Found by reading; not seen in a run of the daemons.

--- a/packages/node/include/medlarwinch/node/store_connection.h
+++ b/packages/node/include/medlarwinch/node/store_connection.h
@@ -59,8 +59,9 @@
 /// kUnavailable when the call had no effect, kTimeout when it may have taken
 /// effect, kConflict when the object has another revision or already exists,
 /// kNotFound, kLimitExceeded when the store does not have the history that a
-/// watch needs. Conditions compare revision numbers only, so a caller must not
-/// use a revision of an earlier era.
+/// watch needs, or when a response is too large to be read. Conditions compare
+/// revision numbers only, so a caller must not use a revision of an earlier
+/// era.
 class StoreConnection {
  public:
   template <typename T>
--- a/packages/transport/include/medlarwinch/transport/async_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/async_http_client.h
@@ -16,8 +16,9 @@
 /// late response is never matched to the next request.
 class AsyncHttpClient {
  public:
-  /// Called with kUnavailable if the request was not received, and with
-  /// kTimeout if it may have taken effect.
+  /// Called with kUnavailable if the request was not received, with kTimeout if
+  /// it may have taken effect, and with kLimitExceeded if it was handled but the
+  /// response has a body of more than 4 MiB.
   using Callback = std::function<void(Result<HttpResponse>)>;
 
   AsyncHttpClient(boost::asio::io_context& loop, const Endpoint& server);
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -18,7 +18,8 @@
 namespace http = beast::http;
 using boost::asio::ip::tcp;
 
-// The largest responses of the store contain 1 MB of objects plus framing.
+// The largest listings of the store contain 1 MB of objects plus framing; the
+// changes of large objects in quick succession may be larger.
 constexpr size_t kMaxResponseBytes = 4 * 1'024 * 1'024;
 
 // Maximum time between two parts of a response. A large response over a slow
@@ -110,6 +111,10 @@
   // request, which is idempotent, is then retried once on a new connection.
   void RetryOrFail(const char* action, beast::error_code error) {
     parser.reset();
+    if (error == http::error::body_limit) {
+      Fail(ErrorCode::kLimitExceeded, action, error);
+      return;
+    }
     const bool may_repeat = !is_new_connection &&
                             message.method() == http::verb::get &&
                             error != beast::error::timeout;
--- a/standins/platform_side/tests/metadata_store_test.cc
+++ b/standins/platform_side/tests/metadata_store_test.cc
@@ -76,6 +76,22 @@
   BOOST_CHECK(code == ErrorCode::kLimitExceeded);
 }
 
+// Guards against a watch that repeats a call whose response is too large, and
+// reports no change until the store has discarded this history.
+BOOST_AUTO_TEST_CASE(ChangesOfManyLargeObjects_Watched_HistoryIsMissing) {
+  constexpr size_t kObjectBytes = 1'048'000;
+  for (const char* name : {"b", "c", "d", "e", "f"}) {
+    service.Put("k", name, std::string(kObjectBytes, 'x'));
+  }
+  ErrorCode code = ErrorCode::kTimeout;
+  store.Watch("k", StoreRevision{1, 2}, Millis{1'000}, false,
+              [&code](const Result<ObjectChanges>& changes) {
+                if (!IsOk(changes)) code = ErrorOf(changes).code;
+              });
+  for (int wait = 0; wait < 20; ++wait) Run();
+  BOOST_CHECK(code == ErrorCode::kLimitExceeded);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
