--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -30,6 +30,15 @@
   std::unique_ptr<AgentRegistration> registration;
 };
 
+// Contents that another writer may store, and that can't be parsed or only with
+// a deep stack.
+std::vector<std::string> OddContents() {
+  constexpr size_t kLevels = 1'000'000;
+  return {std::string(kLevels, '[') + std::string(kLevels, ']'),
+          std::string(kLevels, '{'), R"({"relay":1e999})",
+          "{\"relay\":\"\xff\"}"};
+}
+
 BOOST_FIXTURE_TEST_SUITE(AgentRegistrationTest, AgentRegistrationFixture)
 
 BOOST_AUTO_TEST_CASE(PublishedEntry_Decoded_HasAgentAndService) {
@@ -208,10 +217,49 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against an agent that is never listed again after another writer has
+// overwritten its entry, and against one that never ends its withdrawal.
+BOOST_AUTO_TEST_CASE(OddEntry_PublishedAndWithdrawn_EndsInSync) {
+  for (const std::string& odd : OddContents()) {
+    store.Put(name, odd);
+    registration->Publish();
+    Run();
+    BOOST_TEST(registration->is_published());
+    BOOST_TEST(IsOk(DecodeAgentEntry(store.objects.at(name))));
+    store.Put(name, odd);
+    registration->Withdraw();
+    Run();
+    BOOST_TEST(registration->is_in_sync());
+    BOOST_TEST(!registration->is_published());
+  }
+}
+
+// Guards against a balancer that takes the removal of another writer's entry
+// for that of the agent's own.
+BOOST_AUTO_TEST_CASE(NameInOtherForm_Parsed_IsRejected) {
+  BOOST_CHECK(ValueOf(ParseAgentEntryName(name)) == directory_entry.agent);
+  for (const char* other :
+       {"", "10.1.0.8", "10.1.0.8:8172", "010.1.0.8-8172", "10.1.0.8-08172",
+        "10.1.0.8-70000", "10.1.0.8--1", "10.1.0.8-0", "10.1.0.8-99999999999",
+        "10-1.0.8-8172", " 10.1.0.8-8172"}) {
+    BOOST_TEST(!IsOk(ParseAgentEntryName(other)), other);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidEntry_Decoded_IsRejected) {
-  const std::vector<std::string> contents = {
+  std::vector<std::string> contents = {
       "", "[]", "{}", R"({"relay":"10.1.0.9:8172","upstream_service":"a"})",
       R"({"relay":"10.1.0.8:8172","upstream_service":4})"};
+  for (const char* port : {"70000", "-1", "0", "99999999999", "", "8172.0",
+                           "8172 ", "+8172", "1e3"}) {
+    contents.push_back(std::string(R"({"relay":"10.1.0.8:)") + port +
+                       R"(","upstream_service":"a"})");
+  }
+  for (const std::string& odd : OddContents()) {
+    contents.push_back(odd);
+    contents.push_back(
+        R"({"relay":"10.1.0.8:8172","upstream_service":"a","x":)" + odd + "}");
+  }
   for (const std::string& content : contents) {
     BOOST_TEST(!IsOk(DecodeAgentEntry(StoredObject{name, {1, 1}, content})));
   }
