Soak overlapping series of faults and planned work, and judge misdirected flows

The soak injected one fault at a time, and its upstreams had no TCP listener, so that an agent's check whether its upstream listens was always refused.

--- a/standins/platform_side/app/platform_soak.cc
+++ b/standins/platform_side/app/platform_soak.cc
@@ -60,6 +60,12 @@
   app.add_option("--users", settings.users)->check(CLI::Range(1, 5'000));
   app.add_flag("--evacuations", settings.evacuations,
                "also evacuate failure domains, with cold upstreams");
+  CLI::Option* series = app.add_flag(
+      "--series", settings.series,
+      "also inject series of faults and of planned work, which overlap");
+  app.add_flag("--planned", settings.planned,
+               "only series of planned work, which excuse no broken flow")
+      ->excludes(series);
   app.add_option("--folder", settings.output_folder,
                  "folder for settings files and logs; kept for failed seeds");
   try {
--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_callers.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_callers.h
@@ -38,6 +38,10 @@
     std::function<void(const FlowTuple&, uint32_t sender)> on_reset;
     /// Called with a description of each violated guarantee.
     std::function<void(const std::string&)> on_violation;
+    /// Returns true while an upstream holds the open flow. If set, users keep a
+    /// flow after a request has timed out until no upstream holds it, and some
+    /// of them pause for long between requests.
+    std::function<bool(const FlowTuple&)> is_flow_held;
   };
 
   SimulatedCallers(boost::asio::io_context& loop, uint32_t ip, int users,
@@ -66,6 +70,7 @@
   void OpenFlow(User& user, TimePoint now);
   void SendRequest(User& user, TimePoint now);
   void Retransmit(User& user, TimePoint now);
+  void HandleTimeout(User& user, TimePoint now);
   void EndRequest(User& user, bool is_answered, TimePoint now);
   void HandlePacket(const Endpoint& from, std::span<uint8_t> datagram);
   void Send(const User& user, bool is_syn, bool is_reset,
--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "medlarwinch/state/clock.h"
 #include "medlarwinch/state/flow_packet.h"
 #include "medlarwinch/transport/async_http_client.h"
+#include "medlarwinch/transport/async_http_server.h"
 #include "medlarwinch/transport/async_udp_socket.h"
 
 namespace medlarwinch {
@@ -36,8 +38,16 @@
 inline constexpr uint16_t kOutboundPort = 8162;
 inline constexpr uint16_t kAgentControlPort = 8166;
 
-/// Simulates an upstream of the platform: holds flows, runs requests and sends
-/// heartbeats to its agent. An object is one incarnation; a restart creates a
+/// An open flow as its upstream knows it.
+struct OpenFlow {
+  TimePoint opened_at;
+  /// When the upstream last received a packet of the flow.
+  TimePoint last_packet_at;
+};
+
+/// Simulates an upstream of the platform: holds flows, runs requests, answers
+/// status checks over TCP at its packet address and sends heartbeats to its
+/// agent. An object is one incarnation; a restart creates a
 /// new one.
 class SimulatedUpstream {
  public:
@@ -45,11 +55,15 @@
   using ViolationHandler = std::function<void(const std::string&)>;
   /// Called for each flow that is opened.
   using OpeningHandler = std::function<void(const FlowTuple&)>;
+  /// Called for each packet, other than a reset, of a flow that this upstream
+  /// does not hold.
+  using ForeignPacketHandler = std::function<void(const FlowTuple&)>;
 
   SimulatedUpstream(boost::asio::io_context& loop,
                     SimulatedUpstreamSettings settings,
                     std::set<Endpoint> allowed_routes, uint32_t incarnation,
-                    ViolationHandler on_violation, OpeningHandler on_opening);
+                    ViolationHandler on_violation, OpeningHandler on_opening,
+                    ForeignPacketHandler on_foreign_packet = {});
   ~SimulatedUpstream();
   SimulatedUpstream(const SimulatedUpstream&) = delete;
   SimulatedUpstream& operator=(const SimulatedUpstream&) = delete;
@@ -66,7 +80,9 @@
   void Deregister(std::function<void()> done);
 
   const SimulatedUpstreamSettings& settings() const { return settings_; }
-  bool HasOpenFlow(const FlowTuple& flow) const;
+  /// Returns the flow if it is open at this upstream.
+  std::optional<OpenFlow> FindOpenFlow(const FlowTuple& flow) const;
+  uint32_t incarnation() const { return incarnation_; }
   uint64_t completed_requests() const { return completed_requests_; }
 
  private:
@@ -76,10 +92,14 @@
     uint32_t expected_sequence = 0;
     bool is_open = false;
     bool is_running = false;
+    TimePoint opened_at;
+    TimePoint last_packet_at;
     std::string response;
   };
 
   void HandlePacket(std::span<uint8_t> datagram);
+  HttpResponse HandleStatusCheck() const;
+  void ReportForeign(const FlowTuple& flow);
   void CheckColdOpening();
   void Bounce(std::span<uint8_t> datagram);
   void RunRequest(const FlowTuple& flow, const std::string& request);
@@ -93,8 +113,10 @@
   uint32_t incarnation_;
   ViolationHandler on_violation_;
   OpeningHandler on_opening_;
+  ForeignPacketHandler on_foreign_packet_;
   std::string id_;
   std::unique_ptr<AsyncUdpSocket> socket_;
+  std::unique_ptr<AsyncHttpServer> status_server_;
   AsyncHttpClient heartbeat_client_;
   boost::asio::steady_timer heartbeat_timer_;
   std::map<FlowTuple, Flow> flows_;
@@ -105,6 +127,7 @@
   bool is_drain_acknowledged_ = false;
   TimePoint drain_acknowledged_at_;
   TimePoint started_;
+  int64_t started_unix_ms_ = 0;
   /// Times of the openings received while cold.
   std::deque<TimePoint> cold_openings_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -2,8 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -28,8 +30,16 @@
   /// Spreads the daemons over three failure domains and evacuates them, with
   /// upstreams that are cold after their start and limit their openings.
   bool evacuations = false;
+  /// Adds series of faults and of planned work, which overlap with each other
+  /// and with single faults.
+  bool series = false;
+  /// Only series of planned work, with no faults. No broken flow of a running
+  /// upstream is excused.
+  bool planned = false;
 };
 
+struct SoakSeries;
+
 /// Runs real daemon processes against a simulated metadata store and simulated
 /// routers, callers and upstreams, injects faults from outside, and checks what
 /// callers and upstreams observe. The seed determines the faults and their
@@ -61,6 +71,15 @@
     int missed_probes = 2;
     bool is_paused = false;
   };
+  /// A release of the upstream on a VM: it drains, leaves, and a new one
+  /// starts.
+  struct Release {
+    TimePoint leaves_at;
+    /// How long the VM has no upstream.
+    Millis down{0};
+    bool is_acknowledged = false;
+    bool is_leaving = false;
+  };
   /// An agent and the upstream on the same VM.
   struct UpstreamVm {
     size_t daemon = 0;
@@ -68,6 +87,21 @@
     SimulatedUpstreamSettings upstream_settings;
     TimePoint upstream_started;
     TimePoint upstream_restart_at;
+    std::optional<Release> release;
+  };
+  /// One step of a series. `target` is the index of a balancer or of a VM.
+  struct SeriesStep {
+    TimePoint at;
+    const SoakSeries* series = nullptr;
+    unsigned target_kind = 0;
+    size_t target = 0;
+    /// How long the target is down.
+    Millis down{0};
+  };
+  /// Packets of an open flow that reached other upstreams than its own.
+  struct Misdirection {
+    std::deque<TimePoint> times;
+    bool is_reported = false;
   };
 
   /// An evacuation that the store has acknowledged.
@@ -92,8 +126,24 @@
   void WriteConfiguration();
   void EndFaults();
   Endpoint BalancerOf(const FlowTuple& flow) const;
+  const Daemon& BalancerDaemonOf(const FlowTuple& flow) const;
+  UpstreamVm* OwnerOf(const FlowTuple& flow) const;
+  bool IsFlowJudged(const UpstreamVm& owner, const FlowTuple& flow,
+                    TimePoint now) const;
+  bool IsDaemonStable(const Daemon& daemon, TimePoint now) const;
   void CheckReset(const FlowTuple& flow, uint32_t sender);
+  void RecordForeignPacket(const FlowTuple& flow, const UpstreamVm& receiver);
+  void CheckMisdirections(TimePoint now);
   void CheckOpening(const std::string& service, const FlowTuple& flow);
+  bool has_series() const { return settings_.series || settings_.planned; }
+  void TickSeries(TimePoint now);
+  void StartSeries(const SoakSeries& series, TimePoint now);
+  std::vector<size_t> DrawSeriesTargets(const SoakSeries& series,
+                                        unsigned target_kind);
+  void TakeStep(const SeriesStep& step, TimePoint now);
+  void StopDaemon(Daemon& daemon, const SeriesStep& step, TimePoint now);
+  void TickRelease(UpstreamVm& vm, TimePoint now);
+  int64_t DrawSeriesMs(int64_t shortest, int64_t longest);
   std::string FailureDomainOf(int index) const;
   void Evacuate(const std::string& failure_domain, Millis duration);
   void TickEvacuations(TimePoint now);
@@ -111,6 +161,7 @@
   SoakSettings settings_;
   std::mt19937_64 random_;
   std::mt19937_64 evacuation_random_;
+  std::mt19937_64 series_random_;
   /// First address of the loopback network that this run uses.
   uint32_t network_;
   MetadataService store_;
@@ -121,11 +172,16 @@
   TimePoint started_;
   TimePoint next_fault_;
   TimePoint next_evacuation_;
+  TimePoint next_series_;
+  std::vector<SeriesStep> series_steps_;
+  std::map<FlowTuple, Misdirection> misdirections_;
   /// By failure domain.
   std::map<std::string, Evacuation> evacuations_;
   TimePoint next_readiness_probe_;
   TimePoint store_disrupted_at_;
   TimePoint configuration_changed_at_;
+  /// When a configuration last removed the route of an address.
+  std::map<Endpoint, TimePoint> route_removed_at_;
   CallerCounts final_check_baseline_;
   uint32_t last_incarnation_ = 0;
   uint64_t configuration_version_ = 1;
--- a/standins/platform_side/src/simulated_callers.cc
+++ b/standins/platform_side/src/simulated_callers.cc
@@ -23,6 +23,10 @@
 constexpr int kRequestsPerFlow = 60;
 // Maximum pause of a user between two requests.
 constexpr uint64_t kMaxThinkTimeMs = 250;
+// Flows that are silent during a restart are unknown to the agent after it, so
+// one user in kPausingUserInterval pauses longer than a restart lasts.
+constexpr uint64_t kMaxLongThinkTimeMs = 4'000;
+constexpr size_t kPausingUserInterval = 4;
 
 }  // namespace
 
@@ -53,7 +57,7 @@
   for (User& user : users_) {
     if (now < user.next_action_at) continue;
     if (user.is_pending && now >= user.deadline) {
-      EndRequest(user, false, now);
+      HandleTimeout(user, now);
     } else if (user.is_pending) {
       Retransmit(user, now);
     } else if (user.flow.caller.port == 0 || user.requests_left == 0) {
@@ -111,13 +115,28 @@
   user.next_action_at = now + user.interval;
 }
 
+void SimulatedCallers::HandleTimeout(User& user, TimePoint now) {
+  const bool keeps_flow =
+      user.is_open && hooks_.is_flow_held && hooks_.is_flow_held(user.flow);
+  if (!keeps_flow) {
+    EndRequest(user, false, now);
+    return;
+  }
+  ++counts_.failed;
+  ++counts_.requests;
+  user.deadline = now + kRequestTimeout;
+  Retransmit(user, now);
+}
+
 void SimulatedCallers::EndRequest(User& user, bool is_answered, TimePoint now) {
   ++(is_answered ? counts_.answered : counts_.failed);
   user.is_pending = false;
   --user.requests_left;
   if (!is_answered) user.requests_left = 0;
-  user.next_action_at =
-      now + Millis{static_cast<int64_t>(random_() % kMaxThinkTimeMs)};
+  const size_t index = static_cast<size_t>(&user - users_.data());
+  const bool pauses = hooks_.is_flow_held && index % kPausingUserInterval == 0;
+  const uint64_t longest = pauses ? kMaxLongThinkTimeMs : kMaxThinkTimeMs;
+  user.next_action_at = now + Millis{static_cast<int64_t>(random_() % longest)};
 }
 
 void SimulatedCallers::Send(const User& user, bool is_syn, bool is_reset,
--- a/standins/platform_side/src/simulated_upstream.cc
+++ b/standins/platform_side/src/simulated_upstream.cc
@@ -32,13 +32,15 @@
                                      std::set<Endpoint> allowed_routes,
                                      uint32_t incarnation,
                                      ViolationHandler on_violation,
-                                     OpeningHandler on_opening)
+                                     OpeningHandler on_opening,
+                                     ForeignPacketHandler on_foreign_packet)
     : loop_(loop),
       settings_(std::move(settings)),
       allowed_routes_(std::move(allowed_routes)),
       incarnation_(incarnation),
       on_violation_(std::move(on_violation)),
       on_opening_(std::move(on_opening)),
+      on_foreign_packet_(std::move(on_foreign_packet)),
       id_("i-" + std::to_string(incarnation)),
       heartbeat_client_(loop, Endpoint{settings_.ip, kAgentControlPort}),
       heartbeat_timer_(loop) {}
@@ -47,21 +49,41 @@
 
 Result<Ok> SimulatedUpstream::Start() {
   started_ = MonotonicNow();
+  started_unix_ms_ = WallNow().value;
+  const Endpoint address{settings_.ip, kUpstreamPacketPort};
   const Result<Ok> socket_opened = AsyncUdpSocket::OpenInto(
-      socket_, loop_, Endpoint{settings_.ip, kUpstreamPacketPort},
+      socket_, loop_, address,
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
         HandlePacket(datagram);
       });
   if (!IsOk(socket_opened)) return socket_opened;
+  Result<std::unique_ptr<AsyncHttpServer>> server = AsyncHttpServer::Listen(
+      loop_, address,
+      [this](const HttpRequest& /*request*/) { return HandleStatusCheck(); });
+  if (!IsOk(server)) return ErrorOf(server);
+  status_server_ = TakeValue(std::move(server));
   SendHeartbeat();
   return Ok{};
 }
 
 void SimulatedUpstream::Drain() { is_draining_ = true; }
 
-bool SimulatedUpstream::HasOpenFlow(const FlowTuple& flow) const {
+std::optional<OpenFlow> SimulatedUpstream::FindOpenFlow(
+    const FlowTuple& flow) const {
   const auto found = flows_.find(flow);
-  return found != flows_.end() && found->second.is_open;
+  if (found == flows_.end() || !found->second.is_open) return std::nullopt;
+  return OpenFlow{found->second.opened_at, found->second.last_packet_at};
+}
+
+HttpResponse SimulatedUpstream::HandleStatusCheck() const {
+  HttpResponse response;
+  response.status = is_draining_ ? 503 : 200;
+  response.content_type = "text/plain";
+  return response;
+}
+
+void SimulatedUpstream::ReportForeign(const FlowTuple& flow) {
+  if (on_foreign_packet_) on_foreign_packet_(flow);
 }
 
 void SimulatedUpstream::CheckColdOpening() {
@@ -98,6 +120,7 @@
   const FlowTuple flow = FlowFromCaller(*packet);
   const auto found = flows_.find(flow);
   if (packet->is_syn) {
+    ReportForeign(flow);
     CheckColdOpening();
     if (allowed_routes_.count(packet->destination) == 0) {
       on_violation_(
@@ -130,6 +153,7 @@
       packet->acknowledged - found->second.initial_sequence <=
           found->second.next_sequence - found->second.initial_sequence;
   if (!owns_flow) {
+    if (!packet->is_reset) ReportForeign(flow);
     Bounce(datagram);
     return;
   }
@@ -138,6 +162,8 @@
     flows_.erase(found);
     return;
   }
+  state.last_packet_at = MonotonicNow();
+  if (!state.is_open) state.opened_at = state.last_packet_at;
   state.is_open = true;
   const std::string_view data = DataOf(datagram);
   if (data.empty() || state.is_running) return;
@@ -213,7 +239,7 @@
       {"state", reports_draining ? "draining" : "ready"},
       {"cold_left_ms", cold_left.value},
       {"sequence", ++heartbeat_sequence_},
-      {"born", incarnation_}};
+      {"born", started_unix_ms_}};
   HttpRequest request;
   request.method = "POST";
   request.target = "/Instances.Heartbeat/" + id_;
--- /dev/null
+++ b/standins/platform_side/src/soak_flows.cc
@@ -0,0 +1,120 @@
+// The check that open flows are neither reset nor sent to other upstreams while
+// their own upstream runs.
+#include "medlarwinch/platform_side/soak_configuration.h"
+#include "medlarwinch/platform_side/soak_run.h"
+#include "medlarwinch/transport/system_clock.h"
+
+namespace medlarwinch {
+namespace {
+
+// After a fault, flows are checked only where the machines concerned and the
+// store were not disrupted for this long.
+constexpr Millis kStabilityWindow{4'000};
+// A flow is broken if for kReorderTime at least kMaxForeignPackets of its
+// packets reach other upstreams and none its own.
+constexpr Millis kReorderTime{2'000};
+constexpr size_t kMaxForeignPackets = 3;
+// How long balancers may act on a configuration after a newer one.
+constexpr Millis kMaxConfigurationDelay{3'000};
+// The balancer may discard flows that are older or idle for longer.
+constexpr Millis kMaxFlowAge{60'000};
+constexpr Millis kMaxIdleTime{15'000};
+
+std::string Describe(const FlowTuple& flow) {
+  return ToString(flow.caller) + " to " + ToString(flow.service_address);
+}
+
+}  // namespace
+
+SoakRun::UpstreamVm* SoakRun::OwnerOf(const FlowTuple& flow) const {
+  for (const std::unique_ptr<UpstreamVm>& vm : vms_) {
+    if (vm->upstream == nullptr) continue;
+    if (vm->upstream->FindOpenFlow(flow).has_value()) return vm.get();
+  }
+  return nullptr;
+}
+
+bool SoakRun::IsDaemonStable(const Daemon& daemon, TimePoint now) const {
+  return settings_.planned || now - daemon.disrupted_at >= kStabilityWindow;
+}
+
+// Faults excuse a flow whose own VM or the store was disrupted. Planned work
+// excuses none. A start of the upstream is a disruption of its VM; only runs
+// with series also restart upstreams beside an undisrupted agent.
+bool SoakRun::IsFlowJudged(const UpstreamVm& owner, const FlowTuple& flow,
+                           TimePoint now) const {
+  const OpenFlow open = *owner.upstream->FindOpenFlow(flow);
+  if (now - open.opened_at >= kMaxFlowAge) return false;
+  if (now - open.last_packet_at >= kMaxIdleTime) return false;
+  const auto removed = route_removed_at_.find(flow.service_address);
+  const bool is_route_removed =
+      removed != route_removed_at_.end() &&
+      open.opened_at <= removed->second + kMaxConfigurationDelay;
+  if (is_route_removed ||
+      RemovesRoute(flow.service_address, configuration_version_)) {
+    return false;
+  }
+  if (settings_.planned) return true;
+  const bool has_just_started =
+      settings_.series && now - owner.upstream_started < kStabilityWindow;
+  return !has_just_started && IsDaemonStable(*daemons_[owner.daemon], now) &&
+         now - store_disrupted_at_ >= kStabilityWindow;
+}
+
+void SoakRun::CheckReset(const FlowTuple& flow, uint32_t sender) {
+  const TimePoint now = MonotonicNow();
+  const UpstreamVm* owner = OwnerOf(flow);
+  if (owner == nullptr || !IsFlowJudged(*owner, flow, now)) return;
+  for (const std::unique_ptr<Daemon>& daemon : daemons_) {
+    if (daemon->ip != sender || !IsDaemonStable(*daemon, now)) continue;
+    ReportViolation("an open flow was reset by " + daemon->name +
+                    " while its upstream holds the flow: " + Describe(flow) +
+                    ", upstream of " + daemons_[owner->daemon]->name);
+  }
+}
+
+void SoakRun::RecordForeignPacket(const FlowTuple& flow,
+                                  const UpstreamVm& receiver) {
+  const TimePoint now = MonotonicNow();
+  const UpstreamVm* owner = OwnerOf(flow);
+  if (owner == nullptr || owner == &receiver) return;
+  if (!IsFlowJudged(*owner, flow, now)) return;
+  const Daemon& balancer = BalancerDaemonOf(flow);
+  const bool is_paused =
+      balancer.is_paused || daemons_[owner->daemon]->is_paused;
+  const bool is_cut_off = balancer.fault != StoreFault::kNone;
+  if (is_paused || is_cut_off || !IsDaemonStable(balancer, now)) return;
+  misdirections_[flow].times.push_back(now);
+}
+
+void SoakRun::CheckMisdirections(TimePoint now) {
+  for (auto position = misdirections_.begin();
+       position != misdirections_.end();) {
+    const FlowTuple& flow = position->first;
+    Misdirection& misdirection = position->second;
+    std::deque<TimePoint>& times = misdirection.times;
+    const UpstreamVm* owner = OwnerOf(flow);
+    if (owner == nullptr) {
+      position = misdirections_.erase(position);
+      continue;
+    }
+    const TimePoint last_own =
+        owner->upstream->FindOpenFlow(flow)->last_packet_at;
+    std::erase_if(times, [&](TimePoint time) {
+      return time < last_own || now - time > kReorderTime;
+    });
+    const bool is_broken =
+        times.size() >= kMaxForeignPackets && now - last_own >= kReorderTime;
+    if (is_broken && !misdirection.is_reported) {
+      misdirection.is_reported = true;
+      ReportViolation(std::to_string(times.size()) +
+                      " packets of an open flow reached other upstreams and "
+                      "none its own: " +
+                      Describe(flow) + ", upstream of " +
+                      daemons_[owner->daemon]->name);
+    }
+    position = times.empty() ? misdirections_.erase(position) : ++position;
+  }
+}
+
+}  // namespace medlarwinch
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -31,8 +31,8 @@
 constexpr double kMinFinalSuccessRate = 0.9;
 // A new configuration must be in force after this time.
 constexpr Millis kMaxConfigurationDelay{3'000};
-// A reset is checked only if its sender, the agent of the upstream and the
-// store were not disrupted for this long.
+// An opening is checked only if the balancers and the store were not disrupted
+// for this long.
 constexpr Millis kStabilityWindow{4'000};
 // Each run uses one of the networks 127.80.0.0/16 to 127.179.0.0/16, chosen by
 // its seed, so that runs in parallel use different addresses.
@@ -47,6 +47,8 @@
 constexpr uint16_t kReadinessPort = 8167;
 constexpr uint16_t kStorePort = 8169;
 constexpr uint16_t kRelayPort = 7'720;
+// Makes the random sequence of the series differ from the other two.
+constexpr uint64_t kSeriesSeedBits = 0x5e71e5;
 
 }  // namespace
 
@@ -55,6 +57,7 @@
       settings_(std::move(settings)),
       random_(settings_.seed),
       evacuation_random_(~settings_.seed),
+      series_random_(settings_.seed ^ kSeriesSeedBits),
       network_(kFirstNetwork +
                static_cast<uint32_t>(settings_.seed % kNetworkCount) *
                    kNetworkSize),
@@ -77,6 +80,8 @@
   started_ = MonotonicNow();
   next_fault_ = started_ + kFaultFreeStart;
   next_evacuation_ = next_fault_;
+  next_series_ = next_fault_;
+  LogEvent("start at " + FormatTime(WallNow()));
   WriteConfiguration();
   for (int index = 0; index < settings_.balancers; ++index) {
     const Result<Ok> added =
@@ -116,9 +121,14 @@
   hooks.on_violation = [this](const std::string& what) {
     ReportViolation(what);
   };
+  if (has_series()) {
+    hooks.is_flow_held = [this](const FlowTuple& flow) {
+      return OwnerOf(flow) != nullptr;
+    };
+  }
   callers_.push_back(std::make_unique<SimulatedCallers>(
-      loop_, network_ + 0x301, settings_.users, SoakRoutes(), random_(),
-      hooks));
+      loop_, network_ + 0x301, settings_.users, SoakRoutes(has_series()),
+      random_(), hooks));
   for (const std::unique_ptr<SimulatedCallers>& callers : callers_) {
     const Result<Ok> started = callers->Start();
     if (!IsOk(started)) return started;
@@ -189,6 +199,7 @@
 
 Result<Ok> SoakRun::StartUpstream(UpstreamVm& vm) {
   vm.upstream_started = MonotonicNow();
+  vm.release.reset();
   vm.upstream = std::make_unique<SimulatedUpstream>(
       loop_, vm.upstream_settings, RouteAddresses(vm.upstream_settings.service),
       ++last_incarnation_,
@@ -196,7 +207,8 @@
       [this, &vm](const FlowTuple& flow) {
         CheckOpening(vm.upstream_settings.service, flow);
         CheckEvacuation(vm);
-      });
+      },
+      [this, &vm](const FlowTuple& flow) { RecordForeignPacket(flow, vm); });
   return vm.upstream->Start();
 }
 
@@ -206,35 +218,21 @@
 
 // Routes like the platform's routers: by a hash over the ready balancers, or
 // over all balancers if fewer than half are ready.
-Endpoint SoakRun::BalancerOf(const FlowTuple& flow) const {
-  std::vector<uint32_t> ready;
-  std::vector<uint32_t> all;
+const SoakRun::Daemon& SoakRun::BalancerDaemonOf(const FlowTuple& flow) const {
+  std::vector<const Daemon*> ready;
+  std::vector<const Daemon*> all;
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (daemon->is_agent) continue;
-    all.push_back(daemon->ip);
-    if (daemon->missed_probes < 2) ready.push_back(daemon->ip);
+    all.push_back(daemon.get());
+    if (daemon->missed_probes < 2) ready.push_back(daemon.get());
   }
-  const std::vector<uint32_t>& candidates =
+  const std::vector<const Daemon*>& candidates =
       ready.size() * 2 < all.size() ? all : ready;
-  return Endpoint{candidates[HashFlow(flow) % candidates.size()],
-                  kDatagramPort};
+  return *candidates[HashFlow(flow) % candidates.size()];
 }
 
-void SoakRun::CheckReset(const FlowTuple& flow, uint32_t sender) {
-  const TimePoint now = MonotonicNow();
-  const auto is_stable = [&](const Daemon& daemon) {
-    return now - daemon.disrupted_at >= kStabilityWindow;
-  };
-  for (const std::unique_ptr<UpstreamVm>& vm : vms_) {
-    if (vm->upstream == nullptr || !vm->upstream->HasOpenFlow(flow)) continue;
-    const bool is_checked = is_stable(*daemons_[vm->daemon]) &&
-                            now - store_disrupted_at_ >= kStabilityWindow;
-    for (const std::unique_ptr<Daemon>& daemon : daemons_) {
-      if (daemon->ip != sender || !is_checked || !is_stable(*daemon)) continue;
-      ReportViolation("an open flow was reset by " + daemon->name +
-                      " while its upstream holds the flow");
-    }
-  }
+Endpoint SoakRun::BalancerOf(const FlowTuple& flow) const {
+  return Endpoint{BalancerDaemonOf(flow).ip, kDatagramPort};
 }
 
 // Any balancer may have sent the opening, so all of them must be undisrupted.
@@ -301,9 +299,11 @@
   if (settings_.evacuations && now >= started_ + kFaultFreeStart) {
     TickEvacuations(now);
   }
+  if (has_series()) TickSeries(now);
+  CheckMisdirections(now);
   if (now >= end - kFaultFreeEnd) {
     EndFaults();
-  } else if (now >= next_fault_) {
+  } else if (!settings_.planned && now >= next_fault_) {
     next_fault_ = now + Millis{static_cast<int64_t>(200 + random_() % 1'200)};
     InjectFault();
   }
@@ -340,18 +340,24 @@
   ++configuration_version_;
   WriteConfiguration();
   configuration_changed_at_ = MonotonicNow();
+  for (const Endpoint& route : SoakRoutes(has_series())) {
+    if (RemovesRoute(route, configuration_version_))
+      route_removed_at_[route] = configuration_changed_at_;
+  }
 }
 
 void SoakRun::WriteConfiguration() {
   const double cold_openings =
       settings_.evacuations ? kColdOpeningsPerSecond : 0;
-  store_.Put("config", "main",
-             SoakConfiguration(configuration_version_, cold_openings));
+  store_.Put(
+      "config", "main",
+      SoakConfiguration(configuration_version_, cold_openings, has_series()));
 }
 
 void SoakRun::EndFaults() {
   if (faults_ended_) return;
   faults_ended_ = true;
+  series_steps_.clear();
   LogEvent("stop injecting faults");
   store_disrupted_at_ = MonotonicNow();
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
