--- a/standins/platform_side/app/platform_soak.cc
+++ b/standins/platform_side/app/platform_soak.cc
@@ -28,7 +28,9 @@
   const CallerCounts counts = soak.Counts();
   std::cout << "seed " << seed << ": " << counts.answered << " of "
             << counts.requests << " requests answered on " << counts.flows
-            << " flows, " << soak.violations().size() << " violations\n";
+            << " flows, " << soak.misdirected_after_pause()
+            << " searched elsewhere after a pause, " << soak.violations().size()
+            << " violations\n";
   for (const std::string& violation : soak.violations()) {
     std::cout << "seed " << seed << ": " << violation << "\n";
   }
@@ -66,6 +68,9 @@
   app.add_flag("--planned", settings.planned,
                "only series of planned work, which excuse no broken flow")
       ->excludes(series);
+  app.add_flag("--count-pauses", settings.counts_pauses,
+               "also count flows as broken that are searched at several other "
+               "upstreams after a pause");
   app.add_option("--folder", settings.output_folder,
                  "folder for settings files and logs; kept for failed seeds");
   try {
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -36,6 +36,9 @@
   /// Only series of planned work, with no faults. No broken flow of a running
   /// upstream is excused.
   bool planned = false;
+  /// Also counts a flow as broken whose packets reach other upstreams only for
+  /// a moment, but after a pause in which none reached its own.
+  bool counts_pauses = false;
 };
 
 struct SoakSeries;
@@ -55,6 +58,9 @@
   /// Violated guarantees in the order of detection.
   const std::vector<std::string>& violations() const { return violations_; }
   CallerCounts Counts() const;
+  /// Number of flows whose packets reached several other upstreams after a
+  /// pause.
+  uint64_t misdirected_after_pause() const { return misdirected_after_pause_; }
 
  private:
   struct Daemon {
@@ -98,7 +104,8 @@
     /// How long the target is down.
     Millis down{0};
   };
-  /// Packets of an open flow that reached other upstreams than its own.
+  /// Packets of an open flow that reached other upstreams since the last one
+  /// that reached its own.
   struct Misdirection {
     std::deque<TimePoint> times;
     bool is_reported = false;
@@ -133,11 +140,13 @@
   bool IsDaemonStable(const Daemon& daemon, TimePoint now) const;
   void CheckReset(const FlowTuple& flow, uint32_t sender);
   void RecordForeignPacket(const FlowTuple& flow, const UpstreamVm& receiver);
+  std::string DescribeMisdirection(const FlowTuple& flow,
+                                   const UpstreamVm& owner) const;
   void CheckMisdirections(TimePoint now);
   void CheckOpening(const std::string& service, const FlowTuple& flow);
   bool has_series() const { return settings_.series || settings_.planned; }
   void TickSeries(TimePoint now);
-  void StartSeries(const SoakSeries& series, TimePoint now);
+  void StartSeries(const SoakSeries& series, TimePoint start);
   std::vector<size_t> DrawSeriesTargets(const SoakSeries& series,
                                         unsigned target_kind);
   void TakeStep(const SeriesStep& step, TimePoint now);
@@ -175,6 +184,7 @@
   TimePoint next_series_;
   std::vector<SeriesStep> series_steps_;
   std::map<FlowTuple, Misdirection> misdirections_;
+  uint64_t misdirected_after_pause_ = 0;
   /// By failure domain.
   std::map<std::string, Evacuation> evacuations_;
   TimePoint next_readiness_probe_;
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -49,6 +49,8 @@
 constexpr uint16_t kRelayPort = 7'720;
 // Makes the random sequence of the series differ from the other two.
 constexpr uint64_t kSeriesSeedBits = 0x5e71e5;
+// Factor on the time between two single faults in runs with series.
+constexpr int64_t kFaultIntervalWithSeries = 2;
 
 }  // namespace
 
@@ -304,7 +306,11 @@
   if (now >= end - kFaultFreeEnd) {
     EndFaults();
   } else if (!settings_.planned && now >= next_fault_) {
-    next_fault_ = now + Millis{static_cast<int64_t>(200 + random_() % 1'200)};
+    // Series need times at which most machines are stable, or no flow is
+    // judged.
+    const int64_t factor = settings_.series ? kFaultIntervalWithSeries : 1;
+    next_fault_ =
+        now + Millis{static_cast<int64_t>(200 + random_() % 1'200)} * factor;
     InjectFault();
   }
   if (now >= end - kFinalCheckPeriod && !has_final_check_baseline_) {
