--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_callers.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_callers.h
@@ -39,8 +39,8 @@
     /// Called with a description of each violated guarantee.
     std::function<void(const std::string&)> on_violation;
     /// Returns true while an upstream holds the open flow. If set, users keep a
-    /// flow after a request has timed out until no upstream holds it, and some
-    /// of them pause for long between requests.
+    /// flow after a request has timed out until no upstream holds it, some
+    /// pause for long between requests, and some open many short flows.
     std::function<bool(const FlowTuple&)> is_flow_held;
   };
 
--- a/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/simulated_upstream.h
@@ -26,6 +26,8 @@
   uint32_t slots = 4;
   Millis request_duration{20};
   Millis heartbeat_interval{500};
+  /// Time from the start to the first heartbeat.
+  Millis first_heartbeat_delay{0};
   /// How long the upstream is cold after its start.
   Millis cold_time{0};
   /// Openings a second that the upstream takes while it is cold; 0 is
@@ -106,6 +108,7 @@
   void SendToCaller(const FlowTuple& flow, const Flow& state, bool is_syn,
                     uint32_t sequence, std::string_view data);
   void SendHeartbeat();
+  void ScheduleHeartbeat(Millis delay);
 
   boost::asio::io_context& loop_;
   SimulatedUpstreamSettings settings_;
--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -120,6 +120,9 @@
   Result<Ok> AddDaemon(const std::string& name, uint32_t ip, bool is_agent,
                        const std::string& service,
                        const std::string& failure_domain);
+  /// Passes a call to the store after the store's delay.
+  void CallStore(const HttpRequest& request, const Daemon& daemon,
+                 AsyncHttpServer::Responder respond);
   Result<Ok> StartProcess(Daemon& daemon);
   Result<Ok> StartUpstream(UpstreamVm& vm);
   void RecordDisruption(Daemon& daemon);
@@ -145,6 +148,8 @@
   void CheckMisdirections(TimePoint now);
   void CheckOpening(const std::string& service, const FlowTuple& flow);
   bool has_series() const { return settings_.series || settings_.planned; }
+  /// Draws the conditions of a run with series, which do not change in it.
+  void DrawConditions();
   void TickSeries(TimePoint now);
   void StartSeries(const SoakSeries& series, TimePoint start);
   std::vector<size_t> DrawSeriesTargets(const SoakSeries& series,
@@ -174,6 +179,8 @@
   /// First address of the loopback network that this run uses.
   uint32_t network_;
   MetadataService store_;
+  Millis store_delay_{0};
+  Millis heartbeat_interval_{500};
   std::vector<std::unique_ptr<Daemon>> daemons_;
   std::vector<std::unique_ptr<UpstreamVm>> vms_;
   std::vector<std::unique_ptr<SimulatedCallers>> callers_;
--- a/standins/platform_side/src/simulated_callers.cc
+++ b/standins/platform_side/src/simulated_callers.cc
@@ -27,6 +27,10 @@
 // one user in kPausingUserInterval pauses longer than a restart lasts.
 constexpr uint64_t kMaxLongThinkTimeMs = 4'000;
 constexpr size_t kPausingUserInterval = 4;
+// The users between them open new flows after fewer requests, so that openings
+// take place throughout each restart.
+constexpr int kRequestsPerShortFlow = 4;
+constexpr size_t kShortFlowUserOffset = 1;
 
 }  // namespace
 
@@ -82,7 +86,11 @@
   by_port_[next_port_] = index;
   next_port_ = next_port_ == UINT16_MAX ? 1'024 : next_port_ + 1;
   user.last_sequence = static_cast<uint32_t>(random_());
-  user.requests_left = kRequestsPerFlow;
+  const bool has_short_flows =
+      hooks_.is_flow_held &&
+      index % kPausingUserInterval == kShortFlowUserOffset;
+  user.requests_left =
+      has_short_flows ? kRequestsPerShortFlow : kRequestsPerFlow;
   ++counts_.flows;
   ++counts_.requests;
   user.is_pending = true;
--- a/standins/platform_side/src/simulated_upstream.cc
+++ b/standins/platform_side/src/simulated_upstream.cc
@@ -62,7 +62,11 @@
       [this](const HttpRequest& /*request*/) { return HandleStatusCheck(); });
   if (!IsOk(server)) return ErrorOf(server);
   status_server_ = TakeValue(std::move(server));
-  SendHeartbeat();
+  if (settings_.first_heartbeat_delay > Millis{0}) {
+    ScheduleHeartbeat(settings_.first_heartbeat_delay);
+  } else {
+    SendHeartbeat();
+  }
   return Ok{};
 }
 
@@ -219,13 +223,16 @@
                 EncodePacket(packet, data));
 }
 
-void SimulatedUpstream::SendHeartbeat() {
-  heartbeat_timer_.expires_after(
-      std::chrono::milliseconds(settings_.heartbeat_interval.value));
+void SimulatedUpstream::ScheduleHeartbeat(Millis delay) {
+  heartbeat_timer_.expires_after(std::chrono::milliseconds(delay.value));
   heartbeat_timer_.async_wait(
       [this, alive = alive_](boost::system::error_code error) {
         if (!error && *alive) SendHeartbeat();
       });
+}
+
+void SimulatedUpstream::SendHeartbeat() {
+  ScheduleHeartbeat(settings_.heartbeat_interval);
   if (heartbeat_client_.is_busy()) return;
   const bool reports_draining = is_draining_;
   const Millis cold_left =
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -83,6 +83,7 @@
   next_fault_ = started_ + kFaultFreeStart;
   next_evacuation_ = next_fault_;
   next_series_ = next_fault_;
+  if (has_series()) DrawConditions();
   LogEvent("start at " + FormatTime(WallNow()));
   WriteConfiguration();
   for (int index = 0; index < settings_.balancers; ++index) {
@@ -109,6 +110,7 @@
       vm->upstream_settings.cold_openings_per_second = kColdOpeningsPerSecond;
     }
     vm->upstream_settings.ip = ip;
+    vm->upstream_settings.heartbeat_interval = heartbeat_interval_;
     const Result<Ok> started = StartUpstream(*vm);
     if (!IsOk(started)) return started;
     vms_.push_back(std::move(vm));
@@ -161,7 +163,7 @@
                {"zone", failure_domain},
                {"listen", listen},
                {"internal_port_range", {kRelayPort, kRelayPort + 15}},
-               {"heartbeat_ms", 500},
+               {"heartbeat_ms", heartbeat_interval_.value},
                {"bounds", {{"grace_s", 6}}},
                {"app", at(kUpstreamPacketPort)},
                {"service", service},
@@ -176,8 +178,7 @@
           loop_, store,
           [this, raw](const HttpRequest& request,
                       AsyncHttpServer::Responder respond) {
-            store_.Handle(request, raw->fault, MonotonicNow(),
-                          std::move(respond));
+            CallStore(request, *raw, std::move(respond));
           });
   if (!IsOk(server)) return ErrorOf(server);
   daemon->store_server = TakeValue(std::move(server));
@@ -187,6 +188,22 @@
   return StartProcess(*raw);
 }
 
+void SoakRun::CallStore(const HttpRequest& request, const Daemon& daemon,
+                        AsyncHttpServer::Responder respond) {
+  if (store_delay_ == Millis{0}) {
+    store_.Handle(request, daemon.fault, MonotonicNow(), std::move(respond));
+    return;
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(store_delay_.value));
+  timer->async_wait([this, timer, request, &daemon,
+                     respond = std::move(respond)](
+                        boost::system::error_code error) mutable {
+    if (error) return;
+    store_.Handle(request, daemon.fault, MonotonicNow(), std::move(respond));
+  });
+}
+
 Result<Ok> SoakRun::StartProcess(Daemon& daemon) {
   setenv("MEDLARWINCH_BOOT", daemon.settings_file.c_str(), 1);
   Result<std::unique_ptr<ChildProcess>> process = ChildProcess::Spawn(
@@ -202,6 +219,10 @@
 Result<Ok> SoakRun::StartUpstream(UpstreamVm& vm) {
   vm.upstream_started = MonotonicNow();
   vm.release.reset();
+  if (has_series()) {
+    vm.upstream_settings.first_heartbeat_delay =
+        Millis{DrawSeriesMs(0, heartbeat_interval_.value / 2)};
+  }
   vm.upstream = std::make_unique<SimulatedUpstream>(
       loop_, vm.upstream_settings, RouteAddresses(vm.upstream_settings.service),
       ++last_incarnation_,
--- a/standins/platform_side/src/soak_series.cc
+++ b/standins/platform_side/src/soak_series.cc
@@ -96,6 +96,15 @@
   return shortest + static_cast<int64_t>(series_random_() % count);
 }
 
+void SoakRun::DrawConditions() {
+  constexpr std::array<int64_t, 3> kHeartbeatIntervalsMs = {500, 800, 1'200};
+  constexpr std::array<int64_t, 3> kStoreDelaysMs = {0, 20, 80};
+  heartbeat_interval_ = Millis{kHeartbeatIntervalsMs[series_random_() % 3]};
+  store_delay_ = Millis{kStoreDelaysMs[series_random_() % 3]};
+  LogEvent("heartbeats each " + std::to_string(heartbeat_interval_.value) +
+           " ms, store delay " + std::to_string(store_delay_.value) + " ms");
+}
+
 void SoakRun::TickSeries(TimePoint now) {
   for (const std::unique_ptr<UpstreamVm>& vm : vms_) TickRelease(*vm, now);
   std::vector<SeriesStep> due;
