--- a/standins/platform_side/src/soak_flows.cc
+++ b/standins/platform_side/src/soak_flows.cc
@@ -65,6 +65,8 @@
 
 void SoakRun::CheckReset(const FlowTuple& flow, uint32_t sender) {
   const TimePoint now = MonotonicNow();
+  // The caller sends nothing more on this flow.
+  misdirections_.erase(flow);
   const UpstreamVm* owner = OwnerOf(flow);
   if (owner == nullptr || !IsFlowJudged(*owner, flow, now)) return;
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
