--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -127,6 +127,8 @@
   Result<Ok> StartUpstream(UpstreamVm& vm);
   void RecordDisruption(Daemon& daemon);
   void Tick();
+  void RestartStopped(TimePoint now);
+  void CheckFinalRequests();
   void ProbeReadiness();
   void InjectFault();
   void InjectDaemonFault(Daemon& daemon);
--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -293,10 +293,7 @@
   }
 }
 
-void SoakRun::Tick() {
-  const TimePoint now = MonotonicNow();
-  const TimePoint end = started_ + Millis{settings_.duration_seconds * 1'000LL};
-  store_.Tick(now);
+void SoakRun::RestartStopped(TimePoint now) {
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (!daemon->process->HasExited()) continue;
     if (daemon->restart_at == TimePoint{}) {
@@ -315,6 +312,26 @@
     if (!IsOk(StartUpstream(*vm)))
       ReportViolation("an upstream could not be restarted");
   }
+}
+
+void SoakRun::CheckFinalRequests() {
+  const CallerCounts counts = Counts();
+  const double answered =
+      static_cast<double>(counts.answered - final_check_baseline_.answered);
+  const double failed =
+      static_cast<double>(counts.failed - final_check_baseline_.failed);
+  if (answered < kMinFinalSuccessRate * (answered + failed) || answered == 0) {
+    ReportViolation("after the last fault only " + std::to_string(answered) +
+                    " of " + std::to_string(answered + failed) +
+                    " requests succeeded");
+  }
+}
+
+void SoakRun::Tick() {
+  const TimePoint now = MonotonicNow();
+  const TimePoint end = started_ + Millis{settings_.duration_seconds * 1'000LL};
+  store_.Tick(now);
+  RestartStopped(now);
   if (now >= next_readiness_probe_) {
     next_readiness_probe_ = now + kReadinessProbeInterval;
     ProbeReadiness();
@@ -339,17 +356,7 @@
     final_check_baseline_ = Counts();
   }
   if (now >= end) {
-    const CallerCounts counts = Counts();
-    const double answered =
-        static_cast<double>(counts.answered - final_check_baseline_.answered);
-    const double failed =
-        static_cast<double>(counts.failed - final_check_baseline_.failed);
-    if (answered < kMinFinalSuccessRate * (answered + failed) ||
-        answered == 0) {
-      ReportViolation("after the last fault only " + std::to_string(answered) +
-                      " of " + std::to_string(answered + failed) +
-                      " requests succeeded");
-    }
+    CheckFinalRequests();
     for (const std::unique_ptr<Daemon>& daemon : daemons_) {
       daemon->process->Signal(SIGKILL);
     }
