--- a/standins/platform_side/src/soak_flows.cc
+++ b/standins/platform_side/src/soak_flows.cc
@@ -68,12 +68,26 @@
   // The caller sends nothing more on this flow.
   misdirections_.erase(flow);
   const UpstreamVm* owner = OwnerOf(flow);
-  if (owner == nullptr || !IsFlowJudged(*owner, flow, now)) return;
+  if (owner == nullptr) return;
+  const bool is_judged = IsFlowJudged(*owner, flow, now);
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
-    if (daemon->ip != sender || !IsDaemonStable(*daemon, now)) continue;
-    ReportViolation("an open flow was reset by " + daemon->name +
-                    " while its upstream holds the flow: " + Describe(flow) +
-                    ", upstream of " + daemons_[owner->daemon]->name);
+    if (daemon->ip != sender) continue;
+    const Daemon& agent = *daemons_[owner->daemon];
+    const std::string what =
+        "an open flow was reset by " + daemon->name +
+        " while its upstream holds the flow: " + Describe(flow) +
+        ", upstream of " + agent.name;
+    if (is_judged && IsDaemonStable(*daemon, now)) {
+      ReportViolation(what);
+      continue;
+    }
+    const auto age = [now](TimePoint time) {
+      return std::to_string((now - time).value) + " ms";
+    };
+    LogEvent(
+        "excused: " + what + ", sender disrupted " + age(daemon->disrupted_at) +
+        " ago, agent " + age(agent.disrupted_at) + ", upstream started " +
+        age(owner->upstream_started) + ", store " + age(store_disrupted_at_));
   }
 }
 
