--- a/standins/platform_side/src/soak_run.cc
+++ b/standins/platform_side/src/soak_run.cc
@@ -31,8 +31,8 @@
 constexpr double kMinFinalSuccessRate = 0.9;
 // A new configuration must be in force after this time.
 constexpr Millis kMaxConfigurationDelay{3'000};
-// A reset is checked only if its sender, the agent of the upstream and the
-// store were not disrupted for this long.
+// An opening is checked only if the balancers and the store were not disrupted
+// for this long.
 constexpr Millis kStabilityWindow{4'000};
 // Each run uses one of the networks 127.80.0.0/16 to 127.179.0.0/16, chosen by
 // its seed, so that runs in parallel use different addresses.
@@ -47,6 +47,10 @@
 constexpr uint16_t kReadinessPort = 8167;
 constexpr uint16_t kStorePort = 8169;
 constexpr uint16_t kRelayPort = 7'720;
+// Makes the random sequence of the series differ from the other two.
+constexpr uint64_t kSeriesSeedBits = 0x5e71e5;
+// Factor on the time between two single faults in runs with series.
+constexpr int64_t kFaultIntervalWithSeries = 2;
 
 }  // namespace
 
@@ -55,6 +59,7 @@
       settings_(std::move(settings)),
       random_(settings_.seed),
       evacuation_random_(~settings_.seed),
+      series_random_(settings_.seed ^ kSeriesSeedBits),
       network_(kFirstNetwork +
                static_cast<uint32_t>(settings_.seed % kNetworkCount) *
                    kNetworkSize),
@@ -77,6 +82,9 @@
   started_ = MonotonicNow();
   next_fault_ = started_ + kFaultFreeStart;
   next_evacuation_ = next_fault_;
+  next_series_ = next_fault_;
+  if (has_series()) DrawConditions();
+  LogEvent("start at " + FormatTime(WallNow()));
   WriteConfiguration();
   for (int index = 0; index < settings_.balancers; ++index) {
     const Result<Ok> added =
@@ -102,6 +110,7 @@
       vm->upstream_settings.cold_openings_per_second = kColdOpeningsPerSecond;
     }
     vm->upstream_settings.ip = ip;
+    vm->upstream_settings.heartbeat_interval = heartbeat_interval_;
     const Result<Ok> started = StartUpstream(*vm);
     if (!IsOk(started)) return started;
     vms_.push_back(std::move(vm));
@@ -116,9 +125,14 @@
   hooks.on_violation = [this](const std::string& what) {
     ReportViolation(what);
   };
+  if (has_series()) {
+    hooks.is_flow_held = [this](const FlowTuple& flow) {
+      return OwnerOf(flow) != nullptr;
+    };
+  }
   callers_.push_back(std::make_unique<SimulatedCallers>(
-      loop_, network_ + 0x301, settings_.users, SoakRoutes(), random_(),
-      hooks));
+      loop_, network_ + 0x301, settings_.users, SoakRoutes(has_series()),
+      random_(), hooks));
   for (const std::unique_ptr<SimulatedCallers>& callers : callers_) {
     const Result<Ok> started = callers->Start();
     if (!IsOk(started)) return started;
@@ -149,7 +163,7 @@
                {"zone", failure_domain},
                {"listen", listen},
                {"internal_port_range", {kRelayPort, kRelayPort + 15}},
-               {"heartbeat_ms", 500},
+               {"heartbeat_ms", heartbeat_interval_.value},
                {"bounds", {{"grace_s", 6}}},
                {"app", at(kUpstreamPacketPort)},
                {"service", service},
@@ -164,8 +178,7 @@
           loop_, store,
           [this, raw](const HttpRequest& request,
                       AsyncHttpServer::Responder respond) {
-            store_.Handle(request, raw->fault, MonotonicNow(),
-                          std::move(respond));
+            CallStore(request, *raw, std::move(respond));
           });
   if (!IsOk(server)) return ErrorOf(server);
   daemon->store_server = TakeValue(std::move(server));
@@ -175,6 +188,22 @@
   return StartProcess(*raw);
 }
 
+void SoakRun::CallStore(const HttpRequest& request, const Daemon& daemon,
+                        AsyncHttpServer::Responder respond) {
+  if (store_delay_ == Millis{0}) {
+    store_.Handle(request, daemon.fault, MonotonicNow(), std::move(respond));
+    return;
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(store_delay_.value));
+  timer->async_wait([this, timer, request, &daemon,
+                     respond = std::move(respond)](
+                        boost::system::error_code error) mutable {
+    if (error) return;
+    store_.Handle(request, daemon.fault, MonotonicNow(), std::move(respond));
+  });
+}
+
 Result<Ok> SoakRun::StartProcess(Daemon& daemon) {
   setenv("MEDLARWINCH_BOOT", daemon.settings_file.c_str(), 1);
   Result<std::unique_ptr<ChildProcess>> process = ChildProcess::Spawn(
@@ -189,6 +218,11 @@
 
 Result<Ok> SoakRun::StartUpstream(UpstreamVm& vm) {
   vm.upstream_started = MonotonicNow();
+  vm.release.reset();
+  if (has_series()) {
+    vm.upstream_settings.first_heartbeat_delay =
+        Millis{DrawSeriesMs(0, heartbeat_interval_.value / 2)};
+  }
   vm.upstream = std::make_unique<SimulatedUpstream>(
       loop_, vm.upstream_settings, RouteAddresses(vm.upstream_settings.service),
       ++last_incarnation_,
@@ -196,7 +230,8 @@
       [this, &vm](const FlowTuple& flow) {
         CheckOpening(vm.upstream_settings.service, flow);
         CheckEvacuation(vm);
-      });
+      },
+      [this, &vm](const FlowTuple& flow) { RecordForeignPacket(flow, vm); });
   return vm.upstream->Start();
 }
 
@@ -206,35 +241,21 @@
 
 // Routes like the platform's routers: by a hash over the ready balancers, or
 // over all balancers if fewer than half are ready.
-Endpoint SoakRun::BalancerOf(const FlowTuple& flow) const {
-  std::vector<uint32_t> ready;
-  std::vector<uint32_t> all;
+const SoakRun::Daemon& SoakRun::BalancerDaemonOf(const FlowTuple& flow) const {
+  std::vector<const Daemon*> ready;
+  std::vector<const Daemon*> all;
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (daemon->is_agent) continue;
-    all.push_back(daemon->ip);
-    if (daemon->missed_probes < 2) ready.push_back(daemon->ip);
+    all.push_back(daemon.get());
+    if (daemon->missed_probes < 2) ready.push_back(daemon.get());
   }
-  const std::vector<uint32_t>& candidates =
+  const std::vector<const Daemon*>& candidates =
       ready.size() * 2 < all.size() ? all : ready;
-  return Endpoint{candidates[HashFlow(flow) % candidates.size()],
-                  kDatagramPort};
+  return *candidates[HashFlow(flow) % candidates.size()];
 }
 
-void SoakRun::CheckReset(const FlowTuple& flow, uint32_t sender) {
-  const TimePoint now = MonotonicNow();
-  const auto is_stable = [&](const Daemon& daemon) {
-    return now - daemon.disrupted_at >= kStabilityWindow;
-  };
-  for (const std::unique_ptr<UpstreamVm>& vm : vms_) {
-    if (vm->upstream == nullptr || !vm->upstream->HasOpenFlow(flow)) continue;
-    const bool is_checked = is_stable(*daemons_[vm->daemon]) &&
-                            now - store_disrupted_at_ >= kStabilityWindow;
-    for (const std::unique_ptr<Daemon>& daemon : daemons_) {
-      if (daemon->ip != sender || !is_checked || !is_stable(*daemon)) continue;
-      ReportViolation("an open flow was reset by " + daemon->name +
-                      " while its upstream holds the flow");
-    }
-  }
+Endpoint SoakRun::BalancerOf(const FlowTuple& flow) const {
+  return Endpoint{BalancerDaemonOf(flow).ip, kDatagramPort};
 }
 
 // Any balancer may have sent the opening, so all of them must be undisrupted.
@@ -272,10 +293,7 @@
   }
 }
 
-void SoakRun::Tick() {
-  const TimePoint now = MonotonicNow();
-  const TimePoint end = started_ + Millis{settings_.duration_seconds * 1'000LL};
-  store_.Tick(now);
+void SoakRun::RestartStopped(TimePoint now) {
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (!daemon->process->HasExited()) continue;
     if (daemon->restart_at == TimePoint{}) {
@@ -294,6 +312,26 @@
     if (!IsOk(StartUpstream(*vm)))
       ReportViolation("an upstream could not be restarted");
   }
+}
+
+void SoakRun::CheckFinalRequests() {
+  const CallerCounts counts = Counts();
+  const double answered =
+      static_cast<double>(counts.answered - final_check_baseline_.answered);
+  const double failed =
+      static_cast<double>(counts.failed - final_check_baseline_.failed);
+  if (answered < kMinFinalSuccessRate * (answered + failed) || answered == 0) {
+    ReportViolation("after the last fault only " + std::to_string(answered) +
+                    " of " + std::to_string(answered + failed) +
+                    " requests succeeded");
+  }
+}
+
+void SoakRun::Tick() {
+  const TimePoint now = MonotonicNow();
+  const TimePoint end = started_ + Millis{settings_.duration_seconds * 1'000LL};
+  store_.Tick(now);
+  RestartStopped(now);
   if (now >= next_readiness_probe_) {
     next_readiness_probe_ = now + kReadinessProbeInterval;
     ProbeReadiness();
@@ -301,10 +339,16 @@
   if (settings_.evacuations && now >= started_ + kFaultFreeStart) {
     TickEvacuations(now);
   }
+  if (has_series()) TickSeries(now);
+  CheckMisdirections(now);
   if (now >= end - kFaultFreeEnd) {
     EndFaults();
-  } else if (now >= next_fault_) {
-    next_fault_ = now + Millis{static_cast<int64_t>(200 + random_() % 1'200)};
+  } else if (!settings_.planned && now >= next_fault_) {
+    // Series need times at which most machines are stable, or no flow is
+    // judged.
+    const int64_t factor = settings_.series ? kFaultIntervalWithSeries : 1;
+    next_fault_ =
+        now + Millis{static_cast<int64_t>(200 + random_() % 1'200)} * factor;
     InjectFault();
   }
   if (now >= end - kFinalCheckPeriod && !has_final_check_baseline_) {
@@ -312,17 +356,7 @@
     final_check_baseline_ = Counts();
   }
   if (now >= end) {
-    const CallerCounts counts = Counts();
-    const double answered =
-        static_cast<double>(counts.answered - final_check_baseline_.answered);
-    const double failed =
-        static_cast<double>(counts.failed - final_check_baseline_.failed);
-    if (answered < kMinFinalSuccessRate * (answered + failed) ||
-        answered == 0) {
-      ReportViolation("after the last fault only " + std::to_string(answered) +
-                      " of " + std::to_string(answered + failed) +
-                      " requests succeeded");
-    }
+    CheckFinalRequests();
     for (const std::unique_ptr<Daemon>& daemon : daemons_) {
       daemon->process->Signal(SIGKILL);
     }
@@ -340,18 +374,24 @@
   ++configuration_version_;
   WriteConfiguration();
   configuration_changed_at_ = MonotonicNow();
+  for (const Endpoint& route : SoakRoutes(has_series())) {
+    if (RemovesRoute(route, configuration_version_))
+      route_removed_at_[route] = configuration_changed_at_;
+  }
 }
 
 void SoakRun::WriteConfiguration() {
   const double cold_openings =
       settings_.evacuations ? kColdOpeningsPerSecond : 0;
-  store_.Put("config", "main",
-             SoakConfiguration(configuration_version_, cold_openings));
+  store_.Put(
+      "config", "main",
+      SoakConfiguration(configuration_version_, cold_openings, has_series()));
 }
 
 void SoakRun::EndFaults() {
   if (faults_ended_) return;
   faults_ended_ = true;
+  series_steps_.clear();
   LogEvent("stop injecting faults");
   store_disrupted_at_ = MonotonicNow();
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
