--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "medlarwinch/transport/system_clock.h"
+#include "restart_cases.h"
 
 namespace medlarwinch::review {
 namespace {
@@ -458,7 +459,7 @@
   if (name == "killed-then-frozen")
     return KilledThenFrozen(context, has_trouble);
   if (name == "late-opening") return LateOpening(context, has_trouble);
-  return Error{ErrorCode::kInvalidInput, "unknown case " + name};
+  return BeginRestartCase(name, has_trouble, context);
 }
 
 }  // namespace medlarwinch::review
--- a/review/standins/consumers.cc
+++ b/review/standins/consumers.cc
@@ -149,12 +149,18 @@
   consumer.received.clear();
 }
 
+Millis Consumers::PauseOf(const ConsumerSettings& settings) {
+  if (settings.pause_spread <= Millis{0}) return settings.pause;
+  const auto spread = static_cast<uint64_t>(settings.pause_spread.value);
+  return settings.pause + Millis{static_cast<int64_t>(random_() % spread)};
+}
+
 void Consumers::EndRequest(Consumer& consumer, bool is_answered,
                            const std::string& reason, TimePoint now) {
   if (is_answered) {
     ++answered_;
     record_.Line("consumer has the answer to " + consumer.request_id);
-    consumer.next_request_at = now + consumer.settings.pause;
+    consumer.next_request_at = now + PauseOf(consumer.settings);
     if (consumer.settings.opens_flow_for_each && consumer.end != nullptr) {
       consumer.end->Finish(now);
       consumer.is_open = false;
--- a/review/standins/consumers.h
+++ b/review/standins/consumers.h
@@ -25,6 +25,8 @@
   size_t answer_bytes = 600;
   /// Pause between an answer and the next request on the same flow.
   Millis pause{1'000};
+  /// Upper bound of a random time that is added to each pause.
+  Millis pause_spread{0};
   Millis time_budget{5'000};
   /// A flow for each request, else one flow for all.
   bool opens_flow_for_each = false;
@@ -83,6 +85,7 @@
   void EndRequest(Consumer& consumer, bool is_answered,
                   const std::string& reason, TimePoint now);
   void DropFlow(Consumer& consumer);
+  Millis PauseOf(const ConsumerSettings& settings);
   void HandleDatagram(const Endpoint& from, std::span<const uint8_t> datagram);
   void HandlePacket(const Endpoint& from, const Bytes& datagram);
   void TakeAnswer(Consumer& consumer, TimePoint now);
--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -76,6 +76,7 @@
   auto daemon = std::make_unique<Daemon>();
   daemon->name = name;
   daemon->role = "balancer";
+  daemon->zone = zone;
   daemon->ip =
       network_ + kFrontOffset + static_cast<uint32_t>(fronts_.size() + 1);
   fronts_.push_back(std::move(daemon));
@@ -88,13 +89,17 @@
   auto daemon = std::make_unique<Daemon>();
   daemon->name = name;
   daemon->role = "agent";
+  daemon->zone = zone;
   daemon->ip =
       network_ + kSideOffset + static_cast<uint32_t>(sides_.size() + 1);
   HostSettings settings;
   settings.service = service;
   settings.zone = zone;
   settings.ip = daemon->ip;
-  settings.heartbeat_interval = kHeartbeatInterval;
+  settings.heartbeat_interval = site_.heartbeat_interval;
+  settings.cold_time = site_.cold_time;
+  settings.cold_delay = site_.cold_delay;
+  settings.cold_work = site_.cold_work;
   host_settings_.push_back(settings);
   hosts_.push_back(nullptr);
   sides_.push_back(std::move(daemon));
@@ -115,6 +120,8 @@
     listen["outbound"] = at(kOutboundPort);
     listen["control"] = at(kControlPort);
   }
+  Json zones = Json::object();
+  for (const std::string& name : site_.zones) zones[name] = "bagmati";
   Json settings = {
       {"node_name", daemon.name},
       {"role", daemon.role},
@@ -122,12 +129,12 @@
       {"serves", Json::array({is_front ? "front" : "side"})},
       {"zone", zone},
       {"region", "bagmati"},
-      {"zones", {{"ktm-teku", "bagmati"}, {"ktm-balaju", "bagmati"}}},
+      {"zones", zones},
       {"listen", listen},
       {"internal_port_range", {kFirstInternalPort, kLastInternalPort}},
       {"seeds", Json::array()},
       {"bootstrap", true},
-      {"heartbeat_ms", kHeartbeatInterval.value},
+      {"heartbeat_ms", site_.heartbeat_interval.value},
       {"bounds",
        {{"drain_ms", 3000},
         {"grace_s", 6},
@@ -151,9 +158,9 @@
   Result<std::unique_ptr<AsyncHttpServer>> server =
       AsyncHttpServer::ListenDeferred(
           loop_, Endpoint{daemon.ip, kStorePort},
-          [this](const HttpRequest& request,
-                 const AsyncHttpServer::Responder& respond) {
-            store_.Handle(request, StoreFault::kNone, MonotonicNow(),
+          [this, raw = &daemon](const HttpRequest& request,
+                                const AsyncHttpServer::Responder& respond) {
+            store_.Handle(request, raw->store_fault, MonotonicNow(),
                           [respond](std::optional<HttpResponse> response) {
                             // Not a part of the users' protocol.
                             if (response.has_value())
@@ -176,6 +183,8 @@
   daemon.process = TakeValue(std::move(process));
   daemon.started_at = MonotonicNow();
   daemon.exited_at.reset();
+  daemon.restart_at.reset();
+  if (on_start) on_start(daemon);
   record_.Line("daemon " + daemon.name + " starts");
   return Ok{};
 }
@@ -187,6 +196,13 @@
   settings.born = born;
   hosts_.at(side).reset();
   hosts_.at(side) = std::make_unique<Host>(loop_, settings, record_);
+  Host* host = hosts_.at(side).get();
+  host->on_packet = [this, host](const FlowTuple& flow, bool is_held) {
+    if (!on_packet) return;
+    const auto found = last_balancers_.find(flow);
+    on_packet(*host, flow, is_held,
+              found == last_balancers_.end() ? nullptr : found->second);
+  };
   return hosts_.at(side)->Start();
 }
 
@@ -216,6 +232,16 @@
   daemon.process->Signal(signal);
 }
 
+void Deployment::KillUntil(Daemon& daemon, TimePoint restart_at) {
+  daemon.restart_at = restart_at;
+  Signal(daemon, SIGKILL);
+}
+
+void Deployment::Remove(Daemon& daemon) {
+  daemon.is_removed = true;
+  Signal(daemon, SIGTERM);
+}
+
 bool Deployment::is_all_ready() const {
   const auto is_ready = [](const std::unique_ptr<Daemon>& daemon) {
     return daemon->is_ready && !daemon->exited_at.has_value();
@@ -240,23 +266,35 @@
   return "unknown";
 }
 
-// Routes by a hash over the daemons in rotation, or over all if fewer than half
-// are.
-void Deployment::Route(const FlowTuple& flow, Bytes packet) {
-  std::vector<const Daemon*> ready;
+// The balancers in rotation, or all if fewer than half are.
+std::vector<Daemon*> Deployment::RotationOfZone(const std::string& zone) const {
+  std::vector<Daemon*> all;
+  std::vector<Daemon*> ready;
   for (const std::unique_ptr<Daemon>& front : fronts_) {
+    if (!zone.empty() && front->zone != zone) continue;
+    all.push_back(front.get());
     if (front->misses < 2) ready.push_back(front.get());
   }
-  if (ready.size() * 2 < fronts_.size()) {
-    ready.clear();
-    for (const std::unique_ptr<Daemon>& front : fronts_) {
-      ready.push_back(front.get());
-    }
-  }
+  // The balancers of other zones take over if none of the zone is ready.
+  if (!zone.empty() && ready.empty()) return {};
+  return ready.size() * 2 < all.size() ? all : ready;
+}
+
+std::vector<Daemon*> Deployment::Rotation(const FlowTuple& flow) const {
+  if (!site_.routes_by_zone) return RotationOfZone("");
+  const std::string& zone = site_.zones[flow.caller.port % site_.zones.size()];
+  const std::vector<Daemon*> local = RotationOfZone(zone);
+  return local.empty() ? RotationOfZone("") : local;
+}
+
+void Deployment::Route(const FlowTuple& flow, Bytes packet) {
+  const std::vector<Daemon*> ready = Rotation(flow);
   const uint32_t hash = (flow.caller.ip ^ flow.caller.port * 2'654'435'761U ^
                          flow.service_address.ip) >>
                         4;
-  const Endpoint to{ready[hash % ready.size()]->ip, kDatagramPort};
+  const Daemon* balancer = ready[hash % ready.size()];
+  last_balancers_[flow] = balancer;
+  const Endpoint to{balancer->ip, kDatagramPort};
   After(loop_, kLinkDelay,
         [this, to, packet = std::move(packet)] { router_->Send(to, packet); });
 }
@@ -293,9 +331,11 @@
         record_.Line("daemon " + daemon->name + " has ended with status " +
                      std::to_string(daemon->process->status()));
       }
-      if (daemon->exited_at.has_value() &&
-          now - *daemon->exited_at >= kRestartDelay &&
-          !IsOk(StartProcess(*daemon))) {
+      const bool is_start_due =
+          daemon->exited_at.has_value() && !daemon->is_removed &&
+          now >=
+              daemon->restart_at.value_or(*daemon->exited_at + kRestartDelay);
+      if (is_start_due && !IsOk(StartProcess(*daemon))) {
         record_.Invalid("daemon " + daemon->name + " can't be started");
       }
       if (probes) Probe(*daemon);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -29,6 +29,7 @@
 struct Daemon {
   std::string name;
   std::string role;
+  std::string zone;
   uint32_t ip = 0;
   std::string settings_file;
   std::unique_ptr<ChildProcess> process;
@@ -40,6 +41,25 @@
   TimePoint started_at;
   /// A restart by the platform is pending from this time on.
   std::optional<TimePoint> exited_at;
+  /// Time of the next start, in place of the usual delay after an end.
+  std::optional<TimePoint> restart_at;
+  /// The machine was removed: the daemon is not started again.
+  bool is_removed = false;
+  /// Fault of the store for this daemon's calls.
+  StoreFault store_fault = StoreFault::kNone;
+};
+
+/// Zones, heartbeats and routing of a deployment.
+struct SiteSettings {
+  std::vector<std::string> zones = {"ktm-teku", "ktm-balaju"};
+  Millis heartbeat_interval = kHeartbeatInterval;
+  /// Routes a flow to the balancers of one zone, as the platform does, in
+  /// place of all balancers.
+  bool routes_by_zone = false;
+  /// Times of hosts that have just started, as in HostSettings.
+  Millis cold_time{0};
+  Millis cold_delay{0};
+  Millis cold_work{0};
 };
 
 /// A small deployment: the platform's store and routers, daemons as separate
@@ -49,6 +69,9 @@
   Deployment(boost::asio::io_context& loop, std::string program,
              std::string folder, Record& record);
 
+  /// To be called before the first machine is added.
+  void UseSite(SiteSettings site) { site_ = std::move(site); }
+
   /// Chooses a loopback network that no other process uses, and starts the
   /// routers.
   Result<Ok> Start();
@@ -75,6 +98,12 @@
   Host* host(size_t side) { return hosts_.at(side).get(); }
   bool is_all_ready() const;
 
+  /// Ends a daemon without a signal that it can handle, and starts it again at
+  /// `restart_at`.
+  void KillUntil(Daemon& daemon, TimePoint restart_at);
+  /// Stops a daemon by SIGTERM and does not start it again.
+  void Remove(Daemon& daemon);
+
   /// Returns the host that holds the open flow, or a null pointer.
   const Host* HolderOf(const FlowTuple& flow) const;
   std::string NameOfAddress(uint32_t ip) const;
@@ -82,6 +111,13 @@
   std::function<void(const FlowTuple&, const std::string& request,
                      bool is_unsafe, uint32_t from)>
       on_reset;
+  /// Called for each packet that reaches a host, and through which balancer its
+  /// sender sent it last.
+  std::function<void(const Host&, const FlowTuple&, bool is_held,
+                     const Daemon* balancer)>
+      on_packet;
+  /// Called when a daemon's process is started.
+  std::function<void(const Daemon&)> on_start;
 
  private:
   Result<Ok> AddDaemon(Daemon& daemon, const std::string& zone,
@@ -90,12 +126,16 @@
   void Tick();
   void Probe(Daemon& daemon);
   void Route(const FlowTuple& flow, Bytes packet);
+  std::vector<Daemon*> Rotation(const FlowTuple& flow) const;
+  std::vector<Daemon*> RotationOfZone(const std::string& zone) const;
 
   boost::asio::io_context& loop_;
   std::string program_;
   std::string folder_;
   Record& record_;
   uint32_t network_ = 0;
+  SiteSettings site_;
+  std::map<FlowTuple, const Daemon*> last_balancers_;
   MetadataService store_;
   std::vector<std::unique_ptr<Daemon>> fronts_;
   std::vector<std::unique_ptr<Daemon>> sides_;
--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -58,6 +58,7 @@
       });
   if (!IsOk(server)) return ErrorOf(server);
   status_server_ = TakeValue(std::move(server));
+  started_at_ = MonotonicNow();
   record_.Line("host " + settings_.id + " of " + settings_.service +
                " starts, born " + std::to_string(settings_.born));
   SendHeartbeat();
@@ -71,6 +72,15 @@
   SendHeartbeat();
 }
 
+void Host::Deregister() {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/Instances.Deregister/" + settings_.id;
+  request.body = nlohmann::json{{"born", settings_.born}}.dump();
+  heartbeat_client_.Send(std::move(request), kAckTimeout, kAckTimeout,
+                         [](const Result<HttpResponse>& /*result*/) {});
+}
+
 bool Host::HoldsOpenFlow(const FlowTuple& flow) const {
   const auto found = flows_.find(flow);
   return found != flows_.end() && found->second.is_open &&
@@ -107,7 +117,25 @@
   answer.is_ack = true;
   answer.sequence = flow.first_sequence;
   answer.acknowledged = flow.caller_first + 1;
-  Send(answer, {});
+  AnswerOpening(answer);
+}
+
+bool Host::IsCold() const {
+  return MonotonicNow() - started_at_ < settings_.cold_time;
+}
+
+void Host::AnswerOpening(const FlowPacket& answer) {
+  if (!IsCold() || settings_.cold_delay <= Millis{0}) {
+    Send(answer, {});
+    return;
+  }
+  const auto bound = static_cast<uint64_t>(settings_.cold_delay.value);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(random_() % bound));
+  timer->async_wait(
+      [this, timer, answer, alive = alive_](boost::system::error_code error) {
+        if (!error && *alive) Send(answer, {});
+      });
 }
 
 void Host::HandleDatagram(std::span<uint8_t> datagram) {
@@ -123,6 +151,7 @@
   const FlowTuple tuple = FlowFromCaller(*packet);
   const TimePoint now = MonotonicNow();
   const auto found = flows_.find(tuple);
+  if (on_packet) on_packet(tuple, HoldsOpenFlow(tuple));
   if (packet->is_syn) {
     const bool is_known = found != flows_.end() && !found->second.is_open;
     const bool is_full = flows_.size() >= kMaxFlows ||
@@ -184,7 +213,10 @@
     record_.Line("host " + settings_.id + " runs " +
                  HeaderOf(head, "X-Request-Id"));
     auto timer = std::make_shared<boost::asio::steady_timer>(
-        loop_, std::chrono::milliseconds(settings_.work.value));
+        loop_,
+        std::chrono::milliseconds(
+            (IsCold() ? settings_.work + settings_.cold_work : settings_.work)
+                .value));
     timer->async_wait([this, timer, tuple = tuple, head = head,
                        alive = alive_](boost::system::error_code error) {
       if (error || !*alive) return;
--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -32,6 +32,11 @@
   int slots = 4;
   Millis work{30};
   Millis heartbeat_interval{770};
+  /// For this time after its start, the host delays its answers to openings by
+  /// a random time up to `cold_delay`, and its responses by `cold_work`.
+  Millis cold_time{0};
+  Millis cold_delay{0};
+  Millis cold_work{0};
   /// Unix milliseconds of the start of this incarnation.
   int64_t born = 0;
 };
@@ -50,6 +55,12 @@
   /// Says `draining` from the next ping on, which is sent at once.
   void Drain();
 
+  /// Tells the agent that the host is about to exit.
+  void Deregister();
+
+  /// Called for each packet of a flow, and whether the flow is held here.
+  std::function<void(const FlowTuple&, bool is_held)> on_packet;
+
   /// Time of the last acknowledged ping.
   TimePoint last_acknowledged_at() const { return last_acknowledged_at_; }
 
@@ -72,6 +83,8 @@
   void HandleOpening(const FlowPacket& packet);
   void Bounce(std::span<uint8_t> datagram);
   void Send(const FlowPacket& packet, std::string_view data);
+  bool IsCold() const;
+  void AnswerOpening(const FlowPacket& answer);
   void TakeRequests(const FlowTuple& tuple);
   void StartQueued();
   void Respond(const FlowTuple& tuple, const std::string& head);
@@ -91,6 +104,7 @@
   std::deque<std::pair<FlowTuple, std::string>> queue_;
   int running_ = 0;
   uint64_t sequence_ = 0;
+  TimePoint started_at_;
   bool is_draining_ = false;
   std::optional<TimePoint> drain_acknowledged_at_;
   TimePoint last_acknowledged_at_;
