Play link delays and lost packets beside restarts

Hosts of distant zones get packets later than near ones, so that a probe to a flow's own host can arrive before probes to others. Misdirected packets are judged by when the first one arrived.

--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -100,6 +100,8 @@
   settings.cold_time = site_.cold_time;
   settings.cold_delay = site_.cold_delay;
   settings.cold_work = site_.cold_work;
+  const auto delay = site_.link_delays.find(zone);
+  if (delay != site_.link_delays.end()) settings.receive_delay = delay->second;
   host_settings_.push_back(settings);
   hosts_.push_back(nullptr);
   sides_.push_back(std::move(daemon));
@@ -288,6 +290,10 @@
 }
 
 void Deployment::Route(const FlowTuple& flow, Bytes packet) {
+  const bool is_lost =
+      site_.loss_percent > 0 &&
+      random_() % 100 < static_cast<uint64_t>(site_.loss_percent);
+  if (is_lost) return;
   const std::vector<Daemon*> ready = Rotation(flow);
   const uint32_t hash = (flow.caller.ip ^ flow.caller.port * 2'654'435'761U ^
                          flow.service_address.ip) >>
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,10 @@
   Millis cold_time{0};
   Millis cold_delay{0};
   Millis cold_work{0};
+  /// Delays of the packets to the hosts of each zone.
+  std::map<std::string, Millis> link_delays = {};
+  /// Share of the consumers' packets that are lost on their way.
+  int loss_percent = 0;
 };
 
 /// A small deployment: the platform's store and routers, daemons as separate
@@ -136,6 +141,7 @@
   uint32_t network_ = 0;
   SiteSettings site_;
   std::map<FlowTuple, const Daemon*> last_balancers_;
+  std::mt19937_64 random_{7};
   MetadataService store_;
   std::vector<std::unique_ptr<Daemon>> fronts_;
   std::vector<std::unique_ptr<Daemon>> sides_;
--- a/review/standins/flow_judge.cc
+++ b/review/standins/flow_judge.cc
@@ -38,12 +38,12 @@
   awaiting_start_.insert(ip);
 }
 
-bool FlowJudge::IsInTouch(std::initializer_list<uint32_t> machines) const {
-  const TimePoint now = MonotonicNow();
+bool FlowJudge::IsInTouch(std::initializer_list<uint32_t> machines,
+                          TimePoint moment) const {
   for (const uint32_t machine : machines) {
     const auto found = disturbed_at_.find(machine);
     if (found == disturbed_at_.end()) continue;
-    if (now - found->second < kStabilityWindow) return false;
+    if (moment - found->second < kStabilityWindow) return false;
   }
   return true;
 }
@@ -70,7 +70,8 @@
   Report("FLOW " + context_.deployment.NameOfAddress(from) + " reset " +
              FlowText(flow) + ", which is open at the living host " +
              holder->settings().id + during,
-         IsInTouch({from, holder->settings().ip}));
+         IsInTouch({from, holder->settings().ip}, MonotonicNow()));
+  reset_flows_.insert(flow);
 }
 
 void FlowJudge::HandlePacket(const Host& host, const FlowTuple& flow,
@@ -100,8 +101,9 @@
                FlowText(flow) + ", open at " + holder->settings().id +
                ", reached other hosts (" + entry.hosts +
                " ) and none its own, last through " +
-               context_.deployment.NameOfAddress(entry.balancer),
-           IsInTouch({entry.balancer, holder->settings().ip}));
+               context_.deployment.NameOfAddress(entry.balancer) +
+               (reset_flows_.count(flow) != 0 ? ", and it was reset" : ""),
+           IsInTouch({entry.balancer, holder->settings().ip}, entry.first_at));
   }
   After(context_.loop, kCheckInterval,
         [self = shared_from_this()] { self->Check(); });
--- a/review/standins/flow_judge.h
+++ b/review/standins/flow_judge.h
@@ -41,15 +41,17 @@
   void HandlePacket(const Host& host, const FlowTuple& flow, bool is_held,
                     const Daemon* balancer);
   void Check();
-  /// Returns whether none of the machines was disturbed in the stability
-  /// window.
-  bool IsInTouch(std::initializer_list<uint32_t> machines) const;
+  /// Returns whether none of the machines was disturbed in the stability window
+  /// before `moment`, nor since.
+  bool IsInTouch(std::initializer_list<uint32_t> machines,
+                 TimePoint moment) const;
   void Report(const std::string& text, bool is_counted);
 
   CaseContext context_;
   std::map<uint32_t, TimePoint> disturbed_at_;
   std::set<uint32_t> awaiting_start_;
   std::set<Endpoint> dropped_routes_;
+  std::set<FlowTuple> reset_flows_;
   std::map<FlowTuple, Misdirection> misdirections_;
 };
 
--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -49,7 +49,7 @@
   const Result<Ok> opened = AsyncUdpSocket::OpenInto(
       socket_, loop_, app,
       [this](const Endpoint& /*from*/, std::span<uint8_t> datagram) {
-        HandleDatagram(datagram);
+        HandleDelayed(datagram);
       });
   if (!IsOk(opened)) return opened;
   Result<std::unique_ptr<AsyncHttpServer>> server =
@@ -138,6 +138,20 @@
       });
 }
 
+void Host::HandleDelayed(std::span<const uint8_t> datagram) {
+  auto copy = std::make_shared<Bytes>(datagram.begin(), datagram.end());
+  if (settings_.receive_delay <= Millis{0}) {
+    HandleDatagram(*copy);
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(settings_.receive_delay.value));
+  timer->async_wait(
+      [this, timer, copy, alive = alive_](boost::system::error_code error) {
+        if (!error && *alive) HandleDatagram(*copy);
+      });
+}
+
 void Host::HandleDatagram(std::span<uint8_t> datagram) {
   const std::optional<FlowPacket> packet = platform::DecodePacket(datagram);
   const bool is_sound = packet.has_value() && !packet->is_bounced &&
--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -37,6 +37,8 @@
   Millis cold_time{0};
   Millis cold_delay{0};
   Millis cold_work{0};
+  /// Delay of each packet to the host, in place of its machine's link.
+  Millis receive_delay{0};
   /// Unix milliseconds of the start of this incarnation.
   int64_t born = 0;
 };
@@ -80,6 +82,7 @@
   };
 
   void HandleDatagram(std::span<uint8_t> datagram);
+  void HandleDelayed(std::span<const uint8_t> datagram);
   void HandleOpening(const FlowPacket& packet);
   void Bounce(std::span<uint8_t> datagram);
   void Send(const FlowPacket& packet, std::string_view data);
--- a/review/standins/restart_cases.cc
+++ b/review/standins/restart_cases.cc
@@ -42,6 +42,7 @@
   bool has_planned_work = false;
   bool moves_route = false;
   bool has_cold_hosts = false;
+  bool has_slow_links = false;
 };
 
 class RestartPlay : public std::enable_shared_from_this<RestartPlay> {
@@ -120,6 +121,11 @@
     site.cold_delay = Millis{900};
     site.cold_work = Millis{300};
   }
+  if (plan_.has_slow_links) {
+    site.link_delays = {
+        {zones[0], Millis{1}}, {zones[1], Millis{6}}, {zones[2], Millis{12}}};
+    site.loss_percent = 5;
+  }
   deployment_.UseSite(site);
   Result<Ok> started = deployment_.Start();
   if (!IsOk(started)) return started;
@@ -390,9 +396,11 @@
     deployment_.consumers().Add(orders, Millis{11'500 + 120 * index});
   }
   if (has_trouble) {
-    At(Millis{6'000}, &WithdrawnEntryPlay::Crash);
-    At(Millis{8'500}, &WithdrawnEntryPlay::CutFromStore);
-    At(Millis{8'700}, &WithdrawnEntryPlay::StartAgain);
+    At(Millis{5'000}, &WithdrawnEntryPlay::Crash);
+    // The agent withdraws its entry after three missed heartbeats and the time
+    // for their acknowledgement.
+    At(Millis{9'300}, &WithdrawnEntryPlay::CutFromStore);
+    At(Millis{9'500}, &WithdrawnEntryPlay::StartAgain);
     At(Millis{14'000}, &WithdrawnEntryPlay::StopBalancer);
   }
   After(context_.loop, Millis{24'000},
@@ -414,6 +422,12 @@
     return RestartPlan{Fault::kPower, Fault::kDaemons, false, true};
   if (name == "restart-moved-route")
     return RestartPlan{Fault::kPower, Fault::kDaemons, false, false, true};
+  if (name == "restart-slow-links")
+    return RestartPlan{Fault::kPower, Fault::kDaemons, false, false,
+                       false,         false,           true};
+  if (name == "restart-slow-links-planned")
+    return RestartPlan{Fault::kPower, Fault::kDaemons, false, true,
+                       false,         false,           true};
   if (name == "restart-cold-hosts")
     return RestartPlan{Fault::kPower, Fault::kPower, false, false, false, true};
   return std::nullopt;
