--- a/review/standins/restart_cases.cc
+++ b/review/standins/restart_cases.cc
@@ -1,7 +1,9 @@
 #include "restart_cases.h"
 
 #include <cstdlib>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -37,11 +39,16 @@
 // The parts of a play.
 struct RestartPlan {
   Fault middle = Fault::kPower;
-  Fault closing = Fault::kPower;
+  Fault closing = Fault::kDaemons;
+  /// Half of the machines lose power twice more, hosts and agents together.
   bool repeats_machine_restarts = false;
+  /// Rolls of agents and balancers, and two hosts that are replaced.
   bool has_planned_work = false;
+  /// A route moves to the other service before the closing fault.
   bool moves_route = false;
+  /// Hosts answer openings late for some seconds after their start.
   bool has_cold_hosts = false;
+  /// Links of different delays, and lost packets.
   bool has_slow_links = false;
 };
 
@@ -409,28 +416,24 @@
 }
 
 std::optional<RestartPlan> PlanOf(const std::string& name) {
-  if (name == "restart-power-power") return RestartPlan{};
-  if (name == "restart-power-kill")
-    return RestartPlan{Fault::kPower, Fault::kDaemons};
-  if (name == "restart-kill-kill")
-    return RestartPlan{Fault::kDaemons, Fault::kDaemons};
-  if (name == "restart-kill-power")
-    return RestartPlan{Fault::kDaemons, Fault::kPower};
-  if (name == "restart-repeated")
-    return RestartPlan{Fault::kPower, Fault::kDaemons, true, false};
-  if (name == "restart-planned")
-    return RestartPlan{Fault::kPower, Fault::kDaemons, false, true};
-  if (name == "restart-moved-route")
-    return RestartPlan{Fault::kPower, Fault::kDaemons, false, false, true};
-  if (name == "restart-slow-links")
-    return RestartPlan{Fault::kPower, Fault::kDaemons, false, false,
-                       false,         false,           true};
-  if (name == "restart-slow-links-planned")
-    return RestartPlan{Fault::kPower, Fault::kDaemons, false, true,
-                       false,         false,           true};
-  if (name == "restart-cold-hosts")
-    return RestartPlan{Fault::kPower, Fault::kPower, false, false, false, true};
-  return std::nullopt;
+  const std::map<std::string, RestartPlan> plans = {
+      {"restart-power-power", {.closing = Fault::kPower}},
+      {"restart-power-kill", {}},
+      {"restart-kill-kill", {.middle = Fault::kDaemons}},
+      {"restart-kill-power",
+       {.middle = Fault::kDaemons, .closing = Fault::kPower}},
+      {"restart-repeated", {.repeats_machine_restarts = true}},
+      {"restart-planned", {.has_planned_work = true}},
+      {"restart-moved-route", {.moves_route = true}},
+      {"restart-cold-hosts",
+       {.closing = Fault::kPower, .has_cold_hosts = true}},
+      {"restart-slow-links", {.has_slow_links = true}},
+      {"restart-slow-links-planned",
+       {.has_planned_work = true, .has_slow_links = true}},
+  };
+  const auto found = plans.find(name);
+  if (found == plans.end()) return std::nullopt;
+  return found->second;
 }
 
 uint64_t SeedOfEnvironment() {
