Count the time that an opening may have waited unread when it is refused

What callers could see: a reset of a flow that has just opened. A balancer that was busy or suspended reads the first copy of an opening after the caller has sent the next one, which another balancer has relayed; no agent takes the first copy, or no upstream is ready, and the balancer resets the flow.

Cause: the age of an opening was counted from the moment at which the balancer relayed it, not from its arrival, and a balancer without a ready upstream did not count it at all. How long a datagram may have waited in the kernel follows from the loop's own lateness: since the last tick if the next one is overdue, and until the queue has been read after a late one. Openings that may have waited until the next copy are left to it.

Evidence: with the new condition taken out, NoUpstream_OpeningReadLate_IsLeft- ToNextCopy failed (the flow is reset); it passes now.

--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -37,6 +37,14 @@
          (relayed & ~declined & ~CopyBit(copy)) == 0;
 }
 
+// Returns true if the caller may have sent the next copy of an opening that
+// arrived `age` ago, so that another balancer may have relayed it.
+bool MayLaterCopyExist(uint32_t copy, Millis age) {
+  const size_t last = kOpeningCopyIntervals.size() - 1;
+  return age < Millis{0} ||
+         age >= kOpeningCopyIntervals[std::min<size_t>(copy, last)];
+}
+
 // Returns true if every agent that may get the opening reads the extended
 // messages.
 bool DoAllReadExtended(const UpstreamDirectory& directory,
@@ -64,7 +72,10 @@
       actions.push_back(DropPackets{flow, PacketDropReason::kNoUpstreamYet});
       return;
     }
-    if (is_retransmission && !AreOtherCopiesDeclined(cached, retransmissions)) {
+    const bool may_other_copy_be_taken =
+        MayLaterCopyExist(retransmissions, relay.arrival_delay) ||
+        (is_retransmission && !AreOtherCopiesDeclined(cached, retransmissions));
+    if (may_other_copy_be_taken) {
       RecordUnrelayedCopy(relay, flow, retransmissions, now);
       actions.push_back(
           DropPackets{flow, PacketDropReason::kLeftToRetransmission});
@@ -175,9 +186,7 @@
 
 void HandleOpeningRefused(BalancerRelay& relay, const FlowTuple& flow,
                           uint32_t copy, Millis age, RelayActions& actions) {
-  const size_t last = kOpeningCopyIntervals.size() - 1;
-  const Millis interval = kOpeningCopyIntervals[std::min<size_t>(copy, last)];
-  if (age < Millis{0} || age >= interval ||
+  if (MayLaterCopyExist(copy, age) ||
       !AreOtherCopiesDeclined(relay.cache.Find(flow), copy)) {
     HandleOpeningDeclined(relay, flow, copy);
     ++relay.counters.outdated_refusals;
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -454,6 +454,20 @@
   BOOST_TEST(!IsReset(2, 1));
 }
 
+// Guards against the reset of a flow whose opening waited in the kernel while a
+// later copy has opened the flow through another balancer.
+BOOST_FIXTURE_TEST_CASE(NoUpstream_OpeningReadLate_IsLeftToNextCopy,
+                        BalancerWithOpening) {
+  for (uint32_t index = 0; index < kAgents; ++index) {
+    Report(AgentAddress(index), UpstreamPhase::kDraining);
+  }
+  relay.arrival_delay = Millis{200};
+  BOOST_TEST(AreOnlyDropped(Send(OpeningPacket(1)),
+                            PacketDropReason::kLeftToRetransmission));
+  relay.arrival_delay = Millis{199};
+  BOOST_TEST(ActionsOf<ResetCaller>(Send(OpeningPacket(2))).size() == 1U);
+}
+
 // Guards against callers that wait for the end of their attempt although the
 // balancer itself has dropped the earlier copies.
 BOOST_FIXTURE_TEST_CASE(RefusedOpening_EarlierCopyDroppedHere_IsReset,
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "medlarwinch/coordination/packet_path/arrival_delay.h"
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
 #include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/node/held_packet_queue.h"
@@ -117,6 +118,7 @@
   TimePoint first_listing_at_;
   TimePoint last_packet_at_;
   TimePoint last_tick_at_;
+  LoopTicks loop_ticks_;
   TimePoint last_refresh_at_;
   TimePoint last_confirmation_at_;
   TimePoint stop_requested_at_;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -93,6 +93,8 @@
   last_packet_at_ = now;
   const UploadPacketEffect upload = RecordUpload(*packet, datagram, now);
   if (upload.action != UploadPacketAction::kRelay) return;
+  relay_.arrival_delay =
+      MaxArrivalDelay(loop_ticks_, kTickInterval, BootTimeNow());
   actions_.clear();
   HandleCallerPacket(relay_, *packet, datagram, now, actions_);
   ExecuteActions(actions_, datagram);
@@ -230,7 +232,8 @@
               static_cast<int64_t>(relay_.routes.revision.number)}});
       }
       if (relayed->context.has_value()) {
-        relayed->context->relayed_at = received_at.value_or(BootTimeNow());
+        relayed->context->relayed_at =
+            received_at.value_or(BootTimeNow() - relay_.arrival_delay);
       }
       agent_socket_->Send(relayed->to,
                           packet_encoder_.Encode(std::move(relayed->header),
@@ -299,6 +302,7 @@
 
 void BalancerNode::Tick() {
   const TimePoint now = MonotonicNow();
+  RecordLoopTick(loop_ticks_, kTickInterval, BootTimeNow());
   actions_.clear();
   const Millis elapsed = now - last_tick_at_;
   const Millis tick_delay =
