Mend what the review of the fixes found

Mended, each with a test unless said otherwise: - An agent reset openings that it got without a context, whatever their age. It leaves them to the next copy now.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -66,6 +66,9 @@
   bool admits_by_class = false;
   WorkTime work_time;
   AdmissionHistory admission;
+  /// True while the store does not list the agent because the agent has removed
+  /// its entry. Balancers that start would not find flows opened meanwhile.
+  bool is_entry_removed = false;
   /// True once the agent was requested to stop.
   bool is_stopping = false;
   /// Time of the last packet or heartbeat from the upstream; empty before the
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_cache.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_cache.h
@@ -47,6 +47,9 @@
 
   void Remove(const FlowTuple& flow);
 
+  /// Returns the time since the last use of the entry.
+  static Millis IdleTime(const CachedFlow& entry, TimePoint now);
+
   /// Sets the time of last use of the entry to `now`.
   static void Touch(CachedFlow& entry, TimePoint now);
 
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -96,6 +96,9 @@
 /// Records that `agent` could not determine whether its upstream owns the flow.
 void RecordUndetermined(OwnerSearch& search, const Endpoint& agent);
 
+/// Returns true if a queried agent has not replied.
+bool HasUnansweredQuery(const OwnerSearch& search);
+
 /// Returns the agent to probe now, if any. Probes go one at a time, first to
 /// the agents of the services in `allowed`, in the order in which the flow was
 /// most likely placed. The next one is sent when the upstream of the last one
--- a/packages/coordination/src/packet_path/agent_openings.cc
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -30,7 +30,8 @@
   if (!Contains(header.allowed, relay.service)) {
     return RefusalReason::kOtherService;
   }
-  if (relay.is_stopping || relay.upstream.phase != UpstreamPhase::kReady) {
+  if (relay.is_stopping || relay.is_entry_removed ||
+      relay.upstream.phase != UpstreamPhase::kReady) {
     return RefusalReason::kNotReady;
   }
   if (IsUnresponsive(relay, now)) return RefusalReason::kUnresponsive;
@@ -120,8 +121,8 @@
     RefuseOpening(relay, header, *context, packet, actions);
     return;
   }
-  AddReset(ResetCaller{FlowFromCaller(packet), 0, FlowResetReason::kNoUpstream},
-           relay.counters.resets, actions);
+  // Nothing tells how old the opening is.
+  LeaveToNextCopy(relay, packet, actions);
 }
 
 // Returns true if the opening is a copy of the one with which the upstream
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -21,12 +21,23 @@
 // its attempt after the last one.
 constexpr std::array<Millis, 3> kOpeningCopyIntervals = {
     Millis{200}, Millis{400}, Millis{800}};
+// Time from the first copy to the end of the caller's attempt.
+constexpr Millis kOpeningAttempt{1'400};
 
 uint8_t CopyBit(uint32_t copy) {
   constexpr uint32_t kHighestBit = 7;
   return static_cast<uint8_t>(1U << std::min(copy, kHighestBit));
 }
 
+// Returns the entry if it was used within an attempt of the caller to open the
+// flow: an older one may be of an earlier flow on the same port.
+CachedFlow* FindOpening(BalancerRelay& relay, const FlowTuple& flow,
+                        TimePoint now) {
+  CachedFlow* cached = relay.cache.Find(flow);
+  if (cached == nullptr) return nullptr;
+  return FlowCache::IdleTime(*cached, now) < kOpeningAttempt ? cached : nullptr;
+}
+
 // Returns true if no upstream can have taken a copy of the opening other than
 // `copy`. Earlier copies that passed another balancer may have been taken.
 bool AreOtherCopiesDeclined(const CachedFlow* cached, uint32_t copy) {
@@ -107,8 +118,13 @@
   if (!is_retransmission && !chosen.is_local) {
     ++relay.counters.opened_outside_domain;
   }
-  const uint8_t relayed_before = was_tried ? cached->relayed_copies : 0;
-  const uint8_t declined_before = was_tried ? cached->declined_copies : 0;
+  const CachedFlow* opening = FindOpening(relay, flow, now);
+  // A first copy that was held may follow later ones, of which none was
+  // relayed.
+  const bool is_known =
+      opening != nullptr && (is_retransmission || opening->agent == Endpoint{});
+  const uint8_t relayed_before = is_known ? opening->relayed_copies : 0;
+  const uint8_t declined_before = is_known ? opening->declined_copies : 0;
   relay.cache.Put(flow, first, !is_retransmission, now);
   CachedFlow& placed = *relay.cache.Find(flow);
   placed.relayed_copies = relayed_before | CopyBit(retransmissions);
@@ -174,8 +190,13 @@
     relay.cache.Put(flow, Endpoint{}, false, now);
   }
   CachedFlow& cached = *relay.cache.Find(flow);
+  if (copy == 0 || FindOpening(relay, flow, now) == nullptr) {
+    cached.relayed_copies = 0;
+    cached.declined_copies = 0;
+  }
   cached.relayed_copies |= CopyBit(copy);
   cached.declined_copies |= CopyBit(copy);
+  FlowCache::Touch(cached, now);
 }
 
 void HandleOpeningDeclined(BalancerRelay& relay, const FlowTuple& flow,
--- a/packages/coordination/src/packet_path/balancer_search.cc
+++ b/packages/coordination/src/packet_path/balancer_search.cc
@@ -94,12 +94,19 @@
   if (found == relay.searches.end()) return;
   OwnerSearch& search = found->second;
   const std::optional<Endpoint> remaining = RemainingAgent(search, now);
-  if (!search.pending.empty() && !remaining.has_value()) {
+  const bool awaits_reply = !search.pending.empty() && !remaining.has_value();
+  // The owner may not have been queried yet.
+  const bool may_query_next =
+      !awaits_reply || search.probed.size() >= kMaxProbesWhileUnanswered;
+  std::vector<Endpoint> next;
+  if (may_query_next) {
+    next = NextAgentsToQuery(relay.directory, search, flow,
+                             OwnerServicesOf(relay, flow), now);
+  }
+  if (awaits_reply && next.empty()) {
     ProbeNextAgent(relay, flow, search, now, actions);
     return;
   }
-  const std::vector<Endpoint> next = NextAgentsToQuery(
-      relay.directory, search, flow, OwnerServicesOf(relay, flow), now);
   if (!next.empty()) {
     QueryAgents(relay, flow, search, next, now, actions);
     return;
@@ -220,6 +227,11 @@
   if (search.packets.size() < kMaxBufferedPackets) {
     search.packets.emplace_back(raw.begin(), raw.end());
   }
+  // Another upstream may still return the probe, and the flow's own may be at
+  // an agent that has not replied.
+  const bool may_be_foreign =
+      now - search.last_probed < kProbeTimeout && HasUnansweredQuery(search);
+  if (may_be_foreign) return;
   for (const Endpoint& agent : SilentProbedAgents(search)) {
     actions.push_back(
         RelayToAgent{agent,
--- a/packages/coordination/src/packet_path/flow_cache.cc
+++ b/packages/coordination/src/packet_path/flow_cache.cc
@@ -55,6 +55,10 @@
       CachedFlow{flow, agent, TruncateTime(now), is_owner_confirmed};
 }
 
+Millis FlowCache::IdleTime(const CachedFlow& entry, TimePoint now) {
+  return Millis{TruncateTime(now) - entry.last_used_ms};
+}
+
 void FlowCache::Touch(CachedFlow& entry, TimePoint now) {
   entry.last_used_ms = TruncateTime(now);
 }
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -86,16 +86,19 @@
   InsertSorted(search.pending, agent);
 }
 
+bool HasUnansweredQuery(const OwnerSearch& search) {
+  return std::any_of(search.pending.begin(), search.pending.end(),
+                     [&](const Endpoint& agent) {
+                       return !Contains(search.undetermined, agent);
+                     });
+}
+
 std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
                                          const UpstreamDirectory& directory,
                                          const FlowTuple& flow,
                                          std::span<const ServiceId> allowed,
                                          TimePoint now) {
-  const bool has_unanswered_query = std::any_of(
-      search.pending.begin(), search.pending.end(), [&](const Endpoint& agent) {
-        return !Contains(search.undetermined, agent);
-      });
-  if (has_unanswered_query) {
+  if (HasUnansweredQuery(search)) {
     if (now - search.last_queried < kProbeDelay) return std::nullopt;
     if (search.probed.size() >= kMaxProbesWhileUnanswered) return std::nullopt;
   }
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -17,6 +17,12 @@
 
 namespace medlarwinch {
 
+/// The polls of one balancer.
+struct BalancerPolls {
+  TimePoint last_poll;
+  uint64_t polls = 0;
+};
+
 /// I/O layer of an agent: passes datagrams, heartbeats and timers to AgentRelay
 /// as events and executes the actions that it returns.
 class AgentNode {
@@ -33,7 +39,7 @@
   void HandleRelayedBytes(const RelayHeader& header,
                           const std::optional<OpeningContext>& context,
                           ByteView bytes);
-  /// Returns true at the first poll of a balancer.
+  /// Returns true if the offer of the extended messages is due.
   bool RecordPoll(const Endpoint& from, const AgentPoll& poll);
   void HandlePoll(const Endpoint& from, const AgentPoll& poll);
   void HandleExtendedPoll(const Endpoint& from, const ExtendedPoll& poll);
@@ -80,8 +86,8 @@
   uint64_t report_sequence_ = 0;
   uint64_t configuration_version_ = 0;
   UpstreamPhase announced_phase_ = UpstreamPhase::kUnknown;
-  /// Time of the last poll by each balancer that polled recently.
-  std::map<Endpoint, TimePoint> last_poll_by_balancer_;
+  /// The balancers that polled recently.
+  std::map<Endpoint, BalancerPolls> polls_by_balancer_;
   /// Agents in use that balancers do not find in the store.
   NamedAgents named_agents_;
   AgentRegistration registration_;
--- a/packages/node/include/medlarwinch/node/agent_registration.h
+++ b/packages/node/include/medlarwinch/node/agent_registration.h
@@ -65,6 +65,9 @@
 
   /// True once the store reflects the last call of Publish() or Withdraw().
   bool is_in_sync() const { return is_in_sync_; }
+  /// True from the removal of the entry by this process until the store has
+  /// acknowledged a new one.
+  bool is_removed() const { return is_removed_; }
   /// True while the entry is in the store according to the last response.
   bool is_published() const { return is_in_sync_ && should_publish_; }
 
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -146,6 +146,7 @@
     ++malformed_packets_;
     return;
   }
+  relay_.is_entry_removed = registration_.is_removed();
   actions_.clear();
   HandleRelayedPacket(relay_, header, context, *packet, MonotonicNow(),
                       actions_);
@@ -294,8 +295,8 @@
         KnowsAllFlows(relay_.flow_history, now) ? "true" : "false"},
        {"flows", static_cast<int64_t>(relay_.flow_tracker.open)}});
   announced_phase_ = phase;
-  for (const auto& [balancer, polled_at] : last_poll_by_balancer_) {
-    if (now - polled_at > kBalancerExpiry) continue;
+  for (const auto& [balancer, polls] : polls_by_balancer_) {
+    if (now - polls.last_poll > kBalancerExpiry) continue;
     SendStatus(balancer);
   }
 }
@@ -309,8 +310,8 @@
   last_tick_at_ = now;
   HandleAgentTick(relay_, tick_delay, now);
   RefreshPacing(now);
-  std::erase_if(last_poll_by_balancer_, [&](const auto& entry) {
-    return now - entry.second > kBalancerExpiry;
+  std::erase_if(polls_by_balancer_, [&](const auto& entry) {
+    return now - entry.second.last_poll > kBalancerExpiry;
   });
   CheckUpstream();
   if (ReportedPhase(relay_, now) != announced_phase_) AnnouncePhase("liveness");
--- a/packages/node/src/agent_node_notices.cc
+++ b/packages/node/src/agent_node_notices.cc
@@ -24,7 +24,7 @@
   SendNamedAgents(balancer);
   if (report_sequence_ % kReportsPerBalancerCount != 0) return;
   EncodeRelayMessage(
-      BalancerCount{static_cast<uint32_t>(last_poll_by_balancer_.size())},
+      BalancerCount{static_cast<uint32_t>(polls_by_balancer_.size())},
       message_buffer_);
   relay_socket_->Send(balancer, message_buffer_);
   SendProtocolOffer(balancer);
@@ -34,7 +34,7 @@
                                       const RelayMessage& message) {
   const UnlistedAgents* unlisted = std::get_if<UnlistedAgents>(&message);
   if (unlisted == nullptr) return false;
-  if (last_poll_by_balancer_.count(from) == 0) return true;
+  if (polls_by_balancer_.count(from) == 0) return true;
   RecordNamedAgents(named_agents_, unlisted->agents, MonotonicNow());
   return true;
 }
--- a/packages/node/src/agent_node_terms.cc
+++ b/packages/node/src/agent_node_terms.cc
@@ -6,30 +6,39 @@
 #include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
+namespace {
+
+// Number of polls of a balancer after which the offer of the extended messages
+// is repeated: it may have been lost, or the balancer may have restarted.
+constexpr uint64_t kPollsPerOffer = 16;
+
+}  // namespace
 
 bool AgentNode::RecordPoll(const Endpoint& from, const AgentPoll& poll) {
   const TimePoint now = MonotonicNow();
-  const bool is_first = last_poll_by_balancer_.count(from) == 0;
-  last_poll_by_balancer_.insert_or_assign(from, now);
+  BalancerPolls& polls = polls_by_balancer_[from];
+  polls.last_poll = now;
+  const bool is_offer_due = polls.polls % kPollsPerOffer == 0;
+  ++polls.polls;
   configuration_version_ =
       std::max(configuration_version_, poll.configuration_version);
   registration_.RecordPoll(from, poll.is_listed, now);
-  return is_first;
+  return is_offer_due;
 }
 
 void AgentNode::HandlePoll(const Endpoint& from, const AgentPoll& poll) {
-  const bool is_first = RecordPoll(from, poll);
+  const bool is_offer_due = RecordPoll(from, poll);
   SendStatus(from);
   SendPeriodicNotices(from);
   // A balancer forgets the offer when it learns of a new process, so the offer
   // follows the status. A plain poll shows that the balancer has not read it.
   const bool awaits_extended = settings_.features != NodeFeatures{};
-  if (is_first || awaits_extended) SendProtocolOffer(from);
+  if (is_offer_due || awaits_extended) SendProtocolOffer(from);
 }
 
 void AgentNode::HandleExtendedPoll(const Endpoint& from,
                                    const ExtendedPoll& poll) {
-  const bool is_first = RecordPoll(from, poll.poll);
+  const bool is_offer_due = RecordPoll(from, poll.poll);
   ApplyPolledTerms(from, poll);
   ApplyPolledBaselines(poll.terms);
   RecordLink(from, poll.terms);
@@ -38,7 +47,7 @@
       message_buffer_);
   relay_socket_->Send(from, message_buffer_);
   SendPeriodicNotices(from);
-  if (is_first) SendProtocolOffer(from);
+  if (is_offer_due) SendProtocolOffer(from);
 }
 
 void AgentNode::ApplyPolledTerms(const Endpoint& from,
--- a/packages/node/src/balancer_node_uploads.cc
+++ b/packages/node/src/balancer_node_uploads.cc
@@ -69,7 +69,9 @@
 }
 
 void BalancerNode::RelayHeldOpening(const HeldPacket& held) {
-  if (BootTimeNow() - held.received_at >= kHeldOpeningExpiry) return;
+  const Millis held_for = BootTimeNow() - held.received_at;
+  if (held_for >= kHeldOpeningExpiry) return;
+  relay_.arrival_delay = held_for;
   const std::optional<FlowPacket> packet = platform_.decode_packet(held.bytes);
   if (!packet.has_value()) return;
   actions_.clear();
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -113,6 +113,20 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against openings that are accepted before the entry is stored again.
+BOOST_AUTO_TEST_CASE(RemovedEntry_PublishedAgain_IsRemovedUntilAcknowledged) {
+  registration->Publish();
+  Run();
+  BOOST_TEST(!registration->is_removed());
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(registration->is_removed());
+  registration->Publish();
+  BOOST_TEST(registration->is_removed());
+  Run();
+  BOOST_TEST(!registration->is_removed());
+}
+
 BOOST_AUTO_TEST_CASE(WithdrawDuringPublish_LastRequestWins) {
   registration->Publish();
   registration->Withdraw();
