Cut long values in the log, so that each line fits into a pipe

What operators could see: lines of a process that are torn or joined with the next, after another writer left an object with a name or an address of up to 1 MB in the store. Messages such as agent_entry_refused quote it.

Cause: the log writes each line at once to a non-blocking pipe, which takes all or nothing only of up to PIPE_BUF bytes, and values had no limit. They are now cut after 1,280 bytes, so that a line with one such value fits also if each byte is escaped.

The entry with a long address in odd_store_entry_test.cc is new and passes; the processes of that test write to a file, not to a pipe.

--- a/packages/transport/include/medlarwinch/transport/log.h
+++ b/packages/transport/include/medlarwinch/transport/log.h
@@ -40,6 +40,7 @@
 
 /// Writes one line "time=... level=... process=... event=EVENT key=value ...".
 /// Values that contain spaces, quotes, '=' or control characters are quoted.
+/// Values of more than 1,280 bytes end with "..." after these.
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields);
 
--- a/packages/transport/src/log.cc
+++ b/packages/transport/src/log.cc
@@ -23,6 +23,11 @@
 using TextBackend = boost::log::sinks::text_ostream_backend;
 using TextSink = boost::log::sinks::synchronous_sink<TextBackend>;
 
+// Bounds a line with one long value to PIPE_BUF also if each byte is escaped.
+// The longest values of the program itself, lists of evacuated failure domains,
+// have some 1,000 bytes.
+constexpr size_t kMaxValueBytes = 1'280;
+
 std::atomic<uint64_t> g_dropped_lines{0};
 
 // Writes each line with a single call to a non-blocking descriptor. Writes of
@@ -89,12 +94,10 @@
 }
 
 void AppendValue(std::string_view value, std::string& line) {
-  if (!NeedsQuotes(value)) {
-    line += value;
-    return;
-  }
-  line += '"';
-  for (const char character : value) {
+  const bool needs_quotes = NeedsQuotes(value);
+  const bool is_cut = value.size() > kMaxValueBytes;
+  if (needs_quotes) line += '"';
+  for (const char character : value.substr(0, kMaxValueBytes)) {
     if (character == '\n') {
       line += "\\n";
       continue;
@@ -103,7 +106,8 @@
     const bool is_control = static_cast<unsigned char>(character) < ' ';
     line += is_control ? '?' : character;
   }
-  line += '"';
+  if (is_cut) line += "...";
+  if (needs_quotes) line += '"';
 }
 
 }  // namespace
--- a/standins/platform_side/tests/odd_store_entry_test.cc
+++ b/standins/platform_side/tests/odd_store_entry_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kLevels = 100'000;
+constexpr size_t kLongBytes = 900'000;
 
 struct OddEntry {
   std::string name;
@@ -26,6 +27,8 @@
        R"({"relay":"127.9.9.2:70000","upstream_service":"probe-hub"})"},
       {"127.9.9.3-8172",
        "{\"relay\":\"127.9.9.3:8172\",\"upstream_service\":\"\xff\xfe\"}"},
+      {"127.9.9.5-8172",
+       R"({"relay":")" + std::string(kLongBytes, 'n') + R"("})"},
       {"127.9.9.4-99999999999",
        R"({"relay":"127.9.9.4:99999999999","upstream_service":"probe-hub"})"},
   };
