Test odd objects among the configuration and the evacuations

A balancer that starts with such objects and one that runs follow the other objects of both kinds, and an odd configuration keeps the earlier version in force.

--- a/standins/platform_side/tests/odd_store_entry_test.cc
+++ b/standins/platform_side/tests/odd_store_entry_test.cc
@@ -115,6 +115,45 @@
   CheckBothReady();
 }
 
+// Guards against one odd object among the configuration or the evacuations that
+// keeps a balancer from following the others, or from becoming ready.
+BOOST_AUTO_TEST_CASE(OddObjectsOfOtherKinds_OthersAreFollowed) {
+  bounds["evacuate_ms"] = 1'000;
+  uint64_t version = 1;
+  uint64_t evacuated = 0;
+  for (const OddEntry& odd : OddEntries()) {
+    store.PutText("evacuations", odd.name, odd.content);
+    store.Put("evacuations", "x" + odd.name, nlohmann::json::object());
+    evacuated += 2;
+    store.PutText("config", "x" + odd.name, odd.content);
+    store.PutText("config", "main", odd.content);
+    if (version == 1) {
+      balancer.reset();
+      balancer = Spawn("balancer", "second-balancer", balancer_ip);
+    }
+    Run(std::chrono::milliseconds(100));
+    store.Put("config", "main", SoakConfiguration(++version, 0));
+    BOOST_TEST(RunUntil([&] {
+                 return Metric(balancer_ip,
+                               "medlarwinch_balancer_configuration_version") ==
+                            version &&
+                        Metric(
+                            balancer_ip,
+                            "medlarwinch_balancer_failure_domains_evacuated") ==
+                            evacuated;
+               }),
+               odd.name);
+  }
+  BOOST_TEST(HasLogged("second-balancer", "event=configuration_refused"));
+  store.Remove("evacuations", OddEntries().front().name);
+  BOOST_TEST(RunUntil([&] {
+    return Metric(balancer_ip,
+                  "medlarwinch_balancer_failure_domains_evacuated") ==
+           evacuated - 1;
+  }));
+  CheckBothReady();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/standins/platform_side/tests/running_daemons.h
+++ b/standins/platform_side/tests/running_daemons.h
@@ -81,7 +81,7 @@
           {"control", at(kAgentControlPort)}}},
         {"internal_port_range", {kRelayPort, kRelayPort + 15}},
         {"heartbeat_ms", 500},
-        {"bounds", {{"grace_s", 6}}},
+        {"bounds", bounds},
         {"app", at(kUpstreamPacketPort)},
         {"service", kHubService},
         {"platform",
@@ -192,6 +192,8 @@
   MetadataService store;
   std::unique_ptr<AsyncHttpServer> store_server;
   bool is_opened = false;
+  // Of the processes that are started from now on.
+  nlohmann::json bounds = {{"grace_s", 6}};
   SimulatedUpstream upstream{
       loop,
       SimulatedUpstreamSettings{kHubService, "d1", agent_ip},
