Give the test of overwritten entries time for its large contents

OddEntry_PublishedAndWithdrawn_EndsInSync failed in one run on a busy machine: the loop ran for 5 ms, within which contents of 2 MB are copied several times. Its checks are unchanged. Also formats a comment.

--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -200,15 +200,17 @@
 // Guards against an agent that is never listed again after another writer has
 // overwritten its entry, and against one that never ends its withdrawal.
 BOOST_AUTO_TEST_CASE(OddEntry_PublishedAndWithdrawn_EndsInSync) {
+  // Contents of 2 MB are copied; ends earlier once the write is done.
+  constexpr int kLongRunMs = 5'000;
   for (const std::string& odd : OddContents()) {
     store.Put(name, odd);
     registration->Publish();
-    Run();
+    Run(kLongRunMs);
     BOOST_TEST(registration->is_published());
     BOOST_TEST(IsOk(DecodeAgentEntry(store.objects.at(name))));
     store.Put(name, odd);
     registration->Withdraw();
-    Run();
+    Run(kLongRunMs);
     BOOST_TEST(registration->is_in_sync());
     BOOST_TEST(!registration->is_published());
   }
--- a/packages/transport/include/medlarwinch/transport/async_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/async_http_client.h
@@ -17,8 +17,8 @@
 class AsyncHttpClient {
  public:
   /// Called with kUnavailable if the request was not received, with kTimeout if
-  /// it may have taken effect, and with kLimitExceeded if it was handled but the
-  /// response has a body of more than 4 MiB.
+  /// it may have taken effect, and with kLimitExceeded if it was handled but
+  /// the response has a body of more than 4 MiB.
   using Callback = std::function<void(Result<HttpResponse>)>;
 
   AsyncHttpClient(boost::asio::io_context& loop, const Endpoint& server);
