--- a/review/standins/restart_cases.cc
+++ b/review/standins/restart_cases.cc
@@ -1,6 +1,7 @@
 #include "restart_cases.h"
 
 #include <cstdlib>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -447,6 +448,7 @@
                             const CaseContext& context) {
   const uint64_t seed = SeedOfEnvironment();
   context.record.Line("seed " + std::to_string(seed));
+  std::cout << "seed " << seed << "\n";
   if (name == "withdrawn-entry") {
     return std::make_shared<WithdrawnEntryPlay>(context)->Begin(has_trouble);
   }
