--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -97,6 +97,7 @@
   settings.zone = zone;
   settings.ip = daemon->ip;
   settings.heartbeat_interval = site_.heartbeat_interval;
+  settings.work = site_.work;
   settings.cold_time = site_.cold_time;
   settings.cold_delay = site_.cold_delay;
   settings.cold_work = site_.cold_work;
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -61,6 +61,8 @@
   Millis cold_time{0};
   Millis cold_delay{0};
   Millis cold_work{0};
+  /// Time that a host works on a request.
+  Millis work{30};
   /// Delays of the packets to the hosts of each zone.
   std::map<std::string, Millis> link_delays = {};
   /// Share of the consumers' packets that are lost on their way.
--- a/review/standins/restart_cases.cc
+++ b/review/standins/restart_cases.cc
@@ -49,6 +49,9 @@
   bool moves_route = false;
   /// Hosts answer openings late for some seconds after their start.
   bool has_cold_hosts = false;
+  /// Hosts work longer than a balancer waits for the answer to a probe, and
+  /// balancers are rolled after most agents.
+  bool has_long_work = false;
   /// Links of different delays, and lost packets.
   bool has_slow_links = false;
 };
@@ -134,6 +137,7 @@
         {zones[0], Millis{1}}, {zones[1], Millis{6}}, {zones[2], Millis{12}}};
     site.loss_percent = 5;
   }
+  if (plan_.has_long_work) site.work = Millis{150};
   deployment_.UseSite(site);
   Result<Ok> started = deployment_.Start();
   if (!IsOk(started)) return started;
@@ -327,7 +331,8 @@
   const auto self = shared_from_this();
   At(kFirstLoss + Millis{6'500},
      [self] { self->RollFrom(self->deployment_.sides(), 1); });
-  At(kFirstLoss + Millis{7'000},
+  const Millis front_roll{plan_.has_long_work ? 14'000 : 7'000};
+  At(kFirstLoss + front_roll,
      [self] { self->RollFrom(self->deployment_.fronts(), 0); });
   At(kFirstLoss + Millis{9'000}, [self] { self->ReplaceHost(5); });
   At(kFirstLoss + Millis{10'000}, [self] { self->ReplaceHost(8); });
@@ -428,6 +433,9 @@
       {"restart-moved-route", {.moves_route = true}},
       {"restart-cold-hosts",
        {.closing = Fault::kPower, .has_cold_hosts = true}},
+      {"restart-long-work", {.has_long_work = true}},
+      {"restart-long-work-planned",
+       {.has_planned_work = true, .has_long_work = true}},
       {"restart-slow-links", {.has_slow_links = true}},
       {"restart-slow-links-planned",
        {.has_planned_work = true, .has_slow_links = true}},
