Tell every balancer that has probed a flow what its upstream answered

What callers could see: packets of an open flow at several other upstreams after its own has answered. The routers move a flow while a balancer searches for its owner; the next balancer probes the same agent; the agent kept one probe for each flow, so that only the second balancer was told, and the first one went on to probe all other agents.

Cause: AgentRelay::probes had room for one balancer. It keeps all of them now (at most 8), and a returned packet is denied to each.

TwoBalancersProbe_UpstreamAnswers_BothAreTold failed with one recipient kept, and passes now.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -32,6 +32,9 @@
   FlowResetCounts resets{};
 };
 
+/// Maximum number of balancers that are told the result of a probe.
+inline constexpr size_t kMaxProbeRecipients = 8;
+
 /// The state of an agent's packet path.
 struct AgentRelay {
   /// An opening packet that was delivered to the upstream and is not answered
@@ -46,8 +49,16 @@
   /// A packet of an unknown flow that was delivered to the upstream to find out
   /// whether it owns the flow.
   struct Probe {
-    Endpoint balancer;
-    bool returns_packet = false;
+    /// A balancer that awaits the result. With `returns_packet` it gets the
+    /// packet back if the upstream does not own the flow.
+    struct Recipient {
+      Endpoint balancer;
+      bool returns_packet = false;
+    };
+
+    /// The balancers between which the routers moved the flow; at most
+    /// kMaxProbeRecipients, each once.
+    std::vector<Recipient> recipients;
     /// The caller's acknowledgement in the packet.
     uint32_t acknowledged = 0;
     TimePoint delivered_at;
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/flow_ownership.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/flow_ownership.h
@@ -39,6 +39,12 @@
 void ConfirmProbe(AgentRelay& relay, const FlowTuple& flow,
                   RelayActions& actions);
 
+/// Tells the balancers that await the result of a probe of `flow` that the
+/// upstream does not own it, and removes the probe. Returns false if there is
+/// none.
+bool DenyProbe(AgentRelay& relay, const FlowTuple& flow, bool has_packet,
+               RelayActions& actions);
+
 /// Replies to all unanswered probes that the upstream does not own the flow.
 void DenyProbes(AgentRelay& relay, RelayActions& actions);
 
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -98,15 +98,10 @@
     return {};
   }
   const FlowTuple flow = FlowFromUpstream(packet);
-  const auto pending_probe = relay.probes.find(flow);
   const bool is_seen = relay.flow_tracker.flows.count(flow) != 0;
-  if (packet.is_reset && !is_seen && pending_probe != relay.probes.end()) {
-    // An upstream that has just started resets flows that it does not own; the
-    // flow may be open at another upstream.
-    ++relay.counters.denied;
-    actions.push_back(SendOwnershipReply{pending_probe->second.balancer, flow,
-                                         FlowOwnership::kNotOwned, false});
-    relay.probes.erase(pending_probe);
+  // An upstream that has just started resets flows that it does not own; the
+  // flow may be open at another upstream.
+  if (packet.is_reset && !is_seen && DenyProbe(relay, flow, false, actions)) {
     return {};
   }
   ++relay.counters.to_callers;
--- a/packages/coordination/src/packet_path/flow_ownership.cc
+++ b/packages/coordination/src/packet_path/flow_ownership.cc
@@ -12,6 +12,22 @@
                                        returns_packet});
 }
 
+// Adds `balancer` to those that await the result of a probe of `flow`.
+void RecordProbe(AgentRelay& relay, const FlowTuple& flow,
+                 const Endpoint& balancer, bool returns_packet,
+                 uint32_t acknowledged, TimePoint now) {
+  AgentRelay::Probe& probe = relay.probes[flow];
+  probe.acknowledged = acknowledged;
+  probe.delivered_at = now;
+  for (AgentRelay::Probe::Recipient& recipient : probe.recipients) {
+    if (recipient.balancer != balancer) continue;
+    recipient.returns_packet = returns_packet;
+    return;
+  }
+  if (probe.recipients.size() >= kMaxProbeRecipients) return;
+  probe.recipients.push_back({balancer, returns_packet});
+}
+
 }  // namespace
 
 FlowOwnership DetermineOwnership(const AgentRelay& relay,
@@ -79,9 +95,8 @@
     return;
   }
   if (is_seen) RecordCallerPacket(relay.flow_tracker, packet, now);
-  relay.probes.insert_or_assign(
-      flow,
-      AgentRelay::Probe{header.balancer, !is_probe, packet.acknowledged, now});
+  RecordProbe(relay, flow, header.balancer, !is_probe, packet.acknowledged,
+              now);
   ++relay.counters.delivered;
   actions.push_back(DeliverToUpstream{});
 }
@@ -89,11 +104,7 @@
 void HandleBouncedFlowPacket(AgentRelay& relay, const FlowPacket& packet,
                              TimePoint now, RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
-  const auto probe = relay.probes.find(flow);
-  if (probe != relay.probes.end()) {
-    Deny(relay, probe->second.balancer, flow, probe->second.returns_packet,
-         actions);
-    relay.probes.erase(probe);
+  if (DenyProbe(relay, flow, true, actions)) {
     RemoveFlow(relay.flow_tracker, flow, now);
     return;
   }
@@ -112,17 +123,32 @@
                   RelayActions& actions) {
   const auto probe = relay.probes.find(flow);
   if (probe == relay.probes.end()) return;
-  actions.push_back(
-      SendOwnershipReply{probe->second.balancer, flow, FlowOwnership::kOwned});
+  for (const AgentRelay::Probe::Recipient& recipient :
+       probe->second.recipients) {
+    actions.push_back(
+        SendOwnershipReply{recipient.balancer, flow, FlowOwnership::kOwned});
+  }
   ExtendAcknowledged(relay.flow_tracker, flow, probe->second.acknowledged);
   relay.probes.erase(probe);
 }
 
+bool DenyProbe(AgentRelay& relay, const FlowTuple& flow, bool has_packet,
+               RelayActions& actions) {
+  const auto probe = relay.probes.find(flow);
+  if (probe == relay.probes.end()) return false;
+  for (const AgentRelay::Probe::Recipient& recipient :
+       probe->second.recipients) {
+    Deny(relay, recipient.balancer, flow,
+         has_packet && recipient.returns_packet, actions);
+  }
+  relay.probes.erase(probe);
+  return true;
+}
+
 void DenyProbes(AgentRelay& relay, RelayActions& actions) {
-  for (const auto& [flow, probe] : relay.probes) {
-    Deny(relay, probe.balancer, flow, false, actions);
+  while (!relay.probes.empty()) {
+    DenyProbe(relay, FlowTuple{relay.probes.begin()->first}, false, actions);
   }
-  relay.probes.clear();
 }
 
 }  // namespace medlarwinch
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -269,6 +269,37 @@
                  .size() == 1U);
 }
 
+// Guards against a balancer that sends packets of a flow on to other upstreams
+// although the flow's own has answered its probe: the routers had moved the
+// flow and another balancer had probed it, too.
+BOOST_AUTO_TEST_CASE(TwoBalancersProbe_UpstreamAnswers_BothAreTold) {
+  RestartAgent();
+  NextHeartbeat();
+  const Endpoint other{kBalancerAddress.ip + 1, kBalancerAddress.port};
+  Relay(CallerPacket(1, 7'000), RelayPurpose::kProbe);
+  header.balancer = other;
+  Relay(CallerPacket(1, 7'000), RelayPurpose::kProbe);
+  FlowPacket answer;
+  answer.source = kServiceAddress;
+  answer.destination = CallerPacket(1, 0).source;
+  answer.is_ack = true;
+  answer.sequence = 7'000;
+  std::vector<SendOwnershipReply> replies =
+      ActionsOf<SendOwnershipReply>(FromUpstream(answer));
+  BOOST_REQUIRE(replies.size() == 2);
+  BOOST_CHECK(replies[0].balancer == kBalancerAddress);
+  BOOST_CHECK(replies[1].balancer == other);
+  FlowPacket returned = CallerPacket(2, 7'000);
+  Relay(returned, RelayPurpose::kProbe);
+  header.balancer = kBalancerAddress;
+  Relay(returned);
+  returned.is_bounced = true;
+  replies = ActionsOf<SendOwnershipReply>(FromUpstream(returned));
+  BOOST_REQUIRE(replies.size() == 2);
+  BOOST_TEST(!replies[0].returns_packet);
+  BOOST_TEST(replies[1].returns_packet);
+}
+
 // Guards against the denial of a flow that was open before its route moved to
 // another service: balancers that have started since name the new service only.
 BOOST_AUTO_TEST_CASE(RestartedAgent_QueryForOtherService_IsUndetermined) {
