Stop probing other upstreams while one of two is silent

What callers could see: packets of an open flow at many other upstreams while its own is slow to answer.

Cause: silence of a probed upstream was taken as a reason to go on, though an upstream that does not own the flow returns the packet within milliseconds, so that a silent one is the likely owner. After two probes the search now waits while a probed upstream is silent; the caller's next packets go to it.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/owner_search.h
@@ -39,9 +39,9 @@
 /// One that is silent for this long may own the flow: it need not answer a bare
 /// acknowledgement.
 inline constexpr Millis kProbeTimeout{100};
-/// Maximum number of agents that a search probes while another agent, which may
-/// own the flow, has not replied. Callers' packets that reach several upstreams
-/// and not their own break the flow.
+/// Maximum number of agents that a search probes while an agent that may own
+/// the flow has not replied, or a probed upstream is silent. Callers' packets
+/// that reach several upstreams and not their own break the flow.
 inline constexpr size_t kMaxProbesWhileUnanswered = 2;
 /// A search that has found no owner after this time ends without a conclusion.
 /// The caller's next packet starts a new search. Longer than kAgentTimeout, so
@@ -103,7 +103,8 @@
 /// the agents of the services in `allowed`, in the order in which the flow was
 /// most likely placed. The next one is sent when the upstream of the last one
 /// has returned it or was silent for kProbeTimeout, and after
-/// kMaxProbesWhileUnanswered only once every queried agent has replied.
+/// kMaxProbesWhileUnanswered only once every queried agent has replied and
+/// every probed upstream has answered.
 std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
                                          const UpstreamDirectory& directory,
                                          const FlowTuple& flow,
--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -98,9 +98,15 @@
                                          const FlowTuple& flow,
                                          std::span<const ServiceId> allowed,
                                          TimePoint now) {
-  if (HasUnansweredQuery(search)) {
-    if (now - search.last_queried < kProbeDelay) return std::nullopt;
-    if (search.probed.size() >= kMaxProbesWhileUnanswered) return std::nullopt;
+  const bool has_unanswered_query = HasUnansweredQuery(search);
+  if (has_unanswered_query && now - search.last_queried < kProbeDelay) {
+    return std::nullopt;
+  }
+  // An upstream that does not own the flow answers a probe at once.
+  const bool may_be_found =
+      has_unanswered_query || !SilentProbedAgents(search).empty();
+  if (may_be_found && search.probed.size() >= kMaxProbesWhileUnanswered) {
+    return std::nullopt;
   }
   const bool is_probe_open = !search.probed.empty() &&
                              IsInSorted(search.pending, search.probed.back());
--- a/packages/coordination/tests/packet_path/balancer_relay_test.cc
+++ b/packages/coordination/tests/packet_path/balancer_relay_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <set>
 
 #include "relay_fixture.h"
@@ -143,6 +144,39 @@
   BOOST_TEST(probed.size() <= kMaxProbesWhileUnanswered);
 }
 
+// Guards against packets that reach several other upstreams because the flow's
+// own is slow to answer: an upstream that does not own a flow answers at once.
+BOOST_AUTO_TEST_CASE(SlowOwner_OthersUndetermined_FewAreProbed) {
+  const FlowPacket packet = CallerPacket(1, 77);
+  RelayActions actions = Send(packet);
+  std::set<Endpoint> probed;
+  std::optional<Endpoint> owner;
+  const TimePoint end = now + kSearchTimeout;
+  while (now < end) {
+    RelayActions next;
+    const auto append = [&next](const RelayActions& added) {
+      next.insert(next.end(), added.begin(), added.end());
+    };
+    for (const SendOwnershipQuery& query :
+         ActionsOf<SendOwnershipQuery>(actions)) {
+      append(Reply(query.to, packet, FlowOwnership::kUndetermined));
+    }
+    for (const RelayBufferedPacket& probe :
+         ActionsOf<RelayBufferedPacket>(actions)) {
+      if (!owner.has_value()) owner = probe.to;
+      probed.insert(probe.to);
+      if (probe.to == *owner) continue;
+      append(Reply(probe.to, packet, FlowOwnership::kNotOwned));
+    }
+    now = now + Millis{20};
+    ReportAll();
+    HandleBalancerTick(relay, Millis{0}, now, next);
+    actions = next;
+  }
+  BOOST_TEST(probed.size() <= kMaxProbesWhileUnanswered);
+  BOOST_TEST(ActionsOf<ResetCaller>(actions).empty());
+}
+
 // Guards against a flow that stays without an owner because its upstream does
 // not answer a bare acknowledgement: it remains when all others have denied.
 BOOST_AUTO_TEST_CASE(SilentProbedAgent_AllOthersDeny_IsTheOwner) {
