--- a/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
+++ b/standins/platform_side/include/medlarwinch/platform_side/soak_run.h
@@ -142,6 +142,9 @@
   UpstreamVm* OwnerOf(const FlowTuple& flow) const;
   bool IsFlowJudged(const UpstreamVm& owner, const FlowTuple& flow,
                     TimePoint now) const;
+  /// Returns true if a configuration has removed the route of an open flow, or
+  /// had done so shortly before the flow was opened.
+  bool IsRouteRemoved(const FlowTuple& flow, const UpstreamVm& owner) const;
   bool IsDaemonStable(const Daemon& daemon, TimePoint now) const;
   void CheckReset(const FlowTuple& flow, uint32_t sender);
   void RecordForeignPacket(const FlowTuple& flow, const UpstreamVm& receiver);
--- a/standins/platform_side/src/soak_flows.cc
+++ b/standins/platform_side/src/soak_flows.cc
@@ -40,6 +40,16 @@
   return settings_.planned || now - daemon.disrupted_at >= kStabilityWindow;
 }
 
+bool SoakRun::IsRouteRemoved(const FlowTuple& flow,
+                             const UpstreamVm& owner) const {
+  const Endpoint& address = flow.service_address;
+  if (RemovesRoute(address, configuration_version_)) return true;
+  const auto removed = route_removed_at_.find(address);
+  if (removed == route_removed_at_.end()) return false;
+  return owner.upstream->FindOpenFlow(flow)->opened_at <=
+         removed->second + kMaxConfigurationDelay;
+}
+
 // Faults excuse a flow whose own VM or the store was disrupted. Planned work
 // excuses none. A start of the upstream is a disruption of its VM; only runs
 // with series also restart upstreams beside an undisrupted agent.
@@ -48,14 +58,7 @@
   const OpenFlow open = *owner.upstream->FindOpenFlow(flow);
   if (now - open.opened_at >= kMaxFlowAge) return false;
   if (now - open.last_packet_at >= kMaxIdleTime) return false;
-  const auto removed = route_removed_at_.find(flow.service_address);
-  const bool is_route_removed =
-      removed != route_removed_at_.end() &&
-      open.opened_at <= removed->second + kMaxConfigurationDelay;
-  if (is_route_removed ||
-      RemovesRoute(flow.service_address, configuration_version_)) {
-    return false;
-  }
+  if (IsRouteRemoved(flow, owner)) return false;
   if (settings_.planned) return true;
   const bool has_just_started =
       settings_.series && now - owner.upstream_started < kStabilityWindow;
@@ -68,7 +71,7 @@
   // The caller sends nothing more on this flow.
   misdirections_.erase(flow);
   const UpstreamVm* owner = OwnerOf(flow);
-  if (owner == nullptr) return;
+  if (owner == nullptr || IsRouteRemoved(flow, *owner)) return;
   const bool is_judged = IsFlowJudged(*owner, flow, now);
   for (const std::unique_ptr<Daemon>& daemon : daemons_) {
     if (daemon->ip != sender) continue;
