--- a/packages/coordination/src/packet_path/owner_search.cc
+++ b/packages/coordination/src/packet_path/owner_search.cc
@@ -86,18 +86,27 @@
   InsertSorted(search.pending, agent);
 }
 
+bool HasUnansweredQuery(const OwnerSearch& search) {
+  return std::any_of(search.pending.begin(), search.pending.end(),
+                     [&](const Endpoint& agent) {
+                       return !Contains(search.undetermined, agent);
+                     });
+}
+
 std::optional<Endpoint> TakeAgentToProbe(OwnerSearch& search,
                                          const UpstreamDirectory& directory,
                                          const FlowTuple& flow,
                                          std::span<const ServiceId> allowed,
                                          TimePoint now) {
-  const bool has_unanswered_query = std::any_of(
-      search.pending.begin(), search.pending.end(), [&](const Endpoint& agent) {
-        return !Contains(search.undetermined, agent);
-      });
-  if (has_unanswered_query) {
-    if (now - search.last_queried < kProbeDelay) return std::nullopt;
-    if (search.probed.size() >= kMaxProbesWhileUnanswered) return std::nullopt;
+  const bool has_unanswered_query = HasUnansweredQuery(search);
+  if (has_unanswered_query && now - search.last_queried < kProbeDelay) {
+    return std::nullopt;
+  }
+  // An upstream that does not own the flow answers a probe at once.
+  const bool may_be_found =
+      has_unanswered_query || !SilentProbedAgents(search).empty();
+  if (may_be_found && search.probed.size() >= kMaxProbesWhileUnanswered) {
+    return std::nullopt;
   }
   const bool is_probe_open = !search.probed.empty() &&
                              IsInSorted(search.pending, search.probed.back());
--- a/packages/node/tests/agent_registration_test.cc
+++ b/packages/node/tests/agent_registration_test.cc
@@ -113,6 +113,20 @@
   BOOST_TEST(store.objects.count(name) == 1U);
 }
 
+// Guards against openings that are accepted before the entry is stored again.
+BOOST_AUTO_TEST_CASE(RemovedEntry_PublishedAgain_IsRemovedUntilAcknowledged) {
+  registration->Publish();
+  Run();
+  BOOST_TEST(!registration->is_removed());
+  registration->Withdraw();
+  Run();
+  BOOST_TEST(registration->is_removed());
+  registration->Publish();
+  BOOST_TEST(registration->is_removed());
+  Run();
+  BOOST_TEST(!registration->is_removed());
+}
+
 BOOST_AUTO_TEST_CASE(WithdrawDuringPublish_LastRequestWins) {
   registration->Publish();
   registration->Withdraw();
@@ -220,15 +234,17 @@
 // Guards against an agent that is never listed again after another writer has
 // overwritten its entry, and against one that never ends its withdrawal.
 BOOST_AUTO_TEST_CASE(OddEntry_PublishedAndWithdrawn_EndsInSync) {
+  // Contents of 2 MB are copied; ends earlier once the write is done.
+  constexpr int kLongRunMs = 5'000;
   for (const std::string& odd : OddContents()) {
     store.Put(name, odd);
     registration->Publish();
-    Run();
+    Run(kLongRunMs);
     BOOST_TEST(registration->is_published());
     BOOST_TEST(IsOk(DecodeAgentEntry(store.objects.at(name))));
     store.Put(name, odd);
     registration->Withdraw();
-    Run();
+    Run(kLongRunMs);
     BOOST_TEST(registration->is_in_sync());
     BOOST_TEST(!registration->is_published());
   }
--- a/standins/platform_side/tests/odd_store_entry_test.cc
+++ b/standins/platform_side/tests/odd_store_entry_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kLevels = 100'000;
+constexpr size_t kLongBytes = 900'000;
 
 struct OddEntry {
   std::string name;
@@ -26,6 +27,8 @@
        R"({"relay":"127.9.9.2:70000","upstream_service":"probe-hub"})"},
       {"127.9.9.3-8172",
        "{\"relay\":\"127.9.9.3:8172\",\"upstream_service\":\"\xff\xfe\"}"},
+      {"127.9.9.5-8172",
+       R"({"relay":")" + std::string(kLongBytes, 'n') + R"("})"},
       {"127.9.9.4-99999999999",
        R"({"relay":"127.9.9.4:99999999999","upstream_service":"probe-hub"})"},
   };
@@ -112,6 +115,45 @@
   CheckBothReady();
 }
 
+// Guards against one odd object among the configuration or the evacuations that
+// keeps a balancer from following the others, or from becoming ready.
+BOOST_AUTO_TEST_CASE(OddObjectsOfOtherKinds_OthersAreFollowed) {
+  bounds["evacuate_ms"] = 1'000;
+  uint64_t version = 1;
+  uint64_t evacuated = 0;
+  for (const OddEntry& odd : OddEntries()) {
+    store.PutText("evacuations", odd.name, odd.content);
+    store.Put("evacuations", "x" + odd.name, nlohmann::json::object());
+    evacuated += 2;
+    store.PutText("config", "x" + odd.name, odd.content);
+    store.PutText("config", "main", odd.content);
+    if (version == 1) {
+      balancer.reset();
+      balancer = Spawn("balancer", "second-balancer", balancer_ip);
+    }
+    Run(std::chrono::milliseconds(100));
+    store.Put("config", "main", SoakConfiguration(++version, 0));
+    BOOST_TEST(RunUntil([&] {
+                 return Metric(balancer_ip,
+                               "medlarwinch_balancer_configuration_version") ==
+                            version &&
+                        Metric(
+                            balancer_ip,
+                            "medlarwinch_balancer_failure_domains_evacuated") ==
+                            evacuated;
+               }),
+               odd.name);
+  }
+  BOOST_TEST(HasLogged("second-balancer", "event=configuration_refused"));
+  store.Remove("evacuations", OddEntries().front().name);
+  BOOST_TEST(RunUntil([&] {
+    return Metric(balancer_ip,
+                  "medlarwinch_balancer_failure_domains_evacuated") ==
+           evacuated - 1;
+  }));
+  CheckBothReady();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
