Show flows that are not found after a loss and a round of restarts

More than a third of the listed agents lost keeps the detection of failed agents suspended, and each search for a flow probes two agents at most while one has not replied.

--- a/review/standins-2/platform_side/src/stand_in_host.cc
+++ b/review/standins-2/platform_side/src/stand_in_host.cc
@@ -22,11 +22,12 @@
 }  // namespace
 
 Host::Host(boost::asio::io_context& loop, HostOptions options, LogFunction log,
-           OpeningFunction on_opening)
+           OpeningFunction on_opening, PacketFunction on_packet)
     : loop_(loop),
       options_(std::move(options)),
       log_(std::move(log)),
       on_opening_(std::move(on_opening)),
+      on_packet_(std::move(on_packet)),
       heartbeat_client_(loop, Endpoint{options_.ip, kControlPort}),
       heartbeat_timer_(loop),
       next_heartbeat_(options_.first_sequence) {}
@@ -52,6 +53,14 @@
   SendHeartbeat();
 }
 
+void Host::Crash() {
+  log_("host " + options_.id + " is lost");
+  heartbeat_timer_.cancel();
+  socket_.reset();
+  status_server_.reset();
+  flows_.clear();
+}
+
 void Host::BecomeCold(Millis duration) {
   cold_until_ = MonotonicNow() + duration;
   log_("host " + options_.id + " becomes cold");
@@ -77,6 +86,7 @@
       found != flows_.end() &&
       packet->acknowledged - found->second.initial_sequence <=
           found->second.next_sequence - found->second.initial_sequence;
+  if (on_packet_ && !packet->is_reset) on_packet_(flow, is_held);
   if (!is_held) {
     datagram[kFlagsOffset] |= kBouncedFlag;
     socket_->Send(Endpoint{options_.ip, kOutboundPort}, datagram);
--- a/review/standins-2/platform_side/src/stand_in_host.h
+++ b/review/standins-2/platform_side/src/stand_in_host.h
@@ -37,11 +37,18 @@
   /// Called once for each flow whose opening the host takes.
   using OpeningFunction = std::function<void(const FlowTuple&)>;
 
+  /// Called for each packet of a flow, other than openings and resets, and
+  /// whether the host holds the flow.
+  using PacketFunction = std::function<void(const FlowTuple&, bool is_held)>;
+
   Host(boost::asio::io_context& loop, HostOptions options, LogFunction log,
-       OpeningFunction on_opening);
+       OpeningFunction on_opening, PacketFunction on_packet = {});
 
   void Start();
 
+  /// Ends for good, together with its flows, and tells nobody.
+  void Crash();
+
   /// The host is cold for `duration` from now on, and says so in its
   /// heartbeats.
   void BecomeCold(Millis duration);
@@ -73,6 +80,7 @@
   HostOptions options_;
   LogFunction log_;
   OpeningFunction on_opening_;
+  PacketFunction on_packet_;
   std::unique_ptr<AsyncUdpSocket> socket_;
   std::unique_ptr<AsyncHttpServer> status_server_;
   AsyncHttpClient heartbeat_client_;
--- a/review/standins-2/platform_side/src/stand_in_site.cc
+++ b/review/standins-2/platform_side/src/stand_in_site.cc
@@ -23,7 +23,7 @@
 constexpr uint32_t kLoopbackNetwork = 127U << 24;
 constexpr uint32_t kFirstNetwork = 128;
 constexpr uint32_t kNetworks = 100;
-constexpr std::chrono::milliseconds kStep{10};
+constexpr std::chrono::milliseconds kStep{5};
 constexpr std::chrono::milliseconds kProbeInterval{500};
 constexpr Millis kProbeTimeout{400};
 constexpr Millis kMaxExitTime{8'000};
