Watch evacuations with waits that show a silent connection in time

It relied on the configuration's watch to find silent connections, whose own connection was used often enough to stay sound.

Both watches now draw their waits from 2 s to a time that grows with the number of balancers, and a watch's response may come 500 ms after its wait, formerly 1 s: with waits that all begin together the configuration missed the 4 s too. Reads and writes had the same fault in a milder form, a time-out of 1 s on the first call after a pause; a connection that was idle for 2 s is now replaced.

--- a/packages/coordination/include/medlarwinch/coordination/shared/store_watch_policy.h
+++ b/packages/coordination/include/medlarwinch/coordination/shared/store_watch_policy.h
@@ -7,25 +7,31 @@
 
 namespace medlarwinch {
 
-/// Shortest long-poll time of a configuration watch. A connection that has gone
-/// silent is detected only after it, and it must be less than 4 s, the time
-/// after which the platform counts a VM as undisturbed again.
-inline constexpr Millis kMinConfigurationWatchWait{3'000};
+/// Time that the store may take to respond once the long-poll time of a watch
+/// is over. Twice the response time of a slow store, 240 ms.
+inline constexpr Millis kWatchResponseSlack{500};
+/// Shortest long-poll time of a shared watch. A connection that has gone silent
+/// is detected only after this time and kWatchResponseSlack, and what is read
+/// then must reach all balancers within 4 s of the silence, the time after
+/// which the platform counts a VM as undisturbed again.
+inline constexpr Millis kMinSharedWatchWait{2'000};
 /// Longest long-poll time; the platform's store allows 30 s.
-inline constexpr Millis kMaxConfigurationWatchWait{28'000};
+inline constexpr Millis kMaxSharedWatchWait{28'000};
 /// Growth of the longest wait with the number of balancers. The first of many
 /// balancers then ends its wait within a second of the shortest one with a
 /// probability above 0.99.
 inline constexpr Millis kWatchWaitPerBalancer{200};
 
-/// Returns the long-poll time of a balancer's next watch of the configuration.
+/// Returns the long-poll time of a balancer's next watch of objects that agents
+/// pass on between balancers: the configuration and the evacuations.
 ///
 /// All balancers share the detection of silent connections: the first one whose
-/// wait ends reads the configuration again, and the agents report its revision
-/// to all others. The waits are therefore spread at random between the shortest
-/// time and one that grows with the number of balancers, so that the number of
-/// idle calls a second grows much less than the deployment.
-Millis ConfigurationWatchWait(size_t balancers, uint64_t random_value);
+/// wait ends reads the objects again, and the agents report them to all others.
+/// The waits are therefore spread at random between the shortest time and one
+/// that grows with the number of balancers, so that the number of idle calls a
+/// second grows much less than the deployment. Each kind of object needs such a
+/// wait of its own: the connection of another watch may stay sound.
+Millis SharedWatchWait(size_t balancers, uint64_t random_value);
 
 /// Delay between a change of the configuration and the next watch. A series of
 /// changes is then read a few times instead of once for each change.
--- a/packages/coordination/src/shared/store_watch_policy.cc
+++ b/packages/coordination/src/shared/store_watch_policy.cc
@@ -13,14 +13,14 @@
 
 }  // namespace
 
-Millis ConfigurationWatchWait(size_t balancers, uint64_t random_value) {
+Millis SharedWatchWait(size_t balancers, uint64_t random_value) {
   const Millis longest =
-      std::min(kMinConfigurationWatchWait +
+      std::min(kMinSharedWatchWait +
                    kWatchWaitPerBalancer * static_cast<int64_t>(balancers),
-               kMaxConfigurationWatchWait);
+               kMaxSharedWatchWait);
   const uint64_t span =
-      static_cast<uint64_t>((longest - kMinConfigurationWatchWait).value);
-  return kMinConfigurationWatchWait +
+      static_cast<uint64_t>((longest - kMinSharedWatchWait).value);
+  return kMinSharedWatchWait +
          Millis{static_cast<int64_t>(random_value % (span + 1))};
 }
 
--- a/packages/coordination/tests/shared/store_watch_policy_test.cc
+++ b/packages/coordination/tests/shared/store_watch_policy_test.cc
@@ -12,9 +12,9 @@
   /// Returns the time until the first of `balancers` watches that began
   /// together ends.
   Millis FirstEnd(size_t balancers) {
-    Millis first = kMaxConfigurationWatchWait;
+    Millis first = kMaxSharedWatchWait;
     for (size_t index = 0; index < balancers; ++index) {
-      first = std::min(first, ConfigurationWatchWait(balancers, random()));
+      first = std::min(first, SharedWatchWait(balancers, random()));
     }
     return first;
   }
@@ -24,8 +24,8 @@
     constexpr int kSamples = 2'000;
     double total_ms = 0;
     for (int sample = 0; sample < kSamples; ++sample) {
-      total_ms += static_cast<double>(
-          ConfigurationWatchWait(balancers, random()).value);
+      total_ms +=
+          static_cast<double>(SharedWatchWait(balancers, random()).value);
     }
     return static_cast<double>(balancers) * 1'000.0 * kSamples / total_ms;
   }
@@ -48,6 +48,22 @@
   }
 }
 
+// Guards against a configuration that is in force too late after all
+// connections have gone silent just as their waits began: besides the wait, the
+// response's slack and the way through the agents take time.
+BOOST_AUTO_TEST_CASE(AllConnectionsSilent_SmallDeployment_AreReplacedInTime) {
+  // Reconnection, a slow store's response, and two polls of the agents.
+  constexpr Millis kSpread{60 + 240 + 2 * 250};
+  // Of the deployments with the shortest window, which have 4 balancers.
+  constexpr Millis kStabilityWindow{4'000};
+  int late = 0;
+  for (int trial = 0; trial < 1'000; ++trial) {
+    const Millis detected = FirstEnd(4) + kWatchResponseSlack;
+    if (detected + kSpread >= kStabilityWindow) ++late;
+  }
+  BOOST_TEST(late <= 1'000 / 50);
+}
+
 // Guards against idle calls to the store that grow with the deployment.
 BOOST_AUTO_TEST_CASE(IdleCalls_LargerDeployment_GrowLess) {
   BOOST_TEST(CallsPerSecond(60) <= CallsPerSecond(15) * 2.5);
@@ -56,7 +72,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnknownNumberOfBalancers_Wait_IsTheShortest) {
-  BOOST_CHECK(ConfigurationWatchWait(0, 12'345) == kMinConfigurationWatchWait);
+  BOOST_CHECK(SharedWatchWait(0, 12'345) == kMinSharedWatchWait);
 }
 
 BOOST_AUTO_TEST_CASE(SmallDeployment_NewAgentUnderTraffic_IsReadAtOnce) {
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -59,6 +59,9 @@
   void HandleAgentChange(const ObjectChange& change);
   void HandleRefusedEntry(const StoredObject& object, const Error& error);
   void WatchConfiguration();
+  /// Returns the long-poll time of the next watch of the configuration or of
+  /// the evacuations.
+  Millis NextSharedWatchWait();
   void WatchAgents();
   void WatchEvacuations();
   /// Applies stored_evacuations_, complete as of `revision`.
@@ -133,7 +136,6 @@
   /// The active configuration has a route of kind upload.
   bool has_upload_route_ = false;
   bool is_flush_scheduled_ = false;
-  bool was_configuration_watch_lost_ = false;
   bool is_confirming_ = false;
   bool is_stopping_ = false;
 };
--- a/packages/node/src/balancer_node_evacuations.cc
+++ b/packages/node/src/balancer_node_evacuations.cc
@@ -12,11 +12,6 @@
 namespace medlarwinch {
 namespace {
 
-// Long-poll time of the watch of evacuations. It may be long, since the watch
-// of the configuration detects connections that have gone silent, and agents
-// pass on what any other balancer has read.
-constexpr Millis kEvacuationWatchWait = kMaxConfigurationWatchWait;
-
 // Returns the evacuated domains in which no upstream is known, separated by
 // spaces: most likely a name was mistyped.
 std::string UnknownDomains(const UpstreamDirectory& directory) {
@@ -57,11 +52,11 @@
         is_connected ? "store_regained" : "store_lost",
         {{"watch", "evacuations"}, {"reason", reason}});
   };
-  observer.wait = [] { return kEvacuationWatchWait; };
+  observer.wait = [this] { return NextSharedWatchWait(); };
   observer.coalescing_delay = [] { return kConfigurationCoalescingDelay; };
   evacuation_watch_ = std::make_unique<StoreWatch>(
       loop_, platform_.open_store(),
-      WatchOptions{platform_.evacuation_kind, kEvacuationWatchWait, false},
+      WatchOptions{platform_.evacuation_kind, kMinSharedWatchWait, false},
       relay_.random(), std::move(observer));
   evacuation_watch_->Start();
 }
--- a/packages/node/src/balancer_node_store.cc
+++ b/packages/node/src/balancer_node_store.cc
@@ -32,32 +32,25 @@
   observer.on_change = [this](const ObjectChange& change) {
     if (!change.is_removed) HandleConfiguration(change.object);
   };
-  observer.on_connection_change = [this](bool is_connected,
-                                         const std::string& reason) {
+  observer.on_connection_change = [](bool is_connected,
+                                     const std::string& reason) {
     Log(is_connected ? LogLevel::kInfo : LogLevel::kWarning,
         is_connected ? "store_regained" : "store_lost",
         {{"watch", "configuration"}, {"reason", reason}});
-    // The other connection has probably been lost too, and its long wait would
-    // show it much later.
-    if (is_connected && was_configuration_watch_lost_ &&
-        evacuation_watch_ != nullptr) {
-      evacuation_watch_->Reconnect(platform_.open_store());
-    }
-    was_configuration_watch_lost_ = !is_connected;
-  };
-  observer.wait = [this] {
-    return ConfigurationWatchWait(relay_.directory.reported_balancers,
-                                  relay_.random());
   };
+  observer.wait = [this] { return NextSharedWatchWait(); };
   observer.coalescing_delay = [] { return kConfigurationCoalescingDelay; };
   configuration_watch_ = std::make_unique<StoreWatch>(
       loop_, platform_.open_store(),
-      WatchOptions{platform_.configuration_kind, kMinConfigurationWatchWait,
-                   false},
+      WatchOptions{platform_.configuration_kind, kMinSharedWatchWait, false},
       relay_.random(), std::move(observer));
   configuration_watch_->Start();
 }
 
+Millis BalancerNode::NextSharedWatchWait() {
+  return SharedWatchWait(relay_.directory.reported_balancers, relay_.random());
+}
+
 void BalancerNode::WatchAgents() {
   StoreObserver observer;
   observer.on_listing = [this](const ObjectListing& listing) {
--- a/packages/transport/include/medlarwinch/transport/async_http_client.h
+++ b/packages/transport/include/medlarwinch/transport/async_http_client.h
@@ -13,7 +13,8 @@
 
 /// Asynchronous HTTP/1.1 client that sends one request at a time on a
 /// persistent connection. The connection is closed after an error, so that a
-/// late response is never matched to the next request.
+/// late response is never matched to the next request, and is replaced after
+/// two idle seconds, since it may have gone silent without a reset.
 class AsyncHttpClient {
  public:
   /// Called with kUnavailable if the request was not received, with kTimeout if
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -10,6 +10,7 @@
 
 #include "http_fields.h"
 #include "medlarwinch/transport/idle_connection.h"
+#include "medlarwinch/transport/system_clock.h"
 
 namespace medlarwinch {
 namespace {
@@ -26,6 +27,11 @@
 // link takes longer than the timeout of a request, which covers its first part.
 constexpr std::chrono::milliseconds kMaxPartDelay{1'000};
 
+// Idle time after which a connection is not used again. A middlebox may have
+// forgotten it, and a request would then wait for its whole timeout; opening a
+// connection takes one round trip.
+constexpr Millis kMaxReuseIdle{2'000};
+
 std::chrono::milliseconds ToChrono(Millis span) {
   return std::chrono::milliseconds(span.value);
 }
@@ -102,6 +108,7 @@
     buffer.consume(buffer.size());
     buffer.shrink_to_fit();
     is_new_connection = false;
+    last_response_at = MonotonicNow();
     stream.expires_never();
     if (!keeps_alive) Close();
     Finish(std::move(response));
@@ -138,6 +145,11 @@
     is_connected = false;
   }
 
+  bool IsReusable() {
+    return is_connected && MonotonicNow() - last_response_at <= kMaxReuseIdle &&
+           IsIdleConnectionReusable(stream.socket().native_handle());
+  }
+
   void Finish(Result<HttpResponse> result) {
     is_busy = false;
     if (is_closed) return;
@@ -153,6 +165,7 @@
   Millis timeout;
   Millis connect_timeout;
   Callback callback;
+  TimePoint last_response_at;
   bool is_connected = false;
   // True until the first response on the connection.
   bool is_new_connection = true;
@@ -204,15 +217,12 @@
   }
   state.message.body() = std::move(request.body);
   state.message.prepare_payload();
-  if (state.is_connected &&
-      !IsIdleConnectionReusable(state.stream.socket().native_handle())) {
-    state.Close();
-  }
-  if (state.is_connected) {
+  if (state.IsReusable()) {
     state.Write();
-  } else {
-    state.Connect(connect_timeout);
+    return;
   }
+  if (state.is_connected) state.Close();
+  state.Connect(connect_timeout);
 }
 
 }  // namespace medlarwinch
--- a/packages/transport/tests/async_http_test.cc
+++ b/packages/transport/tests/async_http_test.cc
@@ -112,7 +112,7 @@
               boost::asio::write(socket, boost::asio::buffer(answer), closed);
             });
           }
-          Read(socket);
+          if (reads_next_request) Read(socket);
         });
   }
 
@@ -124,6 +124,7 @@
   std::chrono::milliseconds copy_delay;
   std::vector<std::unique_ptr<tcp::socket>> sockets;
   bool was_repeated = false;
+  bool reads_next_request = true;
 };
 
 /// A server that sends one response in parts of ten bytes, 60 ms apart.
@@ -155,6 +156,49 @@
   int parts_left;
 };
 
+/// A server whose first connection goes silent after one response.
+struct ForgetfulServer : RepeatingServer {
+  ForgetfulServer() : RepeatingServer(std::chrono::milliseconds(0)) {
+    was_repeated = true;
+    reads_next_request = false;
+  }
+};
+
+struct AsyncHttpClientOfForgetfulServer {
+  void Get(const std::string& target) {
+    client.Send(HttpRequest{"GET", target, "", {}}, kTimeout, kTimeout,
+                [this](const Result<HttpResponse>& result) {
+                  bodies.push_back(IsOk(result) ? ValueOf(result).body
+                                                : ErrorOf(result).message);
+                });
+  }
+
+  void Run(int duration_ms) {
+    server.loop.restart();
+    server.loop.run_for(std::chrono::milliseconds(duration_ms));
+  }
+
+  ForgetfulServer server;
+  AsyncHttpClient client{server.loop, kServer};
+  std::vector<std::string> bodies;
+};
+
+BOOST_FIXTURE_TEST_SUITE(AsyncHttpClientOfForgetful,
+                         AsyncHttpClientOfForgetfulServer)
+
+// Guards against a request that waits for its whole timeout on a connection
+// that went silent while it was idle.
+BOOST_AUTO_TEST_CASE(ConnectionSilentWhileIdle_NextRequest_IsAnsweredAtOnce) {
+  Get("/first");
+  Run(2'300);
+  Get("/second");
+  Run(300);
+  const std::vector<std::string> expected = {"/first", "/second"};
+  BOOST_TEST(bodies == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 struct AsyncHttpClientOfSlowServer {
   // Sends a request with a timeout of 100 ms.
   std::string Get(int parts_to_send) {
--- a/standins/platform_side/tests/running_daemons.h
+++ b/standins/platform_side/tests/running_daemons.h
@@ -18,6 +18,7 @@
 #include "medlarwinch/platform_side/metadata_service.h"
 #include "medlarwinch/platform_side/simulated_upstream.h"
 #include "medlarwinch/platform_side/soak_configuration.h"
+#include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/standins/child_process.h"
 #include "medlarwinch/transport/async_http_client.h"
 #include "medlarwinch/transport/system_clock.h"
@@ -85,7 +86,7 @@
         {"app", at(kUpstreamPacketPort)},
         {"service", kHubService},
         {"platform",
-         {{"address", ToString(Endpoint{balancer_ip, kStorePort})}}}};
+         {{"address", ToString(Endpoint{balancer_ip, store_port})}}}};
     setenv("MEDLARWINCH_BOOT", file.c_str(), 1);
     Result<std::unique_ptr<ChildProcess>> process = ChildProcess::Spawn(
         MEDLARWINCH_PLATFORMD, {role}, folder + "/" + name + ".log");
@@ -93,8 +94,9 @@
     return TakeValue(std::move(process));
   }
 
-  bool RunUntil(const std::function<bool()>& condition) {
-    const TimePoint deadline = MonotonicNow() + kConditionTimeout;
+  bool RunUntil(const std::function<bool()>& condition,
+                Millis timeout = kConditionTimeout) {
+    const TimePoint deadline = MonotonicNow() + timeout;
     while (!condition()) {
       if (MonotonicNow() > deadline) return false;
       Run(std::chrono::milliseconds(20));
@@ -192,6 +194,8 @@
   MetadataService store;
   std::unique_ptr<AsyncHttpServer> store_server;
   bool is_opened = false;
+  // Where the processes that are started from now on reach the store.
+  uint16_t store_port = kStorePort;
   // Of the processes that are started from now on.
   nlohmann::json bounds = {{"grace_s", 6}};
   SimulatedUpstream upstream{
