Drop openings that waited in a suspended agent's socket until too late

An agent was suspended with first copies of openings in its socket; later copies opened the flows at another upstream, which then drained. The agent woke, passed the first copies on, and the other agent refused them by a reset.

The cause is the same: a message that waited is acted on as if it were new. An agent now drops an opening that may have waited until the attempt was over. How long that is follows from the loop's ticks; it used to be taken for nothing once a tick was on time, although the socket still held the backlog, and now counts until the socket has been read empty.

The times of an opening's copies stand in one header.

--- a/packages/cli/src/log_explain.cc
+++ b/packages/cli/src/log_explain.cc
@@ -149,6 +149,12 @@
       {"left_to_next_copy",
        "no agent accepted the flow opening, or an earlier copy of it may have "
        "opened the flow; the caller is expected to retransmit it"},
+      {"outdated_opening",
+       "a copy of the flow opening came late: the flow was open, or the agent "
+       "had been suspended until the caller's attempt was over"},
+      {"outdated_refusal",
+       "no agent took this copy of the flow opening, but another copy may have "
+       "opened the flow"},
       {"no_upstream_yet", "the upstreams of the route were still starting"},
       {"owner_not_proved",
        "an agent did not answer, so the owner of the flow could not be "
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_openings.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_openings.h
@@ -11,10 +11,12 @@
 inline constexpr uint8_t kMaxRelayHops = 4;
 
 /// Processes a packet that opens a flow: delivers it, forwards it to the next
-/// agent, or leaves it to the caller's next copy.
+/// agent, or leaves it to the caller's next copy. Drops a packet that may have
+/// `waited` unread until the end of the caller's attempt: an upstream would
+/// only keep a flow that nobody uses.
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
                    const std::optional<OpeningContext>& context,
-                   const FlowPacket& packet, TimePoint now,
+                   const FlowPacket& packet, Millis waited, TimePoint now,
                    RelayActions& actions);
 
 /// Processes an opening that the upstream returned.
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/agent_relay.h
@@ -25,7 +25,8 @@
   /// Opening packets that no other agent could take and that were not answered
   /// with a reset.
   uint64_t dropped_openings = 0;
-  /// Late copies of openings whose flow is open.
+  /// Late copies of openings: the flow is open, or the caller's attempt may
+  /// have ended while the agent did not read its socket.
   uint64_t outdated_openings = 0;
   /// Opening packets of which the balancer was told that no agent takes them.
   uint64_t refused_openings = 0;
@@ -102,10 +103,11 @@
 };
 
 /// Processes a packet relayed by a balancer or by another agent. `context` is
-/// set for an opening from a balancer that sends extended messages.
+/// set for an opening from a balancer that sends extended messages; `waited` is
+/// how long an opening may have been unread.
 void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
                          const std::optional<OpeningContext>& context,
-                         const FlowPacket& packet, TimePoint now,
+                         const FlowPacket& packet, Millis waited, TimePoint now,
                          RelayActions& actions);
 
 /// Processes a packet from the upstream. `packet.is_bounced` marks a caller's
--- a/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/relay_actions.h
@@ -64,7 +64,8 @@
   kRouteNotKnown = 3,
   /// No agent takes the opening, but a later copy may have opened the flow.
   kOutdatedRefusal = 4,
-  /// A late copy of an opening whose flow is open.
+  /// A late copy of an opening whose flow is open, or one that may have waited
+  /// unread until the caller's attempt was over.
   kOutdatedOpening = 5,
 };
 const char* PacketDropReasonName(PacketDropReason reason);
--- a/packages/coordination/src/packet_path/agent_openings.cc
+++ b/packages/coordination/src/packet_path/agent_openings.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "medlarwinch/coordination/packet_path/class_admission.h"
+#include "medlarwinch/coordination/packet_path/opening_copies.h"
 #include "medlarwinch/coordination/packet_path/opening_gate.h"
 #include "medlarwinch/coordination/packet_path/upstream_liveness.h"
 
@@ -49,10 +50,6 @@
   return CommittedRequests(relay.flow_tracker, now) < limit;
 }
 
-// Number of times that callers retransmit an opening: 200 ms and 600 ms after
-// the first packet.
-constexpr uint32_t kMaxOpeningRetransmissions = 2;
-
 // Returns true if an opening that no agent accepts is dropped, so that the
 // caller retransmits it, instead of being reset. After many VMs have lost
 // power, all callers open flows at once. Queues drain in the time between two
@@ -78,6 +75,12 @@
                                 PacketDropReason::kLeftToRetransmission});
 }
 
+void DropOutdated(AgentRelay& relay, const FlowTuple& flow,
+                  RelayActions& actions) {
+  ++relay.counters.outdated_openings;
+  actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedOpening});
+}
+
 // Leaves an opening that no upstream has taken to the caller's next copy. The
 // balancer is told, so that a refusal of the next copy can be final.
 void DeclineCopy(AgentRelay& relay, const RelayHeader& header,
@@ -189,14 +192,19 @@
 
 void HandleOpening(AgentRelay& relay, const RelayHeader& header,
                    const std::optional<OpeningContext>& context,
-                   const FlowPacket& packet, TimePoint now,
+                   const FlowPacket& packet, Millis waited, TimePoint now,
                    RelayActions& actions) {
   const FlowTuple flow = FlowFromCaller(packet);
+  // The attempt may have ended, or a later copy may have opened the flow at
+  // another upstream.
+  if (waited >= TimeToAttemptEnd(packet.acknowledged)) {
+    DropOutdated(relay, flow, actions);
+    return;
+  }
   if (IsCopyOfKnownOpening(relay, packet)) {
     // A first copy can come late, after a later one has opened the flow.
     if (relay.flow_tracker.flows.at(flow).is_open) {
-      ++relay.counters.outdated_openings;
-      actions.push_back(DropPackets{flow, PacketDropReason::kOutdatedOpening});
+      DropOutdated(relay, flow, actions);
       return;
     }
     // The upstream has answered an earlier copy, so that the flow may open: the
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -73,10 +73,10 @@
 
 void HandleRelayedPacket(AgentRelay& relay, const RelayHeader& header,
                          const std::optional<OpeningContext>& context,
-                         const FlowPacket& packet, TimePoint now,
+                         const FlowPacket& packet, Millis waited, TimePoint now,
                          RelayActions& actions) {
   if (packet.is_syn) {
-    HandleOpening(relay, header, context, packet, now, actions);
+    HandleOpening(relay, header, context, packet, waited, now, actions);
   } else {
     RecordUploadPath(relay.ack_pacing, packet, header.balancer, now, actions);
     HandleFlowPacket(relay, header, packet, now, actions);
--- a/packages/coordination/src/packet_path/balancer_relay.cc
+++ b/packages/coordination/src/packet_path/balancer_relay.cc
@@ -1,11 +1,11 @@
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "medlarwinch/coordination/packet_path/balancer_search.h"
 #include "medlarwinch/coordination/packet_path/flow_placement.h"
+#include "medlarwinch/coordination/packet_path/opening_copies.h"
 #include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/coordination/packet_path/placement_limits.h"
 #include "medlarwinch/coordination/packet_path/unlisted_agents.h"
@@ -17,13 +17,6 @@
 constexpr size_t kSweepSlotsPerTick = 1'024;
 // Idle timeout of flows when the configuration sets none.
 constexpr Millis kDefaultFlowIdleTimeout{60'000};
-// Time between a copy of an opening and the caller's next one, or the end of
-// its attempt after the last one.
-constexpr std::array<Millis, 3> kOpeningCopyIntervals = {
-    Millis{200}, Millis{400}, Millis{800}};
-// Time from the first copy to the end of the caller's attempt.
-constexpr Millis kOpeningAttempt{1'400};
-
 uint8_t CopyBit(uint32_t copy) {
   constexpr uint32_t kHighestBit = 7;
   return static_cast<uint8_t>(1U << std::min(copy, kHighestBit));
@@ -51,9 +44,7 @@
 // Returns true if the caller may have sent the next copy of an opening that
 // arrived `age` ago, so that another balancer may have relayed it.
 bool MayLaterCopyExist(uint32_t copy, Millis age) {
-  const size_t last = kOpeningCopyIntervals.size() - 1;
-  return age < Millis{0} ||
-         age >= kOpeningCopyIntervals[std::min<size_t>(copy, last)];
+  return age < Millis{0} || age >= TimeToNextCopy(copy);
 }
 
 // Returns true if every agent that may get the opening reads the extended
--- a/packages/coordination/src/packet_path/opening_admission.cc
+++ b/packages/coordination/src/packet_path/opening_admission.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
+#include "medlarwinch/coordination/packet_path/opening_copies.h"
+
 namespace medlarwinch {
 namespace {
 
-// Time since the caller's first copy, and until its next one, by copy.
-constexpr std::array<double, 3> kSpentMs = {0, 200, 600};
-constexpr std::array<double, 2> kUntilNextCopyMs = {200, 400};
 // The opening's round trip and the way of the request and the response.
 constexpr double kWayMs = 20;
 // Callers' latency objectives are this many times the work of a request on all
@@ -51,7 +50,7 @@
 constexpr double kLastingWait = 0.7;
 
 double SpentMs(uint32_t copy) {
-  return kSpentMs[std::min<size_t>(copy, kSpentMs.size() - 1)];
+  return static_cast<double>(OpeningCopyTime(copy).value);
 }
 
 // Milliseconds of work per request and the queue of one upstream.
@@ -188,9 +187,9 @@
 std::optional<OpeningDecision> AwaitIfRoomLater(
     const OfferedOpening& opening, const Assessment& state,
     const OpeningDecision& figures) {
-  if (opening.copy >= kUntilNextCopyMs.size()) return std::nullopt;
+  if (opening.copy >= kMaxOpeningRetransmissions) return std::nullopt;
   if (state.is_overload_lasting) return std::nullopt;
-  const double delay = kUntilNextCopyMs[opening.copy];
+  const double delay = static_cast<double>(TimeToNextCopy(opening.copy).value);
   const double wait = std::max(0.0, figures.wait_ms - delay);
   const bool has_room = wait <= state.own_max_wait_ms;
   if (has_room && wait + figures.work_ms <= figures.left_ms - delay) {
--- a/packages/coordination/tests/packet_path/agent_relay_test.cc
+++ b/packages/coordination/tests/packet_path/agent_relay_test.cc
@@ -73,7 +73,7 @@
                      RelayPurpose purpose = RelayPurpose::kEstablished) {
     header.purpose = packet.is_syn ? RelayPurpose::kOpen : purpose;
     RelayActions actions;
-    HandleRelayedPacket(relay, header, context, packet, now, actions);
+    HandleRelayedPacket(relay, header, context, packet, waited, now, actions);
     return actions;
   }
 
@@ -120,6 +120,7 @@
   UpstreamHeartbeat heartbeat;
   RelayHeader header;
   std::optional<OpeningContext> context;
+  Millis waited{0};
   AgentRelay relay;
 };
 
@@ -450,6 +451,23 @@
                             PacketDropReason::kOutdatedOpening));
 }
 
+// Guards against flows that nobody uses at an upstream, and at those to which
+// the opening is passed on: the agent was suspended until after the attempt.
+BOOST_AUTO_TEST_CASE(OpeningUnread_UntilAttemptEnds_IsDropped) {
+  for (const auto& [copy, end] : std::vector<std::pair<uint32_t, Millis>>{
+           {0, Millis{1'400}}, {1, Millis{1'200}}, {2, Millis{800}}}) {
+    const uint16_t port = static_cast<uint16_t>(1 + copy);
+    waited = end;
+    BOOST_TEST(AreOnlyDropped(Relay(OpeningPacket(port, copy)),
+                              PacketDropReason::kOutdatedOpening));
+    waited = end - Millis{1};
+    BOOST_TEST(
+        ActionsOf<DeliverToUpstream>(Relay(OpeningPacket(port, copy))).size() ==
+        1U);
+  }
+  BOOST_TEST(relay.counters.outdated_openings == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(RestartedAgent_BeforeFirstHeartbeat_DeliversNoOpening) {
   relay.upstream = LocalUpstream{};
   const RelayActions actions = Relay(OpeningPacket(1));
--- a/packages/coordination/tests/packet_path/class_admission_test.cc
+++ b/packages/coordination/tests/packet_path/class_admission_test.cc
@@ -25,8 +25,8 @@
   RelayActions Open(uint16_t port, uint32_t copy = 0) {
     context.copy = copy;
     RelayActions actions;
-    HandleRelayedPacket(relay, header, context, OpeningPacket(port, copy), now,
-                        actions);
+    HandleRelayedPacket(relay, header, context, OpeningPacket(port, copy),
+                        Millis{0}, now, actions);
     return actions;
   }
 
@@ -55,7 +55,8 @@
     request.sequence = sequence;
     request.data_bytes = 100;
     RelayActions actions;
-    HandleRelayedPacket(relay, header, std::nullopt, request, now, actions);
+    HandleRelayedPacket(relay, header, std::nullopt, request, Millis{0}, now,
+                        actions);
   }
 
   // Makes a lasting overload: requests run, queue, and did so on average.
--- a/packages/coordination/tests/packet_path/opening_gate_test.cc
+++ b/packages/coordination/tests/packet_path/opening_gate_test.cc
@@ -50,7 +50,8 @@
 
   RelayActions Relay(const FlowPacket& packet) {
     RelayActions actions;
-    HandleRelayedPacket(relay, header, context, packet, now, actions);
+    HandleRelayedPacket(relay, header, context, packet, Millis{0}, now,
+                        actions);
     return actions;
   }
 
--- a/packages/node/include/medlarwinch/node/agent_node.h
+++ b/packages/node/include/medlarwinch/node/agent_node.h
@@ -12,6 +12,7 @@
 #include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
+#include "medlarwinch/node/socket_arrivals.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/async_udp_socket.h"
 
@@ -99,6 +100,7 @@
   HeldPacketQueue held_packets_;
   NodeRuntime runtime_;
   TimePoint last_tick_at_;
+  SocketArrivals arrivals_;
   TimePoint stop_requested_at_;
   bool is_withdraw_requested_ = false;
   uint64_t malformed_packets_ = 0;
--- a/packages/node/include/medlarwinch/node/balancer_node.h
+++ b/packages/node/include/medlarwinch/node/balancer_node.h
@@ -8,12 +8,12 @@
 #include <set>
 #include <string>
 
-#include "medlarwinch/coordination/packet_path/arrival_delay.h"
 #include "medlarwinch/coordination/packet_path/balancer_relay.h"
 #include "medlarwinch/coordination/packet_path/outlier_weights.h"
 #include "medlarwinch/node/held_packet_queue.h"
 #include "medlarwinch/node/node_runtime.h"
 #include "medlarwinch/node/platform_adapter.h"
+#include "medlarwinch/node/socket_arrivals.h"
 #include "medlarwinch/node/store_watch.h"
 #include "medlarwinch/protocol/relay_messages.h"
 #include "medlarwinch/transport/async_udp_socket.h"
@@ -121,7 +121,7 @@
   TimePoint first_listing_at_;
   TimePoint last_packet_at_;
   TimePoint last_tick_at_;
-  LoopTicks loop_ticks_;
+  SocketArrivals arrivals_;
   TimePoint last_refresh_at_;
   TimePoint last_confirmation_at_;
   TimePoint stop_requested_at_;
--- a/packages/node/src/agent_node.cc
+++ b/packages/node/src/agent_node.cc
@@ -148,7 +148,9 @@
   }
   relay_.is_entry_removed = registration_.is_removed();
   actions_.clear();
-  HandleRelayedPacket(relay_, header, context, *packet, MonotonicNow(),
+  const Millis waited =
+      packet->is_syn ? arrivals_.MaxDelay(*relay_socket_) : Millis{0};
+  HandleRelayedPacket(relay_, header, context, *packet, waited, MonotonicNow(),
                       actions_);
   ExecuteActions(actions_, bytes);
 }
@@ -309,6 +311,7 @@
                                 : now - last_tick_at_ - kTickInterval;
   last_tick_at_ = now;
   HandleAgentTick(relay_, tick_delay, now);
+  arrivals_.HandleTick(*relay_socket_);
   RefreshPacing(now);
   std::erase_if(polls_by_balancer_, [&](const auto& entry) {
     return now - entry.second.last_poll > kBalancerExpiry;
--- a/packages/node/src/balancer_node.cc
+++ b/packages/node/src/balancer_node.cc
@@ -93,8 +93,8 @@
   last_packet_at_ = now;
   const UploadPacketEffect upload = RecordUpload(*packet, datagram, now);
   if (upload.action != UploadPacketAction::kRelay) return;
-  relay_.arrival_delay =
-      MaxArrivalDelay(loop_ticks_, kTickInterval, BootTimeNow());
+  if (packet->is_syn)
+    relay_.arrival_delay = arrivals_.MaxDelay(*caller_socket_);
   actions_.clear();
   HandleCallerPacket(relay_, *packet, datagram, now, actions_);
   ExecuteActions(actions_, datagram);
@@ -302,7 +302,6 @@
 
 void BalancerNode::Tick() {
   const TimePoint now = MonotonicNow();
-  RecordLoopTick(loop_ticks_, kTickInterval, BootTimeNow());
   actions_.clear();
   const Millis elapsed = now - last_tick_at_;
   const Millis tick_delay =
@@ -310,6 +309,7 @@
   last_tick_at_ = now;
   HandleBalancerTick(relay_, tick_delay, now, actions_);
   ExecuteActions(actions_, {});
+  arrivals_.HandleTick(*caller_socket_);
   RemoveUnlistedAgents(relay_.directory, now);
   UpdateOutliers(now);
   PollStartingAgents();
--- a/packages/transport/include/medlarwinch/transport/async_udp_socket.h
+++ b/packages/transport/include/medlarwinch/transport/async_udp_socket.h
@@ -39,6 +39,13 @@
   /// of a flow recover by retransmission.
   bool Send(const Endpoint& to, ByteView datagram);
 
+  /// Passes datagrams that have arrived to the handler, without waiting for the
+  /// event loop to report them. Reads a limited number.
+  void ReadPending();
+
+  /// Number of times that the socket was read until it was empty.
+  uint64_t drains() const { return drains_; }
+
   /// Number of datagrams that could not be sent.
   uint64_t send_failures() const { return send_failures_; }
 
@@ -46,10 +53,10 @@
   AsyncUdpSocket(boost::asio::ip::udp::socket socket, Handler handler);
 
   void WaitForDatagrams();
-  void ReadDatagrams();
 
   boost::asio::ip::udp::socket socket_;
   Handler handler_;
+  uint64_t drains_ = 0;
   uint64_t send_failures_ = 0;
 };
 
--- a/packages/transport/src/async_udp_socket.cc
+++ b/packages/transport/src/async_udp_socket.cc
@@ -69,19 +69,22 @@
   socket_.async_wait(udp::socket::wait_read,
                      [this](const boost::system::error_code& error) {
                        if (error) return;
-                       ReadDatagrams();
+                       ReadPending();
                        WaitForDatagrams();
                      });
 }
 
-void AsyncUdpSocket::ReadDatagrams() {
+void AsyncUdpSocket::ReadPending() {
   std::array<uint8_t, kMaxDatagramBytes> buffer;
   for (int count = 0; count < kMaxBatch; ++count) {
     boost::system::error_code error;
     udp::endpoint from;
     const size_t size =
         socket_.receive_from(boost::asio::buffer(buffer), from, 0, error);
-    if (error == boost::asio::error::would_block) return;
+    if (error == boost::asio::error::would_block) {
+      ++drains_;
+      return;
+    }
     // The error belongs to an earlier datagram that its receiver refused. Later
     // datagrams can still be read.
     if (error) continue;
