Take heartbeat 1 for the first one only right after the start

The agent's new process took heartbeat 1 for a first one that was delayed, and 2 after it for the proof that no earlier process had heard one; heartbeat 0 had gone to that process. So it denied flows that it had not seen open. The platform names no first number.

Only heartbeat 0 is certainly a first one now. The numbers 1 to 3 count as such, or as its repetition, while the upstream is younger than half an interval, since a heartbeat after an acknowledged one is about an interval old. Consecutive heartbeats prove something only after 0.

Failed before: SecondHeartbeatAfterRestart_CountedFromZero_ProvesNothing, NewIncarnation_SecondHeartbeatCountedFromZero_ResetsNone, and the narrower FirstHeartbeat_OfRecentStart_ProvesThatNoFlowIsUnseen.

--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -44,7 +44,8 @@
       was_confirmed || HasJustStarted(heartbeat.sequence, heartbeat.age,
                                       relay.heartbeat_interval);
   RecordIncarnation(relay.flow_history, heartbeat.sequence, is_start_seen);
-  if (is_start_seen && heartbeat.sequence <= kFirstHeartbeatSequence) {
+  if (is_start_seen && IsFirstHeartbeat(heartbeat.sequence, heartbeat.age,
+                                        relay.heartbeat_interval)) {
     ResetAllFlows(relay, now, actions);
     return;
   }
