Treat upstreams as cold from the end of an evacuation to the next heartbeat

The agent's gate went by the last heartbeat, which was sent before the upstream became cold.

From the end of an evacuation of its own domain an agent now applies the limit until the upstream's next heartbeat. Without a limit nothing changes.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/opening_gate.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/opening_gate.h
@@ -33,6 +33,9 @@
   /// Failure domain of the upstream.
   std::string failure_domain;
   EvacuationView evacuations;
+  /// True from the end of an evacuation of the failure domain until the
+  /// upstream's next heartbeat: it may have become cold meanwhile.
+  bool awaits_heartbeat = false;
   ServiceTerms service_terms;
   /// Version of the configuration that the terms are from; 0 before the first
   /// one.
@@ -51,6 +54,9 @@
 bool ApplyBalancerTerms(OpeningGate& gate, const BalancerTerms& terms,
                         uint64_t configuration_version);
 
+/// Records a heartbeat of the upstream, which says whether it is cold.
+void RecordHeartbeat(OpeningGate& gate);
+
 /// Returns why the gate refuses an opening, and counts the refusal; nullopt if
 /// it does not.
 std::optional<RefusalReason> CheckOpeningGate(AgentRelay& relay, TimePoint now);
--- a/packages/coordination/src/packet_path/agent_relay.cc
+++ b/packages/coordination/src/packet_path/agent_relay.cc
@@ -151,6 +151,7 @@
     return effect;
   }
   RecordContact(relay, now);
+  RecordHeartbeat(relay.gate);
   switch (effect) {
     case HeartbeatEffect::kFirst:
       // The agent saw the start if nothing ran at the upstream's address
--- a/packages/coordination/src/packet_path/opening_gate.cc
+++ b/packages/coordination/src/packet_path/opening_gate.cc
@@ -18,6 +18,7 @@
 constexpr int64_t kOverdueIntervals = 2;
 
 bool MayBeCold(const AgentRelay& relay, TimePoint now) {
+  if (relay.gate.awaits_heartbeat) return true;
   const LocalUpstream& upstream = relay.upstream;
   if (now < upstream.cold_until + kColdTimeMargin) return true;
   return now - upstream.last_heartbeat >=
@@ -60,9 +61,17 @@
     gate.terms_version = configuration_version;
   }
   if (!gate.requires_evacuations) return false;
-  return MergeEvacuations(gate.evacuations, terms.evacuations);
+  const bool was_evacuated = IsEvacuated(gate.evacuations, gate.failure_domain);
+  const bool has_changed =
+      MergeEvacuations(gate.evacuations, terms.evacuations);
+  if (was_evacuated && !IsEvacuated(gate.evacuations, gate.failure_domain)) {
+    gate.awaits_heartbeat = true;
+  }
+  return has_changed;
 }
 
+void RecordHeartbeat(OpeningGate& gate) { gate.awaits_heartbeat = false; }
+
 std::optional<RefusalReason> CheckOpeningGate(AgentRelay& relay,
                                               TimePoint now) {
   OpeningGate& gate = relay.gate;
--- a/packages/coordination/tests/packet_path/opening_gate_test.cc
+++ b/packages/coordination/tests/packet_path/opening_gate_test.cc
@@ -193,6 +193,35 @@
   BOOST_TEST(delivered <= kLimit);
 }
 
+// Guards against too many openings at upstreams that became cold shortly before
+// the evacuation of their domain ended, and have not said so yet.
+BOOST_AUTO_TEST_CASE(EvacuationEnded_BeforeNextHeartbeat_OpeningsAreLimited) {
+  SendHeartbeat(Millis{0});
+  now = now + Millis{300};
+  Poll({"d1"}, 1, kLimit);
+  now = now + Millis{300};
+  BOOST_TEST(Poll({}, 2, kLimit));
+  BOOST_TEST(OpenFor(Millis{500}) == kLimit);
+  now = now + kColdOpeningSpan;
+  SendHeartbeat(Millis{2'000});
+  BOOST_TEST(OpenFor(Millis{500}) == kLimit);
+}
+
+// Guards against upstreams that stay limited after an evacuation although they
+// are warm, and against a limit after the evacuation of another domain.
+BOOST_AUTO_TEST_CASE(EvacuationEnded_WarmUpstreamsHeartbeat_EndsLimit) {
+  SendHeartbeat(Millis{0});
+  now = now + Millis{300};
+  Poll({"d2"}, 1, kLimit);
+  Poll({}, 2, kLimit);
+  BOOST_TEST(OpenFor(Millis{300}) == 30U);
+  Poll({"d1"}, 3, kLimit);
+  Poll({}, 4, kLimit);
+  SendHeartbeat(Millis{0});
+  now = now + Millis{300};
+  BOOST_TEST(OpenFor(Millis{300}) == 30U);
+}
+
 // Guards against two processes of the agent that together deliver twice the
 // limit within a second.
 BOOST_AUTO_TEST_CASE(RestartedAgent_FirstSecond_GetsHalfTheLimit) {
