Count the idle time of connections on the clock that includes suspension

A connection that was idle before a VM was suspended may have been forgotten by a middlebox meanwhile. Found by reading the change again; no test, since a test can't suspend its machine.

--- a/packages/coordination/include/medlarwinch/coordination/packet_path/opening_copies.h
+++ b/packages/coordination/include/medlarwinch/coordination/packet_path/opening_copies.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <cstddef>
 #include <cstdint>
 
 #include "medlarwinch/state/clock.h"
--- a/packages/transport/src/async_http_client.cc
+++ b/packages/transport/src/async_http_client.cc
@@ -108,7 +108,7 @@
     buffer.consume(buffer.size());
     buffer.shrink_to_fit();
     is_new_connection = false;
-    last_response_at = MonotonicNow();
+    last_response_at = BootTimeNow();
     stream.expires_never();
     if (!keeps_alive) Close();
     Finish(std::move(response));
@@ -146,7 +146,7 @@
   }
 
   bool IsReusable() {
-    return is_connected && MonotonicNow() - last_response_at <= kMaxReuseIdle &&
+    return is_connected && BootTimeNow() - last_response_at <= kMaxReuseIdle &&
            IsIdleConnectionReusable(stream.socket().native_handle());
   }
 
@@ -165,6 +165,7 @@
   Millis timeout;
   Millis connect_timeout;
   Callback callback;
+  // On the clock that counts suspension.
   TimePoint last_response_at;
   bool is_connected = false;
   // True until the first response on the connection.
