--- a/review/standins-3/platform_side/cases.cc
+++ b/review/standins-3/platform_side/cases.cc
@@ -99,6 +99,45 @@
   return Report(deployment);
 }
 
+// The removal of an agent's entry is executed late, after its host has
+// returned, while all balancers are down.
+int RunLateRemoval(Deployment& deployment, bool has_trouble) {
+  constexpr Millis kStabilityWindow{4'000};
+  constexpr uint32_t kPresent = 11;
+  if (!deployment.Start(2, {kHubService, kDeskService, kDeskService})) {
+    return kNotRun;
+  }
+  deployment.Run(Millis{3'000});
+  if (has_trouble) deployment.LoseNextRemoval();
+  deployment.CrashHost("side-1");
+  deployment.SendOpening("front-1");
+  if (has_trouble) {
+    const bool is_lost = deployment.RunUntil(
+        [&] { return deployment.HasLateRemoval(); }, Millis{4'000});
+    if (!is_lost) return kNotRun;
+  } else {
+    deployment.Run(Millis{400});
+  }
+  deployment.Run(Millis{300});
+  if (!deployment.StartHost("side-1", kPresent)) return kNotRun;
+  deployment.Run(Millis{2'000});
+  if (!deployment.OpenSingleFlow("front-1")) return kNotRun;
+  if (deployment.OwnerOfFlow() != "side-1") return kNotRun;
+  deployment.Run(Millis{500});
+  deployment.Kill("front-1");
+  deployment.Kill("front-2");
+  deployment.Run(Millis{1'000});
+  if (has_trouble) deployment.ExecuteLateRemoval();
+  deployment.Run(Millis{1'000});
+  if (!deployment.StartAgain("front-1")) return kNotRun;
+  if (!deployment.StartAgain("front-2")) return kNotRun;
+  // All machines are in touch again, and the flow is not idle for long.
+  deployment.Run(kStabilityWindow + Millis{500});
+  const bool is_answered = deployment.SendRequest("front-2", Millis{3'000});
+  if (deployment.breaks().empty() && !is_answered) return kNotRun;
+  return Report(deployment);
+}
+
 int Main(int argc, char** argv) {
   if (argc != 3) return kNotRun;
   const std::string name = argv[1];
@@ -112,6 +151,7 @@
   if (name == "late-heartbeats") {
     return RunLateHeartbeats(deployment, has_trouble);
   }
+  if (name == "late-removal") return RunLateRemoval(deployment, has_trouble);
   std::cerr << "unknown case " << name << "\n";
   return kNotRun;
 }
--- a/review/standins-3/platform_side/deployment.cc
+++ b/review/standins-3/platform_side/deployment.cc
@@ -140,14 +140,7 @@
           loop_, Endpoint{network_ + kStoreHost, kStorePort},
           [this](const HttpRequest& request,
                  const AsyncHttpServer::Responder& respond) {
-            store_.Handle(request, StoreFault::kNone, MonotonicNow(),
-                          [respond](std::optional<HttpResponse> response) {
-                            // Not a header of the platform's store.
-                            if (response.has_value()) {
-                              response->headers.erase("store-era");
-                            }
-                            respond(std::move(response));
-                          });
+            HandleStoreCall(request, respond);
           });
   if (!IsOk(listening)) return false;
   store_server_ = TakeValue(std::move(listening));
@@ -187,6 +180,39 @@
       Millis{15'000});
 }
 
+void Deployment::HandleStoreCall(const HttpRequest& request,
+                                 const AsyncHttpServer::Responder& respond) {
+  if (loses_next_removal_ && request.method == "DELETE") {
+    loses_next_removal_ = false;
+    late_removal_ = request;
+    // Keeps the connection open.
+    silent_calls_.push_back(respond);
+    Record("store: answer to DELETE " + request.target + " is lost");
+    return;
+  }
+  const bool is_read = request.method == "GET" &&
+                       (request.target.find('?') != std::string::npos ||
+                        request.target.find("agents/") == std::string::npos);
+  if (!is_read) Record("store: " + request.method + " " + request.target);
+  store_.Handle(request, StoreFault::kNone, MonotonicNow(),
+                [respond](std::optional<HttpResponse> response) {
+                  // Not a header of the platform's store.
+                  if (response.has_value()) {
+                    response->headers.erase("store-era");
+                  }
+                  respond(std::move(response));
+                });
+}
+
+void Deployment::ExecuteLateRemoval() {
+  store_.Handle(*late_removal_, StoreFault::kNone, MonotonicNow(),
+                [this](const std::optional<HttpResponse>& response) {
+                  Record("store: late DELETE " + late_removal_->target +
+                         " executed, status " +
+                         std::to_string(response->status));
+                });
+}
+
 bool Deployment::StartHost(const Daemon& daemon, uint32_t incarnation) {
   SimulatedUpstreamSettings host;
   host.service = daemon.service;
@@ -286,23 +312,27 @@
   single_.is_answered = true;
 }
 
-bool Deployment::OpenSingleFlow(const std::string& balancer) {
-  constexpr uint16_t kPort = 2'000;
+bool Deployment::OpenConsumerSocket() {
+  if (consumer_ != nullptr) return true;
+  return IsOk(AsyncUdpSocket::OpenInto(
+      consumer_, loop_, Endpoint{network_ + kConsumerHost, kDatagramPort},
+      [this](const Endpoint& from, std::span<uint8_t> datagram) {
+        HandleFlowPacket(from, datagram);
+      }));
+}
+
+void Deployment::SendOpening(const std::string& balancer) {
   constexpr uint32_t kFirstSequence = 70'000;
-  const uint32_t ip = network_ + kConsumerHost;
-  if (consumer_ == nullptr &&
-      !IsOk(AsyncUdpSocket::OpenInto(
-          consumer_, loop_, Endpoint{ip, kDatagramPort},
-          [this](const Endpoint& from, std::span<uint8_t> datagram) {
-            HandleFlowPacket(from, datagram);
-          }))) {
-    return false;
-  }
+  if (!OpenConsumerSocket()) return;
   single_ = SingleFlow{};
-  single_.flow =
-      FlowTuple{Endpoint{ip, kPort}, *RouteAddresses(kHubService).begin()};
+  single_.flow = FlowTuple{Endpoint{network_ + kConsumerHost, next_port_++},
+                           *RouteAddresses(kHubService).begin()};
   single_.sequence = kFirstSequence;
   SendFlowPacket(balancer, true, {});
+}
+
+bool Deployment::OpenSingleFlow(const std::string& balancer) {
+  SendOpening(balancer);
   if (!RunUntil([this] { return single_.is_open; }, Millis{1'400})) {
     return false;
   }
--- a/review/standins-3/platform_side/deployment.h
+++ b/review/standins-3/platform_side/deployment.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,14 @@
   int DeliverLateHeartbeat(const std::string& agent, uint32_t incarnation,
                            uint64_t sequence);
 
+  /// Loses the answer of the next removal of an object; the store executes it
+  /// when ExecuteLateRemoval() is called, if its condition still holds.
+  void LoseNextRemoval() { loses_next_removal_ = true; }
+  bool HasLateRemoval() const { return late_removal_.has_value(); }
+  void ExecuteLateRemoval();
+  /// Sends an opening that nobody may answer.
+  void SendOpening(const std::string& balancer);
+
   /// Opens a flow of one consumer through `balancer`, with one request.
   bool OpenSingleFlow(const std::string& balancer);
   /// Sends another request on the open flow through `balancer`, with
@@ -103,6 +112,9 @@
   bool StartHost(const Daemon& daemon, uint32_t incarnation);
   void SendFlowPacket(const std::string& balancer, bool is_syn,
                       const std::string& data);
+  bool OpenConsumerSocket();
+  void HandleStoreCall(const HttpRequest& request,
+                       const AsyncHttpServer::Responder& respond);
   void HandleFlowPacket(const Endpoint& from, std::span<uint8_t> datagram);
   Daemon& Find(const std::string& name);
   void ProbeBalancers();
@@ -122,12 +134,16 @@
   TimePoint next_probe_;
   MetadataService store_;
   std::unique_ptr<AsyncHttpServer> store_server_;
+  bool loses_next_removal_ = false;
+  std::optional<HttpRequest> late_removal_;
+  std::vector<AsyncHttpServer::Responder> silent_calls_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   /// By the name of their agent.
   std::map<std::string, std::unique_ptr<SimulatedUpstream>> hosts_;
   std::unique_ptr<SimulatedCallers> consumers_;
   std::unique_ptr<AsyncUdpSocket> consumer_;
   SingleFlow single_;
+  uint16_t next_port_ = 2'000;
   /// Start times of the hosts by incarnation, in Unix milliseconds.
   std::map<uint32_t, int64_t> born_;
   /// Times at which packets of a flow reached other hosts than its own.
