--- a/review/14/run.sh
+++ b/review/12/run.sh
@@ -3,7 +3,7 @@
 # Run after the build of deploy/system.toml and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 timeout 110 target/review-3/bin/review_cases_3 late-removal \
-  review/14/record.txt
+  review/12/record.txt
 status=$?
 if [ "$status" -ne 0 ] && [ "$status" -ne 1 ]; then exit 2; fi
 exit "$status"
