Tidy the stand-ins of the third review

Cause: a leftover query and an unclear filter of recorded store calls. Change: removed and simplified.

--- a/review/standins-3/platform_side/deployment.cc
+++ b/review/standins-3/platform_side/deployment.cc
@@ -190,10 +190,13 @@
     Record("store: answer to DELETE " + request.target + " is lost");
     return;
   }
-  const bool is_read = request.method == "GET" &&
-                       (request.target.find('?') != std::string::npos ||
-                        request.target.find("agents/") == std::string::npos);
-  if (!is_read) Record("store: " + request.method + " " + request.target);
+  // Reads of a single object are recorded too, lists and watches are not.
+  const bool is_object_read =
+      request.method == "GET" &&
+      request.target.find("-agents/") != std::string::npos;
+  if (request.method != "GET" || is_object_read) {
+    Record("store: " + request.method + " " + request.target);
+  }
   store_.Handle(request, StoreFault::kNone, MonotonicNow(),
                 [respond](std::optional<HttpResponse> response) {
                   // Not a header of the platform's store.
@@ -539,8 +542,4 @@
   return Find(daemon).process->HasExited();
 }
 
-bool Deployment::IsInRotation(const std::string& balancer) {
-  return Find(balancer).is_in_rotation;
-}
-
 }  // namespace medlarwinch::review
--- a/review/standins-3/platform_side/deployment.h
+++ b/review/standins-3/platform_side/deployment.h
@@ -63,7 +63,6 @@
   /// Starts the daemon after its process has exited.
   bool StartAgain(const std::string& daemon);
   bool HasExited(const std::string& daemon);
-  bool IsInRotation(const std::string& balancer);
 
   /// Ends the host beside the agent as a crash does.
   void CrashHost(const std::string& agent);
